Set up the workspace, the micro-kernel and the schemas

Cause: the repository is empty. Ruled out: a wiring file with direct constructor calls; services would then import each other's classes and a test could not put its own in place. Before: nothing. Conclusion: the path from end to end can be built on these interfaces.

--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,28 @@
+/**
+ * The micro-kernel and the services that every process has.
+ *
+ * @module
+ */
+export { type Clock, sleepOn, SystemClock } from "./clock.ts";
+export { Condition } from "./condition.ts";
+export { DeadlineError, withDeadline } from "./deadline.ts";
+export { Kernel, KernelError, type Provision } from "./kernel.ts";
+export {
+  type Field,
+  type Fields,
+  formatLine,
+  formatValue,
+  type Level,
+  LineLogger,
+  type Logger,
+  type LoggerOptions,
+} from "./logger.ts";
+export { ManualClock } from "./manual-clock.ts";
+export { type Random, SeededRandom, SystemRandom } from "./random.ts";
+export { type Service } from "./service.ts";
+export {
+  describeError,
+  StoppedError,
+  type TaskBody,
+  TaskGroup,
+} from "./tasks.ts";
--- /dev/null
+++ b/packages/kernel/src/kernel.ts
@@ -0,0 +1,118 @@
+/**
+ * The micro-kernel: services that find each other by name.
+ *
+ * @module
+ */
+import type { Service } from "./service.ts";
+
+/** A mistake in how services are provided or found. */
+export class KernelError extends Error {
+  override name = "KernelError";
+}
+
+/** How one service is created, and the names that must exist before it. */
+export interface Provision<Directory, Name extends keyof Directory> {
+  readonly needs: readonly (keyof Directory & string)[];
+  readonly create: (kernel: Kernel<Directory>) => Directory[Name];
+}
+
+type AnyProvision<Directory> = Provision<Directory, keyof Directory>;
+
+/**
+ * Holds services by name, starts them in order of need and stops them in
+ * reverse. `Directory` maps each service name to its type.
+ */
+export class Kernel<Directory> {
+  #provisions = new Map<keyof Directory & string, AnyProvision<Directory>>();
+  #services = new Map<keyof Directory & string, Service>();
+  #started: (keyof Directory & string)[] = [];
+
+  /** Registers how a service is created. A name can be provided once. */
+  provide<Name extends keyof Directory & string>(
+    name: Name,
+    needs: readonly (keyof Directory & string)[],
+    create: (kernel: Kernel<Directory>) => Directory[Name],
+  ): this {
+    if (this.#provisions.has(name)) {
+      throw new KernelError(`service "${name}" is provided twice`);
+    }
+    this.#provisions.set(name, { needs, create });
+    return this;
+  }
+
+  /** Returns the service of that name; fails when it does not exist yet. */
+  find<Name extends keyof Directory & string>(name: Name): Directory[Name] {
+    const service = this.#services.get(name);
+    if (service === undefined) {
+      throw new KernelError(`service "${name}" is not available`);
+    }
+    return service as Directory[Name];
+  }
+
+  /** Creates every service in order of need, then starts each one. */
+  async start(): Promise<void> {
+    const order = this.#orderByNeed();
+    for (const name of order) {
+      const provision = this.#provisions.get(name)!;
+      this.#services.set(name, provision.create(this) as Service);
+    }
+    for (const name of order) {
+      this.#started.push(name);
+      await this.#services.get(name)!.start?.();
+    }
+  }
+
+  /** Stops started services in reverse order; one failure stops no other. */
+  async stop(): Promise<void> {
+    const failures: unknown[] = [];
+    for (const name of this.#started.splice(0).reverse()) {
+      try {
+        await this.#services.get(name)!.stop?.();
+      } catch (failure) {
+        failures.push(failure);
+      }
+    }
+    if (failures.length > 0) {
+      throw new AggregateError(failures, "some services failed to stop");
+    }
+  }
+
+  /** Collects the state of every service under its name. */
+  dump(): Record<string, unknown> {
+    const state: Record<string, unknown> = {};
+    for (const [name, service] of this.#services) {
+      if (service.dump) {
+        state[name] = service.dump();
+      }
+    }
+    return state;
+  }
+
+  #orderByNeed(): (keyof Directory & string)[] {
+    const order: (keyof Directory & string)[] = [];
+    const visiting = new Set<string>();
+    const visit = (name: keyof Directory & string, path: string[]): void => {
+      if (order.includes(name)) {
+        return;
+      }
+      const chain = [...path, name];
+      if (visiting.has(name)) {
+        throw new KernelError(`services need each other: ${chain.join(" > ")}`);
+      }
+      const provision = this.#provisions.get(name);
+      if (provision === undefined) {
+        throw new KernelError(`missing service: ${chain.join(" > ")}`);
+      }
+      visiting.add(name);
+      for (const need of provision.needs) {
+        visit(need, chain);
+      }
+      visiting.delete(name);
+      order.push(name);
+    };
+    for (const name of this.#provisions.keys()) {
+      visit(name, []);
+    }
+    return order;
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/tasks.ts
@@ -0,0 +1,83 @@
+/**
+ * Tasks: long-running async functions with one owner.
+ *
+ * @module
+ */
+import type { Clock } from "./clock.ts";
+import type { Logger } from "./logger.ts";
+
+/** The reason given to tasks when their owner stops. */
+export class StoppedError extends Error {
+  override name = "StoppedError";
+}
+
+/** The body of a task: reads from top to bottom until its signal aborts. */
+export type TaskBody = (signal: AbortSignal) => Promise<void>;
+
+/** The tasks of one service; they end together. */
+export class TaskGroup {
+  #clock: Clock;
+  #logger: Logger;
+  #controller = new AbortController();
+  #tasks = new Set<Promise<void>>();
+
+  constructor(clock: Clock, logger: Logger) {
+    this.#clock = clock;
+    this.#logger = logger;
+  }
+
+  /** Aborted when the group stops. */
+  get signal(): AbortSignal {
+    return this.#controller.signal;
+  }
+
+  /** The number of tasks that have not ended. */
+  get size(): number {
+    return this.#tasks.size;
+  }
+
+  /** Runs a task once; a failure is logged and ends only that task. */
+  run(name: string, body: TaskBody): Promise<void> {
+    const task = this.#guard(name, body).finally(() => {
+      this.#tasks.delete(task);
+    });
+    this.#tasks.add(task);
+    return task;
+  }
+
+  /** Runs a task again `pauseMs` after it ends, until the group stops. */
+  repeat(name: string, pauseMs: number, body: TaskBody): Promise<void> {
+    return this.run(name, async (signal) => {
+      while (!signal.aborted) {
+        await this.#guard(name, body);
+        await this.#clock.sleep(pauseMs, signal);
+      }
+    });
+  }
+
+  /** Aborts every task and waits until all have ended. */
+  async stop(): Promise<void> {
+    this.#controller.abort(new StoppedError("the service stops"));
+    await Promise.allSettled([...this.#tasks]);
+  }
+
+  async #guard(name: string, body: TaskBody): Promise<void> {
+    try {
+      await body(this.signal);
+    } catch (failure) {
+      if (!this.signal.aborted) {
+        this.#logger.error("task_failed", {
+          task: name,
+          error: describeError(failure),
+        });
+      }
+    }
+  }
+}
+
+/** Describes anything that was thrown in one line of text. */
+export function describeError(failure: unknown): string {
+  return failure instanceof Error
+    ? `${failure.name}: ${failure.message}`
+    : String(failure);
+}
--- /dev/null
+++ b/packages/schema/src/peer.ts
@@ -0,0 +1,114 @@
+/**
+ * Messages between nodes, and their codec.
+ *
+ * @module
+ */
+import { Packr } from "msgpackr";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { ControlSnapshot, Offset } from "./records.ts";
+
+/** Version of the protocol between nodes. */
+export const PROTOCOL_VERSION = 1;
+/** Largest message that a node accepts from a peer. */
+export const MAX_PEER_MESSAGE_BYTES = 4 * 1024 * 1024;
+
+/** First message in each direction. */
+export const HelloMessage = z.object({
+  kind: z.literal("hello"),
+  protocol: z.number().int(),
+  node: z.string(),
+  dataCentre: z.string(),
+  publicAddress: z.string(),
+  peerAddress: z.string(),
+});
+
+/** Sent at a fixed interval in both directions. */
+export const HeartbeatMessage = z.object({
+  kind: z.literal("heartbeat"),
+  sequence: z.number().int(),
+  configurationVersion: Offset,
+  controlOffset: Offset,
+  /** Whether the node's last read of the log succeeded. */
+  logReachable: z.boolean(),
+  /** Requests in flight as a share of the node's capacity. */
+  load: z.number(),
+  stopping: z.boolean(),
+});
+/** Sent at a fixed interval in both directions. */
+export type HeartbeatMessage = z.infer<typeof HeartbeatMessage>;
+
+/** Changes of what a node has seen of hosts. */
+export const EvidenceMessage = z.object({
+  kind: z.literal("evidence"),
+  hosts: z.array(z.object({
+    host: z.string(),
+    missing: z.boolean(),
+    /** Age of the observation when it was sent. */
+    ageMs: z.number(),
+  })),
+});
+
+/** What client accounts used at this node since the last message. */
+export const UsageMessage = z.object({
+  kind: z.literal("usage"),
+  sequence: z.number().int(),
+  accounts: z.array(z.object({
+    account: z.string(),
+    requests: z.number(),
+    tokens: z.number(),
+    streams: z.number().int(),
+  })),
+});
+
+/** Asks for a peer's control state. */
+export const SnapshotRequestMessage = z.object({
+  kind: z.literal("snapshot-request"),
+});
+
+/** A node's control state. */
+export const SnapshotMessage = z.object({
+  kind: z.literal("snapshot"),
+  state: ControlSnapshot,
+});
+
+/** A message between nodes. */
+export const PeerMessage = z.discriminatedUnion("kind", [
+  HelloMessage,
+  HeartbeatMessage,
+  EvidenceMessage,
+  UsageMessage,
+  SnapshotRequestMessage,
+  SnapshotMessage,
+]);
+/** A message between nodes. */
+export type PeerMessage = z.infer<typeof PeerMessage>;
+
+/** The message between nodes with a given kind. */
+export type PeerMessageOf<Kind extends PeerMessage["kind"]> = Extract<
+  PeerMessage,
+  { kind: Kind }
+>;
+
+const packr = new Packr({ useRecords: false });
+
+/** Encodes a message between nodes. */
+export function encodePeerMessage(message: PeerMessage): Uint8Array {
+  return packr.pack(message);
+}
+
+/** Decodes and checks a message between nodes. */
+export function decodePeerMessage(
+  bytes: Uint8Array,
+): Result<PeerMessage, string> {
+  let value: unknown;
+  try {
+    value = packr.unpack(bytes);
+  } catch {
+    return Result.err("the bytes are not msgpack");
+  }
+  const parsed = PeerMessage.safeParse(value);
+  return parsed.success
+    ? Result.ok(parsed.data)
+    : Result.err(z.prettifyError(parsed.error).replaceAll("\n", "; "));
+}
--- /dev/null
+++ b/packages/schema/src/records.ts
@@ -0,0 +1,222 @@
+/**
+ * Records that the system keeps in the platform's log.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { Verdict } from "./verdict.ts";
+
+/** An offset in a stream of the log; the first record has offset 1. */
+export const Offset = z.number().int().min(0);
+
+const Header = { id: z.string(), node: z.string() };
+const Fenced = { ...Header, scope: z.string(), fence: Offset };
+const GroupStep = { ...Fenced, group: z.string() };
+
+/** A new text of the rules, made from version `basis`. */
+export const ConfigurationRecord = z.object({
+  ...Header,
+  kind: z.literal("configuration"),
+  basis: Offset,
+  text: z.string(),
+  author: z.string(),
+});
+
+/** A claim (`fence` 0) or a renewal of the lease of a scope. */
+export const LeaseRecord = z.object({
+  ...Fenced,
+  kind: z.literal("lease"),
+  /** Offset of the last lease record of the scope that the writer has read. */
+  basis: Offset,
+});
+
+/** Hosts that are to form a group; the first one is the lead. */
+export const GroupAssignedRecord = z.object({
+  ...GroupStep,
+  kind: z.literal("group-assigned"),
+  model: z.string(),
+  version: z.string(),
+  hosts: z.array(z.string()).min(1),
+  fabricDomain: z.string(),
+  dataCentre: z.string(),
+  /** The group that this one is to replace. */
+  replaces: z.string().optional(),
+});
+
+/** The holder begins to order the group's hosts to load. */
+export const GroupLoadingRecord = z.object({
+  ...GroupStep,
+  kind: z.literal("group-loading"),
+});
+
+/** Every host of the group has confirmed its role. */
+export const GroupReadyRecord = z.object({
+  ...GroupStep,
+  kind: z.literal("group-ready"),
+});
+
+/** The group takes no new work. */
+export const GroupDrainingRecord = z.object({
+  ...GroupStep,
+  kind: z.literal("group-draining"),
+});
+
+/** The group is gone; the hosts in `released` have confirmed the unload. */
+export const GroupRetiredRecord = z.object({
+  ...GroupStep,
+  kind: z.literal("group-retired"),
+  released: z.array(z.string()),
+});
+
+/** A host of a retired group has confirmed the unload. */
+export const HostReleasedRecord = z.object({
+  ...Fenced,
+  kind: z.literal("host-released"),
+  host: z.string(),
+});
+
+/** An operator takes a host out of service, or gives it back. */
+export const HostDrainedRecord = z.object({
+  ...Header,
+  kind: z.literal("host-drained"),
+  host: z.string(),
+  drained: z.boolean(),
+  author: z.string(),
+});
+
+/** States of a group, in the order of its life. */
+export const GroupPhase = z.enum([
+  "assigned",
+  "loading",
+  "ready",
+  "draining",
+  "retired",
+]);
+/** States of a group, in the order of its life. */
+export type GroupPhase = z.infer<typeof GroupPhase>;
+
+/** The configuration in force. */
+export const ConfigurationState = z.object({
+  /** Offset of the accepted record; 0 when there is none. */
+  version: Offset,
+  text: z.string(),
+  author: z.string(),
+});
+/** The configuration in force. */
+export type ConfigurationState = z.infer<typeof ConfigurationState>;
+
+/** The lease of one scope. */
+export const LeaseState = z.object({
+  scope: z.string(),
+  holder: z.string(),
+  /** Offset of the accepted claim. */
+  fence: Offset,
+  /** Offset of the last accepted claim or renewal. */
+  last: Offset,
+  /** Id of the last accepted claim or renewal. */
+  lastId: z.string(),
+});
+/** The lease of one scope. */
+export type LeaseState = z.infer<typeof LeaseState>;
+
+/** A group that is not retired. */
+export const GroupState = z.object({
+  group: z.string(),
+  scope: z.string(),
+  phase: GroupPhase,
+  model: z.string(),
+  version: z.string(),
+  hosts: z.array(z.string()),
+  fabricDomain: z.string(),
+  dataCentre: z.string(),
+  replaces: z.string().optional(),
+  /** Fencing number under which the last step was taken. */
+  fence: Offset,
+  /** Offset of the record of the last step. */
+  since: Offset,
+});
+/** A group that is not retired. */
+export type GroupState = z.infer<typeof GroupState>;
+
+/** The state that all readers of the control stream agree on. */
+export const ControlSnapshot = z.object({
+  /** Offset of the last record that the state includes. */
+  asOf: Offset,
+  configuration: ConfigurationState,
+  leases: z.array(LeaseState),
+  groups: z.array(GroupState),
+  /** Hosts of retired groups whose unload is not confirmed, with the group. */
+  heldHosts: z.array(z.object({
+    host: z.string(),
+    group: z.string(),
+    scope: z.string(),
+  })),
+  drainedHosts: z.array(z.string()),
+});
+/** The state that all readers of the control stream agree on. */
+export type ControlSnapshot = z.infer<typeof ControlSnapshot>;
+
+/** The state as of an earlier offset, for readers with none. */
+export const CheckpointRecord = z.object({
+  ...Header,
+  kind: z.literal("checkpoint"),
+  state: ControlSnapshot,
+});
+
+/** A record of the `control` stream. */
+export const ControlRecord = z.discriminatedUnion("kind", [
+  ConfigurationRecord,
+  LeaseRecord,
+  GroupAssignedRecord,
+  GroupLoadingRecord,
+  GroupReadyRecord,
+  GroupDrainingRecord,
+  GroupRetiredRecord,
+  HostReleasedRecord,
+  HostDrainedRecord,
+  CheckpointRecord,
+]);
+/** A record of the `control` stream. */
+export type ControlRecord = z.infer<typeof ControlRecord>;
+
+/** The record of the `control` stream with a given kind. */
+export type ControlRecordOf<Kind extends ControlRecord["kind"]> = Extract<
+  ControlRecord,
+  { kind: Kind }
+>;
+
+/** A node is about to make a non-idempotent call. */
+export const IntentRecord = z.object({
+  ...Header,
+  kind: z.literal("intent"),
+  /** Hash of client account, service and idempotency key. */
+  key: z.string(),
+  bodyHash: z.string(),
+});
+
+/** How a non-idempotent call ended. */
+export const OutcomeRecord = z.object({
+  ...Header,
+  kind: z.literal("outcome"),
+  key: z.string(),
+  /** Id of the intent. */
+  intent: z.string(),
+  verdict: Verdict,
+  status: z.number().int(),
+  contentType: z.string(),
+  body: z.string(),
+});
+
+/** A record of the `calls` stream. */
+export const CallRecord = z.discriminatedUnion("kind", [
+  IntentRecord,
+  OutcomeRecord,
+]);
+/** A record of the `calls` stream. */
+export type CallRecord = z.infer<typeof CallRecord>;
+
+/** The record of the `calls` stream with a given kind. */
+export type CallRecordOf<Kind extends CallRecord["kind"]> = Extract<
+  CallRecord,
+  { kind: Kind }
+>;
--- /dev/null
+++ b/packages/schema/src/settings.ts
@@ -0,0 +1,141 @@
+/**
+ * Settings of a node: an INI file that is checked before the node starts.
+ *
+ * @module
+ */
+import { parse } from "ini";
+import { Result } from "true-myth";
+import { z } from "zod";
+import { Address, Count, createListSchema, Duration, Name } from "./values.ts";
+
+const Secret = z.string().min(16, "expected at least 16 characters");
+
+/** All settings of a node, by section and key. */
+export const Settings = z.strictObject({
+  node: z.strictObject({
+    name: Name,
+    "data-centre": Name,
+    "public-address": Address,
+    "admin-address": Address,
+    "peer-address": Address,
+    peers: createListSchema(Address).optional(),
+    "admin-token": Secret,
+    "peer-token": Secret,
+  }),
+  platform: z.strictObject({
+    log: Address,
+    "host-list": Address,
+    "weight-store": Address,
+    "host-list-interval": Duration.default(1000),
+    "log-timeout": Duration.default(2000),
+    "log-poll": Duration.default(1000),
+  }),
+  timing: z.strictObject({
+    "lease-term": Duration.default(6000),
+    "lease-renewal": Duration.default(2000),
+    "longest-order": Duration.default(5000),
+    "probe-interval": Duration.default(1000),
+    "evidence-validity": Duration.default(3000),
+    "host-absence": Duration.default(5000),
+    "heartbeat-interval": Duration.default(1000),
+    "peer-deadline": Duration.default(4000),
+    "lookup-validity": Duration.default(5000),
+    "stream-progress": Duration.default(2000),
+    "call-deadline": Duration.default(10_000),
+    "stop-bound": Duration.default(60_000),
+    "checkpoint-interval": Duration.default(60_000),
+  }).prefault({}),
+  limits: z.strictObject({
+    "checkpoint-records": Count.default(256),
+    "body-bytes": Count.default(1_048_576),
+    "streams": Count.default(1000),
+    "remembered-calls": Count.default(20_000),
+    "peer-connections": Count.default(8),
+    "routing-subset": Count.default(8),
+  }).prefault({}),
+  output: z.strictObject({
+    "log-level": z.enum(["error", "warn", "info", "debug", "silent"])
+      .default("info"),
+    metrics: Address.optional(),
+  }).prefault({}),
+});
+/** All settings of a node, by section and key. */
+export type Settings = z.infer<typeof Settings>;
+
+/** One mistake in a settings file. */
+export interface SettingsFault {
+  readonly file: string;
+  readonly line: number | undefined;
+  readonly section: string;
+  readonly key: string;
+  readonly message: string;
+}
+
+/** Reads a settings file; reports every fault with its place. */
+export function parseSettings(
+  file: string,
+  text: string,
+): Result<Settings, SettingsFault[]> {
+  const parsed = Settings.safeParse(parse(text));
+  if (parsed.success) {
+    return Result.ok(parsed.data);
+  }
+  return Result.err(
+    parsed.error.issues.flatMap((issue) => createFaults(file, text, issue)),
+  );
+}
+
+/** Describes a fault in one line. */
+export function describeSettingsFault(fault: SettingsFault): string {
+  const place = fault.line === undefined
+    ? fault.file
+    : `${fault.file}:${fault.line}`;
+  const key = fault.key === "" ? "" : ` ${fault.key}`;
+  return `${place}: [${fault.section}]${key}: ${fault.message}`;
+}
+
+function createFaults(
+  file: string,
+  text: string,
+  issue: z.core.$ZodIssue,
+): SettingsFault[] {
+  const unknownKeys = issue.code === "unrecognized_keys" ? issue.keys : [];
+  if (unknownKeys.length === 0) {
+    const [section = "", key = ""] = issue.path.map(String);
+    return [createFault(file, text, section, key, issue.message)];
+  }
+  return unknownKeys.map((unknownKey) => {
+    const [section, key] = issue.path.length === 0
+      ? [unknownKey, ""]
+      : [String(issue.path[0]), unknownKey];
+    const what = key === "" ? "unknown section" : "unknown key";
+    return createFault(file, text, section, key, what);
+  });
+}
+
+function createFault(
+  file: string,
+  text: string,
+  section: string,
+  key: string,
+  message: string,
+): SettingsFault {
+  return { file, line: findLine(text, section, key), section, key, message };
+}
+
+function findLine(
+  text: string,
+  section: string,
+  key: string,
+): number | undefined {
+  const lines = text.split(/\r?\n/).map((line) => line.trim());
+  const start = lines.indexOf(`[${section}]`);
+  if (start < 0) {
+    return undefined;
+  }
+  const rest = lines.slice(start + 1);
+  const end = rest.findIndex((line) => line.startsWith("["));
+  const body = end < 0 ? rest : rest.slice(0, end);
+  const index = body.findIndex((line) => line.split("=")[0]?.trim() === key);
+  return index < 0 ? start + 1 : start + index + 2;
+}
