Serve a request from end to end over separate processes

Ruled out: a single process with fakes; it would not show that the protocols fit. Before: no path. Conclusion: the shape holds; the parts can be built side by side.

--- /dev/null
+++ b/packages/cli/src/exit-code.ts
@@ -0,0 +1,20 @@
+/**
+ * Exit codes of the command.
+ *
+ * @module
+ */
+
+/** What the command's exit code means. */
+export const ExitCode = {
+  success: 0,
+  /** The command line is wrong. */
+  usage: 1,
+  /** The node refused. */
+  refused: 2,
+  /** Somebody else published first. */
+  conflict: 3,
+  /** The node cannot be reached. */
+  unreachable: 4,
+  /** The wait ended before what was waited for came about. */
+  timeout: 5,
+} as const;
--- a/packages/kernel/src/tasks.ts
+++ b/packages/kernel/src/tasks.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setMaxListeners } from "node:events";
 import type { Clock } from "./clock.ts";
 import type { Logger } from "./logger.ts";
 
@@ -24,6 +25,9 @@
   constructor(clock: Clock, logger: Logger) {
     this.#clock = clock;
     this.#logger = logger;
+    // Every wait of every task listens on this signal, so no count of
+    // listeners is a sign of a leak.
+    setMaxListeners(0, this.#controller.signal);
   }
 
   /** Aborted when the group stops. */
--- /dev/null
+++ b/packages/node/src/administration/administration.ts
@@ -0,0 +1,204 @@
+/**
+ * The administration interface over HTTP.
+ *
+ * @module
+ */
+import type { Random, Service } from "@zinniahill/kernel";
+import {
+  type ControlRecord,
+  parseRules,
+  Refusal,
+  type Settings,
+} from "@zinniahill/schema";
+import { z } from "zod";
+import type { Evidence } from "../groups/evidence.ts";
+import type { Lifecycle } from "../lifecycle.ts";
+import type { Peers } from "../peers/peers.ts";
+import type { NodeKernel } from "../services.ts";
+import {
+  hashSecret,
+  HttpListener,
+  isSameHash,
+  readBearer,
+  readJson,
+  type RequestTask,
+  type RoutedRequest,
+  sendJson,
+} from "../serving/http.ts";
+import type { ControlState } from "../state/control-state.ts";
+
+const OK_STATUS = 200;
+const CONFLICT_STATUS = 409;
+
+const PublishBody = z.object({
+  basis: z.number().int().min(0),
+  text: z.string(),
+  author: z.string().min(1),
+});
+const CheckBody = z.object({ text: z.string() });
+const DrainBody = z.object({
+  drained: z.boolean(),
+  author: z.string().default("operator"),
+});
+
+/** Serves operators. */
+export class Administration implements Service {
+  #kernel: NodeKernel;
+  #random: Random;
+  #settings: Settings;
+  #state: ControlState;
+  #evidence: Evidence;
+  #peers: Peers;
+  #lifecycle: Lifecycle;
+  #listener = new HttpListener();
+  #stopping = new AbortController();
+
+  constructor(kernel: NodeKernel) {
+    this.#kernel = kernel;
+    this.#random = kernel.find("random");
+    this.#settings = kernel.find("settings");
+    this.#state = kernel.find("state");
+    this.#evidence = kernel.find("evidence");
+    this.#peers = kernel.find("peers");
+    this.#lifecycle = kernel.find("lifecycle");
+  }
+
+  async start(): Promise<void> {
+    this.#on("POST", "/admin/configuration", async (request, response) => {
+      const body = await this.#readBody(request, PublishBody);
+      const answer = await this.#publish(body);
+      sendJson(response, answer.status, answer.body);
+    });
+    this.#on(
+      "POST",
+      "/admin/configuration/check",
+      async (request, response) => {
+        const { text } = await this.#readBody(request, CheckBody);
+        const faults = parseRules(text).match({
+          Ok: () => [],
+          Err: (all) => all,
+        });
+        sendJson(response, OK_STATUS, { faults });
+      },
+    );
+    this.#on("GET", "/admin/configuration", async (_request, response) => {
+      await Promise.resolve();
+      sendJson(response, OK_STATUS, this.#state.control.configuration);
+    });
+    this.#on("GET", "/admin/status", async (_request, response) => {
+      await Promise.resolve();
+      sendJson(response, OK_STATUS, this.#createStatus());
+    });
+    this.#on("GET", "/admin/groups", async (_request, response) => {
+      await Promise.resolve();
+      sendJson(response, OK_STATUS, { groups: this.#listGroups() });
+    });
+    this.#on("POST", "/admin/hosts/:host/drain", async (request, response) => {
+      const body = await this.#readBody(request, DrainBody);
+      await this.#propose({
+        kind: "host-drained",
+        ...this.#createHeader(),
+        host: String(request.params.host),
+        ...body,
+      });
+      sendJson(response, OK_STATUS, {});
+    });
+    this.#on("POST", "/admin/drain", async (_request, response) => {
+      await Promise.resolve();
+      this.#lifecycle.drain();
+      sendJson(response, OK_STATUS, {});
+    });
+    this.#on("GET", "/admin/dump", async (_request, response) => {
+      await Promise.resolve();
+      sendJson(response, OK_STATUS, this.#kernel.dump());
+    });
+    await this.#listener.listen(this.#settings.node["admin-address"]);
+  }
+
+  stop(): Promise<void> {
+    this.#stopping.abort();
+    return this.#listener.close();
+  }
+
+  #on(method: "GET" | "POST", path: string, task: RequestTask): void {
+    const expected = hashSecret(this.#settings.node["admin-token"]);
+    this.#listener.on(method, path, async (request, response) => {
+      if (!isSameHash(hashSecret(readBearer(request)), expected)) {
+        throw new Refusal(
+          "unauthorized",
+          "not-run",
+          "the administration token is wrong",
+        );
+      }
+      await task(request, response);
+    });
+  }
+
+  #readBody<Body>(
+    request: RoutedRequest,
+    schema: z.ZodType<Body>,
+  ): Promise<Body> {
+    return readJson(request, this.#settings.limits["body-bytes"], schema);
+  }
+
+  #createHeader(): { id: string; node: string } {
+    return { id: this.#random.id(), node: this.#settings.node.name };
+  }
+
+  async #publish(
+    body: z.infer<typeof PublishBody>,
+  ): Promise<{ status: number; body: unknown }> {
+    const faults = parseRules(body.text).match({
+      Ok: () => [],
+      Err: (all) => all,
+    });
+    const [fault] = faults;
+    if (fault !== undefined) {
+      throw new Refusal(
+        "bad-request",
+        "not-run",
+        `line ${fault.line}: ${fault.message}`,
+      );
+    }
+    const record: ControlRecord = {
+      kind: "configuration",
+      ...this.#createHeader(),
+      ...body,
+    };
+    const isAccepted = await this.#propose(record);
+    const { version, text } = this.#state.control.configuration;
+    return isAccepted
+      ? { status: OK_STATUS, body: { version } }
+      : { status: CONFLICT_STATUS, body: { version, text } };
+  }
+
+  async #propose(record: ControlRecord): Promise<boolean> {
+    const decision = await this.#state.propose(record, this.#stopping.signal);
+    if (decision.isErr) {
+      throw decision.error;
+    }
+    return decision.value.accepted;
+  }
+
+  #createStatus(): unknown {
+    return {
+      node: this.#settings.node.name,
+      version: this.#state.control.configuration.version,
+      logReachable: this.#state.isLogReachable,
+      stopping: this.#lifecycle.isStopping,
+      peers: this.#peers.list().map(({ hello, heartbeat }) => ({
+        node: hello.node,
+        version: heartbeat?.configurationVersion ?? 0,
+        logReachable: heartbeat?.logReachable ?? false,
+        stopping: heartbeat?.stopping ?? false,
+      })),
+    };
+  }
+
+  #listGroups(): unknown[] {
+    return [...this.#state.control.groups.values()].map((group) => ({
+      ...group,
+      obstacle: this.#evidence.findObstacle(group) ?? null,
+    }));
+  }
+}
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,173 @@
+/**
+ * A node: its services by name.
+ *
+ * @module
+ */
+import {
+  Kernel,
+  LineLogger,
+  SystemClock,
+  SystemRandom,
+} from "@zinniahill/kernel";
+import {
+  EngineClient,
+  HostListClient,
+  LogClient,
+  PlainServiceClient,
+  WeightStoreClient,
+} from "@zinniahill/platform";
+import type { Settings } from "@zinniahill/schema";
+import { Administration } from "./administration/administration.ts";
+import { Calls } from "./calls/calls.ts";
+import { Evidence } from "./groups/evidence.ts";
+import { Hosts } from "./groups/hosts.ts";
+import { Keeper } from "./groups/keeper.ts";
+import { Leases } from "./groups/leases.ts";
+import { Lifecycle } from "./lifecycle.ts";
+import { Metrics } from "./metrics.ts";
+import { Peers } from "./peers/peers.ts";
+import type { NodeKernel, Services } from "./services.ts";
+import { Front } from "./serving/front.ts";
+import { Gate } from "./serving/gate.ts";
+import { Lookup } from "./serving/lookup.ts";
+import { Router } from "./serving/router.ts";
+import { Streams } from "./serving/streams.ts";
+import { ControlState } from "./state/control-state.ts";
+
+/** Services that a test puts in place of the node's own. */
+export type Replacements = Partial<Services>;
+
+type Names = readonly (keyof Services)[];
+
+/** Creates a node that is not started yet. */
+export function createNode(
+  settings: Settings,
+  replacements: Replacements = {},
+): NodeKernel {
+  const kernel: NodeKernel = new Kernel<Services>();
+  const provide = <Name extends keyof Services>(
+    name: Name,
+    needs: Names,
+    create: (kernel: NodeKernel) => Services[Name],
+  ) => {
+    const replacement: Services[Name] | undefined = replacements[name];
+    if (replacement === undefined) {
+      kernel.provide(name, needs, create);
+    } else {
+      kernel.provide(name, [], () => replacement);
+    }
+  };
+  const { node, platform, output } = settings;
+  const base: Names = ["clock", "random", "logger", "settings"];
+
+  provide("clock", [], () => new SystemClock());
+  provide("random", [], () => new SystemRandom());
+  provide("settings", [], () => settings);
+  provide(
+    "logger",
+    [],
+    () =>
+      new LineLogger({
+        level: output["log-level"],
+        fields: { node: node.name },
+      }),
+  );
+  provide("metrics", [], () => new Metrics(output.metrics, node.name));
+  provide("lifecycle", [], () => new Lifecycle());
+
+  provide(
+    "log",
+    ["clock"],
+    (services) =>
+      new LogClient(services.find("clock"), {
+        address: platform.log,
+        timeoutMs: platform["log-timeout"],
+      }),
+  );
+  provide(
+    "hostList",
+    ["clock"],
+    (services) =>
+      new HostListClient(services.find("clock"), platform["host-list"]),
+  );
+  provide(
+    "weightStore",
+    ["clock"],
+    (services) =>
+      new WeightStoreClient(services.find("clock"), platform["weight-store"]),
+  );
+  provide(
+    "engines",
+    ["clock"],
+    (services) => new EngineClient(services.find("clock")),
+  );
+  provide(
+    "plainServices",
+    ["clock"],
+    (services) => new PlainServiceClient(services.find("clock")),
+  );
+
+  provide("state", [...base, "log"], (services) => new ControlState(services));
+  provide(
+    "peers",
+    [...base, "lifecycle", "state"],
+    (services) => new Peers(services),
+  );
+  provide("hosts", [...base, "hostList"], (services) => new Hosts(services));
+  provide(
+    "evidence",
+    [...base, "engines", "state", "hosts"],
+    (services) => new Evidence(services),
+  );
+  provide(
+    "leases",
+    [...base, "state", "hosts"],
+    (services) => new Leases(services),
+  );
+  provide(
+    "keeper",
+    [...base, "engines", "weightStore", "evidence", "leases"],
+    (services) => new Keeper(services),
+  );
+
+  provide("admission", [...base, "state"], (services) => new Gate(services));
+  provide(
+    "router",
+    [...base, "evidence"],
+    (services) => new Router(services),
+  );
+  provide(
+    "streams",
+    [...base, "engines", "evidence", "router"],
+    (services) => new Streams(services),
+  );
+  provide(
+    "calls",
+    [...base, "log", "plainServices"],
+    (services) => new Calls(services),
+  );
+  provide(
+    "lookup",
+    [...base, "lifecycle", "peers"],
+    (services) => new Lookup(services),
+  );
+  provide(
+    "administration",
+    [...base, "state", "evidence", "peers", "lifecycle"],
+    (services) => new Administration(services),
+  );
+  provide(
+    "front",
+    [
+      ...base,
+      "metrics",
+      "state",
+      "admission",
+      "streams",
+      "calls",
+      "lookup",
+    ],
+    (services) => new Front(services),
+  );
+  return kernel;
+}
--- /dev/null
+++ b/packages/platform/src/engines.ts
@@ -0,0 +1,204 @@
+/**
+ * Client of the model engines.
+ *
+ * @module
+ */
+import { type Clock, type Service, withDeadline } from "@zinniahill/kernel";
+import {
+  CacheEvents,
+  type EngineOrder,
+  EngineStatus,
+  type GenerateRequest,
+} from "@zinniahill/schema";
+import { Result } from "true-myth";
+import { Agent, type Dispatcher, request } from "undici";
+import { z } from "zod";
+import { createFault, type Fault } from "./fault.ts";
+import { callJson } from "./http.ts";
+
+/** A stream of server-sent events from the lead of a group. */
+export interface EngineStream {
+  /** The request id as the engine repeated it. */
+  readonly request: string;
+  readonly chunks: AsyncIterable<Uint8Array>;
+  /** Closes the connection. */
+  close(): void;
+}
+
+/** The engines of all model hosts. */
+export interface Engines extends Service {
+  /** Asks for an engine's status, on a connection of its own. */
+  probe(
+    address: string,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<EngineStatus, Fault>>;
+  /** Gives an order. */
+  order(
+    address: string,
+    order: EngineOrder,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<EngineStatus, Fault>>;
+  /** Begins or resumes a stream. */
+  generate(
+    address: string,
+    body: GenerateRequest,
+    options: GenerateOptions,
+  ): Promise<Result<EngineStream, Fault>>;
+  /** Cancels a request. */
+  cancel(address: string, requestId: string): Promise<Result<void, Fault>>;
+  /** Reads changes of the engine's prefix cache. */
+  readCacheEvents(
+    address: string,
+    from: number,
+    signal?: AbortSignal,
+  ): Promise<Result<CacheEvents, Fault>>;
+}
+
+/** How a stream is begun. */
+export interface GenerateOptions {
+  /** How long the engine may take to answer with its headers. */
+  readonly timeoutMs: number;
+  /** Whether a new connection must be used. */
+  readonly newConnection: boolean;
+  readonly signal?: AbortSignal;
+}
+
+const CANCEL_TIMEOUT_MS = 1000;
+const CACHE_TIMEOUT_MS = 1000;
+const OK_STATUS = 200;
+const JSON_HEADERS = { "content-type": "application/json" };
+
+/** The engines over HTTP. */
+export class EngineClient implements Engines {
+  #clock: Clock;
+  #streams = new Agent({ bodyTimeout: 0, headersTimeout: 0 });
+  /** Probes and orders never share a connection with a stream. */
+  #control = new Agent({ bodyTimeout: 0, headersTimeout: 0 });
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([this.#streams.destroy(), this.#control.destroy()]);
+  }
+
+  probe(
+    address: string,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<EngineStatus, Fault>> {
+    return callJson(this.#clock, this.#control, {
+      address,
+      method: "GET",
+      path: "/status",
+      timeoutMs,
+      schema: EngineStatus,
+      signal,
+    });
+  }
+
+  order(
+    address: string,
+    order: EngineOrder,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<EngineStatus, Fault>> {
+    return callJson(this.#clock, this.#control, {
+      address,
+      method: "POST",
+      path: "/orders",
+      body: order,
+      timeoutMs,
+      schema: EngineStatus,
+      signal,
+    });
+  }
+
+  async generate(
+    address: string,
+    body: GenerateRequest,
+    options: GenerateOptions,
+  ): Promise<Result<EngineStream, Fault>> {
+    const controller = new AbortController();
+    const onAbort = () => controller.abort(options.signal?.reason);
+    options.signal?.addEventListener("abort", onAbort, { once: true });
+    const close = () => {
+      options.signal?.removeEventListener("abort", onAbort);
+      controller.abort();
+    };
+    try {
+      const reply = await withDeadline(
+        this.#clock,
+        options.timeoutMs,
+        options.signal,
+        () =>
+          request(`http://${address}/generate`, {
+            dispatcher: this.#streams,
+            method: "POST",
+            headers: JSON_HEADERS,
+            body: JSON.stringify(body),
+            reset: options.newConnection,
+            signal: controller.signal,
+          }),
+      );
+      return await readReply(reply, close);
+    } catch (failure) {
+      close();
+      return Result.err(createFault(failure));
+    }
+  }
+
+  async cancel(
+    address: string,
+    requestId: string,
+  ): Promise<Result<void, Fault>> {
+    const reply = await callJson(this.#clock, this.#control, {
+      address,
+      method: "POST",
+      path: "/cancel",
+      body: { request: requestId },
+      timeoutMs: CANCEL_TIMEOUT_MS,
+      schema: z.unknown(),
+    });
+    return reply.map(() => undefined);
+  }
+
+  readCacheEvents(
+    address: string,
+    from: number,
+    signal?: AbortSignal,
+  ): Promise<Result<CacheEvents, Fault>> {
+    return callJson(this.#clock, this.#control, {
+      address,
+      method: "GET",
+      path: `/cache-events?from=${from}`,
+      timeoutMs: CACHE_TIMEOUT_MS,
+      schema: CacheEvents,
+      signal,
+    });
+  }
+}
+
+async function readReply(
+  reply: Dispatcher.ResponseData,
+  close: () => void,
+): Promise<Result<EngineStream, Fault>> {
+  if (reply.statusCode !== OK_STATUS) {
+    const reason = await reply.body.text();
+    close();
+    return Result.err({
+      verdict: "not-run",
+      message: `refused with status ${reply.statusCode}`,
+      status: reply.statusCode,
+      reason,
+    });
+  }
+  return Result.ok({
+    request: String(reply.headers["x-request"] ?? ""),
+    chunks: reply.body,
+    close,
+  });
+}
--- /dev/null
+++ b/packages/platform/src/host-list.ts
@@ -0,0 +1,47 @@
+/**
+ * Client of the platform's host list.
+ *
+ * @module
+ */
+import type { Clock, Service } from "@zinniahill/kernel";
+import { type Host, HostListReply } from "@zinniahill/schema";
+import type { Result } from "true-myth";
+import { Agent } from "undici";
+import type { Fault } from "./fault.ts";
+import { callJson } from "./http.ts";
+
+/** The platform's list of live and leaving hosts. */
+export interface HostList extends Service {
+  /** Reads the list; it lags behind reality. */
+  list(signal?: AbortSignal): Promise<Result<readonly Host[], Fault>>;
+}
+
+const TIMEOUT_MS = 2000;
+
+/** The host list over HTTP. */
+export class HostListClient implements HostList {
+  #clock: Clock;
+  #address: string;
+  #agent = new Agent();
+
+  constructor(clock: Clock, address: string) {
+    this.#clock = clock;
+    this.#address = address;
+  }
+
+  async stop(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async list(signal?: AbortSignal): Promise<Result<readonly Host[], Fault>> {
+    const reply = await callJson(this.#clock, this.#agent, {
+      address: this.#address,
+      method: "GET",
+      path: "/hosts",
+      timeoutMs: TIMEOUT_MS,
+      schema: HostListReply,
+      signal,
+    });
+    return reply.map(({ hosts }) => hosts);
+  }
+}
--- /dev/null
+++ b/packages/platform/src/http.ts
@@ -0,0 +1,81 @@
+/**
+ * JSON over HTTP with deadlines, shared by the clients.
+ *
+ * @module
+ */
+import { type Clock, withDeadline } from "@zinniahill/kernel";
+import { Result } from "true-myth";
+import { type Dispatcher, request } from "undici";
+import type { z } from "zod";
+import { createFault, type Fault } from "./fault.ts";
+
+/** One JSON call. */
+export interface JsonCall<Reply> {
+  readonly address: string;
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  readonly body?: unknown;
+  readonly timeoutMs: number;
+  readonly schema: z.ZodType<Reply>;
+  readonly signal?: AbortSignal | undefined;
+}
+
+const OK_STATUS = 200;
+const SERVER_ERROR_STATUS = 500;
+const JSON_HEADERS = { "content-type": "application/json" };
+
+/** Makes a JSON call and checks the reply against its schema. */
+export async function callJson<Reply>(
+  clock: Clock,
+  dispatcher: Dispatcher,
+  call: JsonCall<Reply>,
+): Promise<Result<Reply, Fault>> {
+  try {
+    return await withDeadline(
+      clock,
+      call.timeoutMs,
+      call.signal,
+      (signal) => exchange(dispatcher, call, signal),
+    );
+  } catch (failure) {
+    return Result.err(createFault(failure));
+  }
+}
+
+async function exchange<Reply>(
+  dispatcher: Dispatcher,
+  call: JsonCall<Reply>,
+  signal: AbortSignal,
+): Promise<Result<Reply, Fault>> {
+  const reply = await request(`http://${call.address}${call.path}`, {
+    dispatcher,
+    method: call.method,
+    headers: JSON_HEADERS,
+    body: call.body === undefined ? null : JSON.stringify(call.body),
+    signal,
+  });
+  const value: unknown = await reply.body.json();
+  if (reply.statusCode !== OK_STATUS) {
+    return Result.err(createReplyFault(reply.statusCode, value));
+  }
+  const parsed = call.schema.safeParse(value);
+  return parsed.success ? Result.ok(parsed.data) : Result.err({
+    verdict: "ran",
+    message: "the reply does not match its schema",
+    status: reply.statusCode,
+  });
+}
+
+/** A 4xx is an explicit refusal; after a 5xx the call may have taken effect. */
+function createReplyFault(status: number, value: unknown): Fault {
+  const reason = typeof value === "object" && value !== null &&
+      "error" in value && typeof value.error === "string"
+    ? value.error
+    : undefined;
+  return {
+    verdict: status < SERVER_ERROR_STATUS ? "not-run" : "may-have-run",
+    message: `refused with status ${status}${reason ? `: ${reason}` : ""}`,
+    status,
+    ...(reason === undefined ? {} : { reason }),
+  };
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,38 @@
+/**
+ * Clients of the platform and of the upstreams.
+ *
+ * @module
+ */
+export {
+  EngineClient,
+  type Engines,
+  type EngineStream,
+  type GenerateOptions,
+} from "./engines.ts";
+export { createFault, type Fault } from "./fault.ts";
+export { type HostList, HostListClient } from "./host-list.ts";
+export { callJson, type JsonCall } from "./http.ts";
+export {
+  type Log,
+  LogClient,
+  type LogOptions,
+  type ReadRange,
+  type Stream,
+} from "./log.ts";
+export {
+  type PlainCall,
+  type PlainReply,
+  PlainServiceClient,
+  type PlainServices,
+} from "./plain-services.ts";
+export {
+  END_INDEX,
+  type TokenEvent,
+  TokenFormatError,
+  TokenSplitter,
+} from "./token-events.ts";
+export {
+  type GrantRequest,
+  type WeightStore,
+  WeightStoreClient,
+} from "./weight-store.ts";
--- /dev/null
+++ b/packages/platform/src/log.ts
@@ -0,0 +1,94 @@
+/**
+ * Client of the platform's log service.
+ *
+ * @module
+ */
+import type { Clock, Service } from "@zinniahill/kernel";
+import { AppendReply, LogPage } from "@zinniahill/schema";
+import type { Result } from "true-myth";
+import { Agent } from "undici";
+import type { Fault } from "./fault.ts";
+import { callJson } from "./http.ts";
+
+/** Streams that the system keeps in the log. */
+export type Stream = "control" | "calls";
+
+/** How a stream is read. */
+export interface ReadRange {
+  readonly from: number;
+  readonly max: number;
+  /** How long the log may wait for a first entry. */
+  readonly waitMs: number;
+}
+
+/** The platform's append-only log. */
+export interface Log extends Service {
+  /** Appends records as one entry; resolves to its offset. */
+  append(
+    stream: Stream,
+    records: readonly unknown[],
+    signal?: AbortSignal,
+  ): Promise<Result<number, Fault>>;
+  /** Reads entries from an offset on. */
+  read(
+    stream: Stream,
+    range: ReadRange,
+    signal?: AbortSignal,
+  ): Promise<Result<LogPage, Fault>>;
+}
+
+/** Where the log is and how long a call may take. */
+export interface LogOptions {
+  readonly address: string;
+  readonly timeoutMs: number;
+}
+
+/** The log over HTTP. */
+export class LogClient implements Log {
+  #clock: Clock;
+  #options: LogOptions;
+  #agent = new Agent();
+
+  constructor(clock: Clock, options: LogOptions) {
+    this.#clock = clock;
+    this.#options = options;
+  }
+
+  async stop(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async append(
+    stream: Stream,
+    records: readonly unknown[],
+    signal?: AbortSignal,
+  ): Promise<Result<number, Fault>> {
+    const reply = await callJson(this.#clock, this.#agent, {
+      address: this.#options.address,
+      method: "POST",
+      path: `/streams/${stream}/entries`,
+      body: records,
+      timeoutMs: this.#options.timeoutMs,
+      schema: AppendReply,
+      signal,
+    });
+    return reply.map(({ offset }) => offset);
+  }
+
+  read(
+    stream: Stream,
+    range: ReadRange,
+    signal?: AbortSignal,
+  ): Promise<Result<LogPage, Fault>> {
+    const { from, max, waitMs } = range;
+    return callJson(this.#clock, this.#agent, {
+      address: this.#options.address,
+      method: "GET",
+      path:
+        `/streams/${stream}/entries?from=${from}&max=${max}&wait_ms=${waitMs}`,
+      timeoutMs: waitMs + this.#options.timeoutMs,
+      schema: LogPage,
+      signal,
+    });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/weight-store.ts
@@ -0,0 +1,60 @@
+/**
+ * Client of the platform's weight store.
+ *
+ * @module
+ */
+import type { Clock, Service } from "@zinniahill/kernel";
+import { GrantReply } from "@zinniahill/schema";
+import type { Result } from "true-myth";
+import { Agent } from "undici";
+import type { Fault } from "./fault.ts";
+import { callJson } from "./http.ts";
+
+/** A host that wants to load a model. */
+export interface GrantRequest {
+  readonly model: string;
+  readonly version: string;
+  readonly host: string;
+}
+
+/** The platform's rate-limited store of model weights. */
+export interface WeightStore extends Service {
+  /** Asks whether a host may begin to load. */
+  requestGrant(
+    request: GrantRequest,
+    signal?: AbortSignal,
+  ): Promise<Result<GrantReply, Fault>>;
+}
+
+const TIMEOUT_MS = 2000;
+
+/** The weight store over HTTP. */
+export class WeightStoreClient implements WeightStore {
+  #clock: Clock;
+  #address: string;
+  #agent = new Agent();
+
+  constructor(clock: Clock, address: string) {
+    this.#clock = clock;
+    this.#address = address;
+  }
+
+  async stop(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  requestGrant(
+    request: GrantRequest,
+    signal?: AbortSignal,
+  ): Promise<Result<GrantReply, Fault>> {
+    return callJson(this.#clock, this.#agent, {
+      address: this.#address,
+      method: "POST",
+      path: "/grants",
+      body: request,
+      timeoutMs: TIMEOUT_MS,
+      schema: GrantReply,
+      signal,
+    });
+  }
+}
