Add the platform and the links between nodes in memory

Cause: faults at every step must be driven in an order that a run repeats exactly, and sockets do not give that. A node takes its services by name, so the clients of the platform and the peer connections are replaced by ones in memory that run on a manual clock. Ruled out: mocking module by module; it would leave the tasks of a node untested.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
-export { createNode, type Replacements } from "./node.ts";
+export { createCoreNode, createNode, type Replacements } from "./node.ts";
+export { type PeerConnection, type PeerTransport } from "./peers/transport.ts";
 export { stopAsPlanned } from "./planned-stop.ts";
 export { type NodeKernel, type Services } from "./services.ts";
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -26,6 +26,7 @@
 import { Lifecycle } from "./lifecycle.ts";
 import { Metrics } from "./metrics.ts";
 import { Peers } from "./peers/peers.ts";
+import { WebSocketTransport } from "./peers/transport.ts";
 import type { NodeKernel, Services } from "./services.ts";
 import { Front } from "./serving/front.ts";
 import { Gate } from "./serving/gate.ts";
@@ -43,6 +44,34 @@
 export function createNode(
   settings: Settings,
   replacements: Replacements = {},
+): NodeKernel {
+  const kernel = createCoreNode(settings, replacements);
+  const base: Names = ["clock", "random", "logger", "settings"];
+  kernel.provide(
+    "administration",
+    [...base, "state", "evidence", "peers", "lifecycle"],
+    (services) => new Administration(services),
+  );
+  kernel.provide(
+    "front",
+    [
+      ...base,
+      "metrics",
+      "state",
+      "admission",
+      "streams",
+      "calls",
+      "lookup",
+    ],
+    (services) => new Front(services),
+  );
+  return kernel;
+}
+
+/** Creates a node that does not listen for callers and operators. */
+export function createCoreNode(
+  settings: Settings,
+  replacements: Replacements = {},
 ): NodeKernel {
   const kernel: NodeKernel = new Kernel<Services>();
   const provide = <Name extends keyof Services>(
@@ -108,9 +137,14 @@
   );
 
   provide("state", [...base, "log"], (services) => new ControlState(services));
+  provide(
+    "peerTransport",
+    [],
+    () => new WebSocketTransport(node["peer-token"]),
+  );
   provide(
     "peers",
-    [...base, "lifecycle", "state"],
+    [...base, "lifecycle", "peerTransport", "state"],
     (services) => new Peers(services),
   );
   provide("hosts", [...base, "hostList"], (services) => new Hosts(services));
@@ -151,23 +185,5 @@
     [...base, "lifecycle", "peers"],
     (services) => new Lookup(services),
   );
-  provide(
-    "administration",
-    [...base, "state", "evidence", "peers", "lifecycle"],
-    (services) => new Administration(services),
-  );
-  provide(
-    "front",
-    [
-      ...base,
-      "metrics",
-      "state",
-      "admission",
-      "streams",
-      "calls",
-      "lookup",
-    ],
-    (services) => new Front(services),
-  );
   return kernel;
 }
--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -1,13 +1,10 @@
 /**
- * Connections between nodes; one task for each connection.
+ * What this node knows of the other nodes; one task for each connection.
  *
  * @module
  */
-import { Buffer } from "node:buffer";
-import type { IncomingMessage } from "node:http";
 import {
   type Clock,
-  Condition,
   type Logger,
   type Service,
   TaskGroup,
@@ -16,16 +13,15 @@
 import {
   decodePeerMessage,
   encodePeerMessage,
-  MAX_PEER_MESSAGE_BYTES,
   type PeerMessage,
   type PeerMessageOf,
   PROTOCOL_VERSION,
   type Settings,
 } from "@zinniahill/schema";
-import { WebSocket, WebSocketServer } from "ws";
 import type { Lifecycle } from "../lifecycle.ts";
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
+import type { PeerConnection, PeerTransport } from "./transport.ts";
 
 /** What is known of a peer that is connected. */
 export interface Peer {
@@ -33,6 +29,8 @@
   heartbeat?: PeerMessageOf<"heartbeat">;
 }
 
+type PeerListener = (node: string, message: PeerMessage) => void;
+
 const RECONNECT_PAUSE_MS = 500;
 
 /** Knows the other nodes. */
@@ -42,9 +40,11 @@
   #settings: Settings;
   #lifecycle: Lifecycle;
   #state: ControlState;
+  #transport: PeerTransport;
   #tasks: TaskGroup;
-  #server: WebSocketServer | undefined;
   #peers = new Map<string, Peer>();
+  #connections = new Set<PeerConnection>();
+  #listeners = new Map<PeerMessage["kind"], PeerListener[]>();
 
   constructor(kernel: NodeKernel) {
     this.#clock = kernel.find("clock");
@@ -52,27 +52,26 @@
     this.#settings = kernel.find("settings");
     this.#lifecycle = kernel.find("lifecycle");
     this.#state = kernel.find("state");
+    this.#transport = kernel.find("peerTransport");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
   }
 
   async start(): Promise<void> {
-    await this.#listen();
-    for (const address of this.#settings.node.peers ?? []) {
-      this.#tasks.repeat("connect_peer", RECONNECT_PAUSE_MS, async (signal) => {
-        const socket = new WebSocket(`ws://${address}`, {
-          headers: {
-            authorization: `Bearer ${this.#settings.node["peer-token"]}`,
-          },
-          maxPayload: MAX_PEER_MESSAGE_BYTES,
-        });
-        await this.#talk(socket, signal);
-      });
+    const { "peer-address": ownAddress, peers = [] } = this.#settings.node;
+    await this.#transport.listen(ownAddress, (connection) => {
+      this.#tasks.run("serve_peer", (signal) => this.#talk(connection, signal));
+    });
+    for (const address of peers) {
+      this.#tasks.repeat(
+        "connect_peer",
+        RECONNECT_PAUSE_MS,
+        (signal) => this.#connect(address, signal),
+      );
     }
   }
 
-  async stop(): Promise<void> {
-    await this.#tasks.stop();
-    this.#server?.close();
+  stop(): Promise<void> {
+    return this.#tasks.stop();
   }
 
   dump(): unknown {
@@ -84,111 +83,122 @@
     return [...this.#peers.values()];
   }
 
-  #listen(): Promise<void> {
-    const address = this.#settings.node["peer-address"];
-    const separator = address.lastIndexOf(":");
-    return new Promise((resolve) => {
-      const server = new WebSocketServer({
-        host: address.slice(0, separator),
-        port: Number(address.slice(separator + 1)),
-        maxPayload: MAX_PEER_MESSAGE_BYTES,
-        verifyClient: ({ req }: { req: IncomingMessage }) =>
-          req.headers.authorization ===
-            `Bearer ${this.#settings.node["peer-token"]}`,
-      }, resolve);
-      server.on("connection", (socket) => {
-        this.#tasks.run("serve_peer", (signal) => this.#talk(socket, signal));
-      });
-      this.#server = server;
-    });
+  /** Calls `listener` for every message of a kind that a peer sends. */
+  onMessage<Kind extends PeerMessage["kind"]>(
+    kind: Kind,
+    listener: (node: string, message: PeerMessageOf<Kind>) => void,
+  ): void {
+    const listeners = this.#listeners.get(kind) ?? [];
+    this.#listeners.set(kind, [...listeners, listener as PeerListener]);
+  }
+
+  /** Sends a message to every peer that is connected. */
+  broadcast(message: PeerMessage): void {
+    const bytes = encodePeerMessage(message);
+    for (const connection of this.#connections) {
+      connection.send(bytes);
+    }
+  }
+
+  async #connect(address: string, signal: AbortSignal): Promise<void> {
+    const limitMs = this.#settings.timing["peer-deadline"];
+    try {
+      const connection = await withDeadline(
+        this.#clock,
+        limitMs,
+        signal,
+        (limited) => this.#transport.connect(address, limited),
+      );
+      await this.#talk(connection, signal);
+    } catch {
+      this.#logger.debug("peer_unreachable", { address });
+    }
   }
 
   /** Exchanges messages on one connection until it ends or goes silent. */
-  async #talk(socket: WebSocket, signal: AbortSignal): Promise<void> {
-    const inbox: PeerMessage[] = [];
-    const arrived = new Condition();
-    let isOpen = true;
+  async #talk(connection: PeerConnection, signal: AbortSignal): Promise<void> {
+    const limitMs = this.#settings.timing["peer-deadline"];
+    const ended = new AbortController();
+    this.#connections.add(connection);
+    const beating = this.#beat(
+      connection,
+      AbortSignal.any([signal, ended.signal]),
+    ).catch(() => {});
     let name: string | undefined;
-    socket.on("message", (bytes: Buffer) => {
-      decodePeerMessage(bytes).match({
-        Ok: (message) => {
-          inbox.push(message);
-        },
-        Err: (error) => {
-          this.#logger.warn("peer_message_invalid", { error });
-          socket.close();
-        },
-      });
-      arrived.notify();
-    });
-    socket.on("error", () => {});
-    socket.on("close", () => {
-      isOpen = false;
-      arrived.notify();
-    });
-    const beating = this.#tasks.run("heartbeat", async () => {
-      await this.#beat(socket, () => isOpen, signal);
-    });
     try {
-      while (isOpen) {
-        const message = inbox.shift();
-        if (message === undefined) {
-          const limitMs = this.#settings.timing["peer-deadline"];
-          await withDeadline(
-            this.#clock,
-            limitMs,
-            signal,
-            (limited) => arrived.wait(limited),
-          );
-          continue;
+      for (;;) {
+        const bytes = await withDeadline(
+          this.#clock,
+          limitMs,
+          signal,
+          (limited) => connection.receive(limited),
+        );
+        if (bytes === undefined) {
+          return;
         }
-        if (message.kind === "hello") {
-          name = message.node;
-          this.#peers.set(name, { hello: message });
-        } else if (message.kind === "heartbeat" && name !== undefined) {
-          this.#peers.get(name)!.heartbeat = message;
+        const message = decodePeerMessage(bytes);
+        if (message.isErr) {
+          this.#logger.warn("peer_message_invalid", { error: message.error });
+          return;
         }
+        name = this.#onMessage(name, message.value);
       }
     } finally {
-      socket.terminate();
+      this.#connections.delete(connection);
+      connection.close();
+      ended.abort();
+      await beating;
       if (name !== undefined) {
         this.#peers.delete(name);
       }
-      await beating;
     }
   }
 
+  #onMessage(
+    name: string | undefined,
+    message: PeerMessage,
+  ): string | undefined {
+    if (message.kind === "hello") {
+      this.#peers.set(message.node, { hello: message });
+      return message.node;
+    }
+    const peer = this.#peers.get(name ?? "");
+    if (name === undefined || peer === undefined) {
+      return name;
+    }
+    if (message.kind === "heartbeat") {
+      peer.heartbeat = message;
+    }
+    for (const listener of this.#listeners.get(message.kind) ?? []) {
+      listener(name, message);
+    }
+    return name;
+  }
+
   async #beat(
-    socket: WebSocket,
-    isOpen: () => boolean,
+    connection: PeerConnection,
     signal: AbortSignal,
   ): Promise<void> {
-    const intervalMs = this.#settings.timing["heartbeat-interval"];
-    const { node } = this.#settings;
-    let sequence = 0;
-    while (isOpen()) {
-      if (socket.readyState === WebSocket.OPEN) {
-        if (sequence === 0) {
-          socket.send(encodePeerMessage({
-            kind: "hello",
-            protocol: PROTOCOL_VERSION,
-            node: node.name,
-            dataCentre: node["data-centre"],
-            publicAddress: node["public-address"],
-            peerAddress: node["peer-address"],
-          }));
-        }
-        socket.send(encodePeerMessage({
-          kind: "heartbeat",
-          sequence: sequence++,
-          configurationVersion: this.#state.control.configuration.version,
-          controlOffset: this.#state.control.asOf,
-          logReachable: this.#state.isLogReachable,
-          load: 0,
-          stopping: this.#lifecycle.isStopping,
-        }));
-      }
-      await this.#clock.sleep(intervalMs, signal);
+    const { node, timing } = this.#settings;
+    connection.send(encodePeerMessage({
+      kind: "hello",
+      protocol: PROTOCOL_VERSION,
+      node: node.name,
+      dataCentre: node["data-centre"],
+      publicAddress: node["public-address"],
+      peerAddress: node["peer-address"],
+    }));
+    for (let sequence = 1;; sequence++) {
+      connection.send(encodePeerMessage({
+        kind: "heartbeat",
+        sequence,
+        configurationVersion: this.#state.control.configuration.version,
+        controlOffset: this.#state.control.asOf,
+        logReachable: this.#state.isLogReachable,
+        load: 0,
+        stopping: this.#lifecycle.isStopping,
+      }));
+      await this.#clock.sleep(timing["heartbeat-interval"], signal);
     }
   }
 }
--- a/packages/node/src/services.ts
+++ b/packages/node/src/services.ts
@@ -20,6 +20,7 @@
 import type { Leases } from "./groups/leases.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Peers } from "./peers/peers.ts";
+import type { PeerTransport } from "./peers/transport.ts";
 import type { Gate } from "./serving/gate.ts";
 import type { Front } from "./serving/front.ts";
 import type { Lookup } from "./serving/lookup.ts";
@@ -42,6 +43,7 @@
   engines: Engines;
   plainServices: PlainServices;
   state: ControlState;
+  peerTransport: PeerTransport;
   peers: Peers;
   hosts: Hosts;
   evidence: Evidence;
--- a/packages/node/src/serving/front.ts
+++ b/packages/node/src/serving/front.ts
@@ -160,6 +160,7 @@
     const reply = body.stream
       ? new StreamedReply(response)
       : new CollectedReply(response);
+    let tokens = 0;
     try {
       const end = await this.#streams.run({
         request: requestId,
@@ -167,7 +168,10 @@
         messages: body.messages,
         maxTokens,
         rank,
-        onEvent: (bytes) => reply.push(bytes),
+        onEvent: (bytes) => {
+          tokens++;
+          reply.push(bytes);
+        },
       }, signal);
       if (end.isErr) {
         throw end.error;
@@ -183,7 +187,7 @@
       });
       this.#metrics.count("requests", 1, { rank });
     } finally {
-      permit.value.release();
+      permit.value.release(tokens);
     }
   }
 
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -17,8 +17,8 @@
 
 /** A place that a request holds until it ends. */
 export interface Permit {
-  /** Gives the place back. */
-  release(): void;
+  /** Gives the place back and says how many tokens were served. */
+  release(tokens: number): void;
 }
 
 interface Waiter {
@@ -85,7 +85,7 @@
   #createPermit(): Permit {
     let isHeld = true;
     return {
-      release: () => {
+      release: (_tokens) => {
         if (isHeld) {
           isHeld = false;
           this.#inFlight--;
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -8,15 +8,33 @@
   EngineBatch,
   type EngineSpeed,
 } from "./engine-batch.ts";
-export { createToken, hashMessages } from "./engine-text.ts";
 export {
+  EngineModel,
   type EngineOptions,
   type EngineOrderRun,
   type EngineRun,
-  EngineStandIn,
-} from "./engine.ts";
+  type EventSink,
+} from "./engine-model.ts";
+export { createToken, hashMessages } from "./engine-text.ts";
+export { EngineStandIn } from "./engine.ts";
 export { HostListStandIn } from "./host-list.ts";
-export { type LogFaults, type LogRetention, LogStandIn } from "./log.ts";
+export {
+  type LogFaults,
+  LogModel,
+  type LogQuery,
+  type LogRetention,
+} from "./log-model.ts";
+export { MemoryTransports } from "./memory/transport.ts";
+export { LogStandIn } from "./log.ts";
+export { type LinkMode, MemoryNetwork } from "./memory/network.ts";
+export {
+  HOST_LIST_END,
+  LOG_END,
+  type MemoryClients,
+  MemoryPlatform,
+  WEIGHT_STORE_END,
+} from "./memory/platform.ts";
+export { type RecordedWrite, RecordModel } from "./memory/record-model.ts";
 export {
   type RecordedCall,
   type RecordFaults,
--- /dev/null
+++ b/stand-ins/src/log-model.ts
@@ -0,0 +1,152 @@
+/**
+ * An append-only log in memory, with offsets, limited retention and faults.
+ *
+ * @module
+ */
+import { type Clock, Condition } from "@zinniahill/kernel";
+import type { LogEntry, LogPage } from "@zinniahill/schema";
+
+/** Faults that a test can switch on. */
+export interface LogFaults {
+  /** Every call is refused before it takes effect. */
+  isDown: boolean;
+  /** Every call takes this much longer. */
+  delayMs: number;
+  /** This many replies to appends are lost after the append took effect. */
+  repliesToLose: number;
+}
+
+/** How much the log keeps. */
+export interface LogRetention {
+  readonly entries: number;
+}
+
+/** Which entries a reader asks for. */
+export interface LogQuery {
+  readonly from: number;
+  readonly max: number;
+  readonly waitMs: number;
+}
+
+/** What became of an append. */
+export type AppendResult =
+  | { readonly state: "appended"; readonly offset: number }
+  | { readonly state: "reply-lost" }
+  | { readonly state: "down" };
+
+const DEFAULT_RETENTION: LogRetention = { entries: 100_000 };
+
+class LogStream {
+  entries: LogEntry[] = [];
+  next = 1;
+  readonly appended = new Condition();
+
+  get first(): number {
+    return this.entries[0]?.offset ?? this.next;
+  }
+
+  append(records: unknown[], retention: LogRetention): number {
+    const offset = this.next++;
+    this.entries.push({ offset, records });
+    while (this.entries.length > retention.entries) {
+      this.entries.shift();
+    }
+    this.appended.notify();
+    return offset;
+  }
+
+  read(from: number, max: number): LogPage {
+    const start = Math.max(0, from - this.first);
+    return {
+      first: this.first,
+      next: this.next,
+      entries: this.entries.slice(start, start + max),
+    };
+  }
+}
+
+/** The log itself, apart from how it is reached. */
+export class LogModel {
+  readonly faults: LogFaults = { isDown: false, delayMs: 0, repliesToLose: 0 };
+  retention: LogRetention;
+  #clock: Clock;
+  #streams = new Map<string, LogStream>();
+
+  constructor(clock: Clock, retention: LogRetention = DEFAULT_RETENTION) {
+    this.#clock = clock;
+    this.retention = retention;
+  }
+
+  /** Appends directly, as another writer would. */
+  append(stream: string, records: unknown[]): number {
+    return this.#stream(stream).append(records, this.retention);
+  }
+
+  /** Appends under the faults that are switched on. */
+  async handleAppend(
+    stream: string,
+    records: unknown[],
+  ): Promise<AppendResult> {
+    await this.#delay();
+    if (this.faults.isDown) {
+      return { state: "down" };
+    }
+    const offset = this.append(stream, records);
+    if (this.faults.repliesToLose > 0) {
+      this.faults.repliesToLose--;
+      return { state: "reply-lost" };
+    }
+    return { state: "appended", offset };
+  }
+
+  /** Reads under the faults that are switched on; undefined when down. */
+  async handleRead(
+    name: string,
+    { from, max, waitMs }: LogQuery,
+  ): Promise<LogPage | undefined> {
+    await this.#delay();
+    const stream = this.#stream(name);
+    if (!this.faults.isDown && stream.next <= from && waitMs > 0) {
+      await this.#waitForAppend(stream, waitMs);
+    }
+    return this.faults.isDown ? undefined : stream.read(from, max);
+  }
+
+  /** Returns what is retained of a stream. */
+  entries(stream: string): readonly LogEntry[] {
+    return this.#stream(stream).entries;
+  }
+
+  /** Drops all entries below an offset, as expiry does. */
+  expire(stream: string, below: number): void {
+    const target = this.#stream(stream);
+    target.entries = target.entries.filter(({ offset }) => offset >= below);
+  }
+
+  #stream(name: string): LogStream {
+    let stream = this.#streams.get(name);
+    if (stream === undefined) {
+      stream = new LogStream();
+      this.#streams.set(name, stream);
+    }
+    return stream;
+  }
+
+  async #delay(): Promise<void> {
+    if (this.faults.delayMs > 0) {
+      await this.#clock.sleep(this.faults.delayMs);
+    }
+  }
+
+  async #waitForAppend(stream: LogStream, waitMs: number): Promise<void> {
+    const waiting = new AbortController();
+    const cancel = this.#clock.schedule(waitMs, () => waiting.abort());
+    try {
+      await stream.appended.wait(waiting.signal);
+    } catch {
+      // No append came in time; the page is then empty.
+    } finally {
+      cancel();
+    }
+  }
+}
--- /dev/null
+++ b/stand-ins/src/memory/network.ts
@@ -0,0 +1,90 @@
+/**
+ * A network in memory whose links can be cut, silenced and slowed.
+ *
+ * @module
+ */
+import type { Clock } from "@zinniahill/kernel";
+import type { Fault } from "@zinniahill/platform";
+import { Result } from "true-myth";
+
+/** What a link does with a call. */
+export type LinkMode =
+  /** Calls and replies pass. */
+  | "pass"
+  /** The call is refused before it is sent. */
+  | "refuse"
+  /** The call never arrives and nothing answers. */
+  | "silent"
+  /** The call arrives and takes effect, but its reply never comes. */
+  | "reply-lost";
+
+const NOT_SENT: Fault = { verdict: "not-run", message: "connection refused" };
+const NO_REPLY: Fault = { verdict: "may-have-run", message: "no reply came" };
+
+/** Carries calls between named ends. */
+export class MemoryNetwork {
+  /** Time that a call takes to arrive, and a reply to come back. */
+  latencyMs = 0.25;
+  #clock: Clock;
+  #modes = new Map<string, LinkMode>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Changes one direction of a link; `*` stands for every end. */
+  setMode(from: string, to: string, mode: LinkMode): void {
+    this.#modes.set(`${from}>${to}`, mode);
+  }
+
+  /** Changes all links of an end, in both directions. */
+  setModeOfEnd(end: string, mode: LinkMode): void {
+    this.setMode(end, "*", mode);
+    this.setMode("*", end, mode);
+  }
+
+  /** Returns what a link does now. */
+  findMode(from: string, to: string): LinkMode {
+    const modes = [`${from}>${to}`, `${from}>*`, `*>${to}`]
+      .map((link) => this.#modes.get(link))
+      .filter((mode) => mode !== undefined && mode !== "pass");
+    return modes[0] ?? "pass";
+  }
+
+  /** Carries one call; `work` runs at the other end. */
+  async call<Value>(
+    from: string,
+    to: string,
+    timeoutMs: number,
+    work: () => Promise<Result<Value, Fault>> | Result<Value, Fault>,
+    signal?: AbortSignal,
+  ): Promise<Result<Value, Fault>> {
+    const deadline = this.#clock.now() + timeoutMs;
+    if (this.findMode(from, to) === "refuse") {
+      return Result.err(NOT_SENT);
+    }
+    await this.#clock.sleep(this.latencyMs, signal);
+    if (this.findMode(from, to) === "silent") {
+      return this.#wait(deadline, signal);
+    }
+    const timedOut = this.#wait(deadline, signal);
+    const reply = await Promise.race([work(), timedOut]);
+    await this.#clock.sleep(this.latencyMs, signal);
+    const isLost = this.findMode(from, to) !== "pass" ||
+      this.findMode(to, from) !== "pass";
+    return isLost ? timedOut : reply;
+  }
+
+  async #wait(
+    deadline: number,
+    signal: AbortSignal | undefined,
+  ): Promise<Result<never, Fault>> {
+    const remainingMs = Math.max(0, deadline - this.#clock.now());
+    try {
+      await this.#clock.sleep(remainingMs, signal);
+    } catch {
+      // An aborted wait ends the call in the same way as its deadline.
+    }
+    return Result.err(NO_REPLY);
+  }
+}
