Add the operators' commands and a demo that ends an engine

Cause: a newcomer must be able to publish, look, drain and ask without writing a client, and the demo must show that losing an engine loses no answer. Ruled out: commands that write to the log themselves; the conflict and the reducer's decision would then be implemented twice. Before: one command (publish), a demo without a fault.

--- a/bench/src/caller.ts
+++ b/bench/src/caller.ts
@@ -78,21 +78,26 @@
   return { status: 200, tokens, isComplete, firstTokenMs, error };
 }
 
+/** A call to the record service. */
+export interface RecordCall {
+  readonly apiKey: string;
+  readonly key: string;
+  readonly body: unknown;
+}
+
 /** Makes one call to the record service. */
 export async function recordCall(
   address: string,
-  apiKey: string,
-  key: string,
-  body: unknown,
+  call: RecordCall,
 ): Promise<{ status: number; body: unknown }> {
   const reply = await request(`http://${address}/v1/services/records/entries`, {
     method: "POST",
     headers: {
-      "authorization": `Bearer ${apiKey}`,
+      "authorization": `Bearer ${call.apiKey}`,
       "content-type": "application/json",
-      "idempotency-key": key,
+      "idempotency-key": call.key,
     },
-    body: JSON.stringify(body),
+    body: JSON.stringify(call.body),
   });
   return { status: reply.statusCode, body: await reply.body.json() };
 }
--- a/bench/src/deployment.ts
+++ b/bench/src/deployment.ts
@@ -50,6 +50,7 @@
   readonly log: RunningStandIn;
   readonly hostList: RunningStandIn;
   readonly records: RunningStandIn;
+  readonly standIns: readonly RunningStandIn[];
   readonly adminToken: string;
   readonly apiKeys: Readonly<Record<string, string>>;
 }
@@ -66,6 +67,8 @@
 
 const ADMIN_TOKEN = "demo-admin-token-0001";
 const PEER_TOKEN = "demo-peer-token-00001";
+/** Short, so that a planned stop of the demo's nodes is quick. */
+const LOOKUP_VALIDITY = "1s";
 const API_KEYS = { north: "demo-key-north", south: "demo-key-south" };
 
 /** Starts every process and publishes the rules with the command. */
@@ -109,11 +112,26 @@
     log,
     hostList,
     records,
+    standIns: [log, hostList, weightStore, records, ...engines],
     adminToken: ADMIN_TOKEN,
     apiKeys: API_KEYS,
   };
 }
 
+/** Stops the nodes as planned, then the stand-ins. */
+export async function stopDeployment(deployment: Deployment): Promise<void> {
+  for (const node of deployment.nodes) {
+    node.kill("SIGTERM");
+  }
+  const codes = await Promise.all(deployment.nodes.map(({ exited }) => exited));
+  if (codes.some((code) => code !== 0)) {
+    throw new Error(`the nodes ended with exit codes ${codes}`);
+  }
+  for (const standIn of deployment.standIns) {
+    standIn.kill("SIGTERM");
+  }
+}
+
 /** Waits until this many groups are served, as a node sees it. */
 export async function waitForGroups(
   deployment: Deployment,
@@ -231,6 +249,8 @@
         `log = ${platform.log}`,
         `host-list = ${platform.hostList}`,
         `weight-store = ${platform.weightStore}`,
+        "[timing]",
+        `lookup-validity = ${LOOKUP_VALIDITY}`,
         "[output]",
         "log-level = warn",
         "",
--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -6,6 +6,7 @@
 export {
   type CallerAnswer,
   type CallerRequest,
+  type RecordCall,
   recordCall,
   streamChat,
 } from "./caller.ts";
@@ -19,6 +20,7 @@
   type RunningEngine,
   type RunningNode,
   startDeployment,
+  stopDeployment,
   waitForGroups,
 } from "./deployment.ts";
 export {
--- /dev/null
+++ b/packages/cli/src/commands/groups.ts
@@ -0,0 +1,48 @@
+/**
+ * `zinniahill groups`: the groups and why one is not served.
+ *
+ * @module
+ */
+import { GroupState } from "@zinniahill/schema";
+import { Command } from "clipanion";
+import { z } from "zod";
+import { ExitCode } from "../exit-code.ts";
+import {
+  AdministrationCommand,
+  reportFault,
+} from "./administration-command.ts";
+
+const GroupList = z.object({
+  groups: z.array(GroupState.extend({ obstacle: z.string().nullable() })),
+});
+
+/** Lists the groups as one node sees them. */
+export class GroupsCommand extends AdministrationCommand {
+  static override paths = [["groups"]];
+  static override usage = Command.Usage({
+    description: "List the groups, and why one is not served by this node.",
+    examples: [["List the groups", "$0 groups --admin 127.0.0.1:7101"]],
+  });
+
+  override async execute(): Promise<ExitCode> {
+    const reply = await this.call("GET", "/admin/groups", GroupList);
+    return reply.match({
+      Ok: ({ groups }) => {
+        groups.forEach((group) => this.#printGroup(group));
+        return ExitCode.success;
+      },
+      Err: (fault) => reportFault(this, fault),
+    });
+  }
+
+  #printGroup(group: z.infer<typeof GroupList>["groups"][number]): void {
+    const served = group.obstacle === null
+      ? "served=true"
+      : `served=false reason=${JSON.stringify(group.obstacle)}`;
+    this.print(
+      `group=${group.group} model=${group.model} version=${group.version} ` +
+        `phase=${group.phase} data_centre=${group.dataCentre} ` +
+        `fabric_domain=${group.fabricDomain} hosts=${group.hosts} ${served}`,
+    );
+  }
+}
--- a/packages/cli/src/connection.ts
+++ b/packages/cli/src/connection.ts
@@ -1,53 +1,85 @@
 /**
- * Calls from the command to a node's administration interface.
+ * Calls from the command to a node over HTTP.
  *
  * @module
  */
-import process from "node:process";
 import { Result } from "true-myth";
 import { request } from "undici";
+import { z } from "zod";
 
-/** Where the administration interface is, and its token. */
-export interface Connection {
+/** A call to a node. */
+export interface NodeCall<Reply> {
   readonly address: string;
+  /** Bearer token, or an empty text for none. */
   readonly token: string;
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  readonly body?: unknown;
+  readonly schema: z.ZodType<Reply>;
 }
 
-/** A JSON reply. */
-export interface Reply {
-  readonly status: number;
-  readonly body: unknown;
-}
+/** Why a call gave no usable reply. */
+export type CallFault =
+  | { readonly kind: "unreachable"; readonly message: string }
+  | {
+    readonly kind: "refused";
+    readonly status: number;
+    readonly message: string;
+    readonly body: unknown;
+  };
 
-const TOKEN_VARIABLE = "ZINNIAHILL_TOKEN";
+/** The documented form of a refusal. */
+const RefusalReply = z.object({
+  error: z.object({
+    code: z.string(),
+    message: z.string(),
+    verdict: z.string(),
+  }),
+});
 
-/** Reads the administration token from the environment. */
-export function readToken(): string {
-  return process.env[TOKEN_VARIABLE] ?? "";
-}
+const OK_STATUS = 200;
+const TIMEOUT_MS = 30_000;
 
-/** Makes one administration call. */
-export async function callAdministration(
-  connection: Connection,
-  method: "GET" | "POST",
-  path: string,
-  body?: unknown,
-): Promise<Result<Reply, string>> {
+/** Makes one call and checks the reply against its schema. */
+export async function callNode<Reply>(
+  call: NodeCall<Reply>,
+): Promise<Result<Reply, CallFault>> {
+  const { address, token } = call;
   try {
-    const reply = await request(`http://${connection.address}${path}`, {
-      method,
+    const reply = await request(`http://${address}${call.path}`, {
+      method: call.method,
       headers: {
-        "authorization": `Bearer ${connection.token}`,
+        ...(token === "" ? {} : { authorization: `Bearer ${token}` }),
         "content-type": "application/json",
       },
-      body: body === undefined ? null : JSON.stringify(body),
-    });
-    return Result.ok({
-      status: reply.statusCode,
-      body: await reply.body.json(),
+      body: call.body === undefined ? null : JSON.stringify(call.body),
+      signal: AbortSignal.timeout(TIMEOUT_MS),
     });
+    const body: unknown = await reply.body.json();
+    if (reply.statusCode !== OK_STATUS) {
+      return Result.err(createRefusedFault(reply.statusCode, body));
+    }
+    const parsed = call.schema.safeParse(body);
+    return parsed.success
+      ? Result.ok(parsed.data)
+      : Result.err(createRefusedFault(reply.statusCode, body));
   } catch (failure) {
     const message = failure instanceof Error ? failure.message : "failed";
-    return Result.err(`${connection.address}: ${message}`);
+    return Result.err({
+      kind: "unreachable",
+      message: `${address}: ${message || "connection refused"}`,
+    });
   }
 }
+
+function createRefusedFault(status: number, body: unknown): CallFault {
+  const refusal = RefusalReply.safeParse(body);
+  const message = refusal.success
+    ? describeRefusal(refusal.data)
+    : `unexpected reply with status ${status}`;
+  return { kind: "refused", status, message, body };
+}
+
+function describeRefusal({ error }: z.infer<typeof RefusalReply>): string {
+  return `${error.code}: ${error.message} (verdict ${error.verdict})`;
+}
--- a/packages/cli/src/exit-code.ts
+++ b/packages/cli/src/exit-code.ts
@@ -6,8 +6,9 @@
 
 /** What the command's exit code means. */
 export const ExitCode = {
+  /** It was done. */
   success: 0,
-  /** The command line is wrong. */
+  /** The command line, or the file it names, is wrong. */
   usage: 1,
   /** The node refused. */
   refused: 2,
@@ -18,3 +19,5 @@
   /** The wait ended before what was waited for came about. */
   timeout: 5,
 } as const;
+/** What the command's exit code means. */
+export type ExitCode = typeof ExitCode[keyof typeof ExitCode];
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -3,5 +3,5 @@
  *
  * @module
  */
-export { createCli } from "./commands.ts";
+export { createCommandLine } from "./command-line.ts";
 export { ExitCode } from "./exit-code.ts";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,6 +5,6 @@
  * @module
  */
 import process from "node:process";
-import { createCli } from "./commands.ts";
+import { createCommandLine } from "./command-line.ts";
 
-await createCli().runExit(process.argv.slice(2));
+await createCommandLine().runExit(process.argv.slice(2));
