--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -77,12 +77,14 @@
   text: string,
 ): Result<Settings, SettingsFault[]> {
   const parsed = Settings.safeParse(parse(text));
-  if (parsed.success) {
-    return Result.ok(parsed.data);
-  }
-  return Result.err(
-    parsed.error.issues.flatMap((issue) => createFaults(file, text, issue)),
-  );
+  const issues = parsed.error?.issues ?? [];
+  const faults = [
+    ...findRepeatedKeys(file, text),
+    ...issues.flatMap((issue) => createFaults(file, text, issue)),
+  ];
+  return parsed.success && faults.length === 0
+    ? Result.ok(parsed.data)
+    : Result.err(faults);
 }
 
 /** Describes a fault in one line. */
@@ -102,7 +104,7 @@
   const unknownKeys = issue.code === "unrecognized_keys" ? issue.keys : [];
   if (unknownKeys.length === 0) {
     const [section = "", key = ""] = issue.path.map(String);
-    return [createFault(file, text, section, key, issue.message)];
+    return [createFault(file, text, section, key, describeIssue(issue))];
   }
   return unknownKeys.map((unknownKey) => {
     const [section, key] = issue.path.length === 0
@@ -113,6 +115,33 @@
   });
 }
 
+function describeIssue(issue: z.core.$ZodIssue): string {
+  const isMissing = issue.code === "invalid_type" && issue.input === undefined;
+  return isMissing ? "missing; expected a value" : issue.message;
+}
+
+/** The INI library takes the last of two values, which hides a mistake. */
+function findRepeatedKeys(file: string, text: string): SettingsFault[] {
+  const seen = new Set<string>();
+  const faults: SettingsFault[] = [];
+  let section = "";
+  for (const [index, source] of text.split(/\r?\n/).entries()) {
+    const header = source.trim().match(/^\[(.*)\]$/);
+    section = header?.[1] ?? section;
+    const key = source.match(/^\s*([^;#=\s[][^=]*?)\s*=/)?.[1];
+    if (key === undefined) {
+      continue;
+    }
+    const name = `${section} ${key}`;
+    if (seen.has(name)) {
+      const message = "given twice";
+      faults.push({ file, line: index + 1, section, key, message });
+    }
+    seen.add(name);
+  }
+  return faults;
+}
+
 function createFault(
   file: string,
   text: string,
@@ -133,6 +162,9 @@
   if (start < 0) {
     return undefined;
   }
+  if (key === "") {
+    return start + 1;
+  }
   const rest = lines.slice(start + 1);
   const end = rest.findIndex((line) => line.startsWith("["));
   const body = end < 0 ? rest : rest.slice(0, end);
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -14,5 +14,8 @@
     testTimeout: TEST_TIMEOUT_MS,
     hookTimeout: TEST_TIMEOUT_MS,
     maxWorkers: 4,
+    // The module build of clipanion imports a folder, which only a bundler
+    // resolves.
+    server: { deps: { inline: ["clipanion"] } },
   },
 });
