--- /dev/null
+++ b/packages/cli/bin/zinniahill.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /**
  * The binary `zinniahill`.
  *
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /**
  * The binary `zinniahilld`: reads its settings, serves, and stops as planned.
  *
