Measure the cost of the path through one node

Cause: the cost of a request and of a token on a node is to be within 1.3 times of a plain pass-through of the same libraries, and nothing measured it. Ruled out: wall-clock rates; other work on the machine moves them, so the processor time of the two processes is compared in one run instead. Before: no figure.

--- a/bench/src/deployment.ts
+++ b/bench/src/deployment.ts
@@ -26,6 +26,10 @@
   readonly dataCentres: number;
   readonly hostsPerGroup: number;
   readonly replicas: number;
+  /** Options of the engine stand-ins. */
+  readonly engine?: Readonly<Record<string, number>>;
+  /** Tokens a second that each client account may use. */
+  readonly accountTokens?: number;
 }
 
 /** A node and its addresses. */
@@ -69,6 +73,7 @@
 const PEER_TOKEN = "demo-peer-token-00001";
 /** Short, so that a planned stop of the demo's nodes is quick. */
 const LOOKUP_VALIDITY = "1s";
+const DEFAULT_ACCOUNT_TOKENS = 100_000;
 const API_KEYS = { north: "demo-key-north", south: "demo-key-south" };
 
 /** Starts every process and publishes the rules with the command. */
@@ -145,6 +150,28 @@
   }
 }
 
+/** The part of a node's state dump that is measured. */
+export interface ReportedDump {
+  readonly processUsage: {
+    readonly uptimeMs: number;
+    readonly cpuMs: number;
+    readonly rssBytes: number;
+    readonly heapUsedBytes: number;
+    readonly externalBytes: number;
+  };
+}
+
+/** Reads a node's state dump. */
+export async function readDump(
+  deployment: Deployment,
+  adminAddress: string,
+): Promise<ReportedDump> {
+  const reply = await request(`http://${adminAddress}/admin/dump`, {
+    headers: { authorization: `Bearer ${deployment.adminToken}` },
+  });
+  return await reply.body.json() as ReportedDump;
+}
+
 /** A group as a node reports it. */
 export interface ReportedGroup {
   readonly group: string;
@@ -183,7 +210,10 @@
   return Promise.all(
     Array.from({ length: size.hosts }, async (_, index) => {
       const host = `host-${String(index + 1).padStart(2, "0")}`;
-      const engine = await startStandIn("engine", { host });
+      const engine = await startStandIn("engine", {
+        host,
+        ...size.engine,
+      });
       const domain = index % size.fabricDomains;
       return {
         ...engine,
@@ -271,10 +301,11 @@
 }
 
 function createRules(size: DeploymentSize, recordsAddress: string): string {
+  const tokens = size.accountTokens ?? DEFAULT_ACCOUNT_TOKENS;
   const accounts = Object.entries(API_KEYS).map(([name, key]) => {
     const hash = createHash("sha256").update(key).digest("hex");
     return `account ${name} key=sha256:${hash} ranks=urgent,normal,batch ` +
-      "requests=200/s tokens=100000/s streams=64 # asked by the demo";
+      `requests=10000/s tokens=${tokens}/s streams=64 # asked by the demo`;
   });
   return [
     "rank urgent first-token=750ms floor=20% worth=10 # asked by the demo",
--- a/bench/src/processes.ts
+++ b/bench/src/processes.ts
@@ -42,15 +42,21 @@
   const pairs = Object.entries(options).map(([key, value]) =>
     `${key}=${value}`
   );
-  const child = start([STAND_INS.pathname, kind, ...pairs], [
-    "pipe",
-    "inherit",
-  ]);
+  return await startServer(kind, STAND_INS, [kind, ...pairs]);
+}
+
+/** Starts a program that prints its address, and waits for that line. */
+export async function startServer(
+  name: string,
+  file: URL,
+  arguments_: readonly string[],
+): Promise<RunningStandIn> {
+  const child = start([file.pathname, ...arguments_], ["pipe", "inherit"]);
   for await (const line of createInterface({ input: child.stdout! })) {
     const { address } = JSON.parse(line) as { address: string };
-    return { ...describeProcess(kind, child), address };
+    return { ...describeProcess(name, child), address };
   }
-  throw new Error(`stand-in ${kind} ended before it listened`);
+  throw new Error(`${name} ended before it listened`);
 }
 
 /** Starts a node. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -27,6 +27,7 @@
 import { Metrics } from "./metrics.ts";
 import { Peers } from "./peers/peers.ts";
 import { WebSocketTransport } from "./peers/transport.ts";
+import { ProcessUsage } from "./process-usage.ts";
 import type { NodeKernel, Services } from "./services.ts";
 import { Front } from "./serving/front.ts";
 import { Gate } from "./serving/gate.ts";
@@ -103,6 +104,7 @@
   );
   provide("metrics", [], () => new Metrics(output.metrics, node.name));
   provide("lifecycle", [], () => new Lifecycle());
+  provide("processUsage", [], () => new ProcessUsage());
 
   provide(
     "log",
--- a/packages/node/src/services.ts
+++ b/packages/node/src/services.ts
@@ -21,6 +21,7 @@
 import type { Metrics } from "./metrics.ts";
 import type { Peers } from "./peers/peers.ts";
 import type { PeerTransport } from "./peers/transport.ts";
+import type { ProcessUsage } from "./process-usage.ts";
 import type { Gate } from "./serving/gate.ts";
 import type { Front } from "./serving/front.ts";
 import type { Lookup } from "./serving/lookup.ts";
@@ -37,6 +38,7 @@
   metrics: Metrics;
   settings: Settings;
   lifecycle: Lifecycle;
+  processUsage: ProcessUsage;
   log: Log;
   hostList: HostList;
   weightStore: WeightStore;
