Agree on the state after repeats, expiry and outages

Cause: a repeated append of a host-drained, group-assigned or host-released record took effect a second time; a reply lost after the append took effect ended in may-have-run although the record was read; nothing wrote checkpoints; a reader took the first checkpoint that it found, whatever its offset; nothing asked peers for their state.

Services checkpoints and recovery write checkpoints and take the peers' state. Peers have one task for each connection, one live connection for each node, faults that are counted, a bound on queued bytes, and a ring with long-distance connections beyond limits.peer-connections.

Ruled out: adopting each peer's state as it arrives, which puts lower versions in force first when a stale peer answers first.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -33,7 +33,9 @@
 import { Lookup } from "./serving/lookup.ts";
 import { Router } from "./serving/router.ts";
 import { Streams } from "./serving/streams.ts";
+import { Checkpoints } from "./state/checkpoints.ts";
 import { ControlState } from "./state/control-state.ts";
+import { Recovery } from "./state/recovery.ts";
 
 /** Services that a test puts in place of the node's own. */
 export type Replacements = Partial<Services>;
@@ -147,6 +149,16 @@
     [...base, "lifecycle", "peerTransport", "state"],
     (services) => new Peers(services),
   );
+  provide(
+    "checkpoints",
+    [...base, "state"],
+    (services) => new Checkpoints(services),
+  );
+  provide(
+    "recovery",
+    [...base, "state", "peers"],
+    (services) => new Recovery(services),
+  );
   provide("hosts", [...base, "hostList"], (services) => new Hosts(services));
   provide(
     "evidence",
@@ -182,7 +194,7 @@
   );
   provide(
     "lookup",
-    [...base, "lifecycle", "peers"],
+    [...base, "state", "lifecycle", "peers"],
     (services) => new Lookup(services),
   );
   return kernel;
--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -3,16 +3,20 @@
  *
  * @module
  */
+import { createHash } from "node:crypto";
 import {
   type Clock,
+  type Condition,
+  describeError,
   type Logger,
   type Service,
   TaskGroup,
   withDeadline,
 } from "@zinniahill/kernel";
+import { planPeerSlots } from "@zinniahill/policy";
 import {
-  decodePeerMessage,
   encodePeerMessage,
+  type HeartbeatMessage,
   type PeerMessage,
   type PeerMessageOf,
   PROTOCOL_VERSION,
@@ -21,18 +25,16 @@
 import type { Lifecycle } from "../lifecycle.ts";
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
+import { Conversation, type Peer } from "./conversation.ts";
+import { PeerRegistry } from "./registry.ts";
+import { isRelayable, Relay } from "./relay.ts";
+import { PeerSlots } from "./slots.ts";
 import type { PeerConnection, PeerTransport } from "./transport.ts";
 
-/** What is known of a peer that is connected. */
-export interface Peer {
-  readonly hello: PeerMessageOf<"hello">;
-  heartbeat?: PeerMessageOf<"heartbeat">;
-}
+export { type Peer } from "./conversation.ts";
 
 type PeerListener = (node: string, message: PeerMessage) => void;
 
-const RECONNECT_PAUSE_MS = 500;
-
 /** Knows the other nodes. */
 export class Peers implements Service {
   #clock: Clock;
@@ -42,9 +44,14 @@
   #state: ControlState;
   #transport: PeerTransport;
   #tasks: TaskGroup;
-  #peers = new Map<string, Peer>();
-  #connections = new Set<PeerConnection>();
+  #instance: string;
+  #registry: PeerRegistry;
+  #relay: Relay;
+  #slots: PeerSlots;
+  #isPartial: boolean;
+  #startedAt = 0;
   #listeners = new Map<PeerMessage["kind"], PeerListener[]>();
+  #readLoad: () => number = () => 0;
 
   constructor(kernel: NodeKernel) {
     this.#clock = kernel.find("clock");
@@ -54,20 +61,27 @@
     this.#state = kernel.find("state");
     this.#transport = kernel.find("peerTransport");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
+    this.#instance = kernel.find("random").id();
+    const { node, limits } = this.#settings;
+    this.#registry = new PeerRegistry(this.#logger, node.name, this.#instance);
+    this.#relay = new Relay(node.name, this.#instance);
+    const plan = planPeerSlots(
+      node["peer-address"],
+      node.peers ?? [],
+      limits["peer-connections"],
+      hashName,
+    );
+    this.#isPartial = plan.some(({ length }) => length > 1);
+    this.#slots = this.#createSlots(plan);
   }
 
   async start(): Promise<void> {
-    const { "peer-address": ownAddress, peers = [] } = this.#settings.node;
+    this.#startedAt = this.#clock.now();
+    const ownAddress = this.#settings.node["peer-address"];
     await this.#transport.listen(ownAddress, (connection) => {
-      this.#tasks.run("serve_peer", (signal) => this.#talk(connection, signal));
+      this.#converse(connection, false);
     });
-    for (const address of peers) {
-      this.#tasks.repeat(
-        "connect_peer",
-        RECONNECT_PAUSE_MS,
-        (signal) => this.#connect(address, signal),
-      );
-    }
+    this.#slots.start(this.#tasks);
   }
 
   stop(): Promise<void> {
@@ -75,15 +89,45 @@
   }
 
   dump(): unknown {
-    return { peers: [...this.#peers.values()] };
+    return {
+      instance: this.#instance,
+      isPartial: this.#isPartial,
+      faults: Object.fromEntries(this.#registry.faults),
+      peers: this.list(),
+    };
+  }
+
+  /** Notified whenever a peer connects or disconnects. */
+  get changed(): Condition {
+    return this.#registry.changed;
+  }
+
+  /** Whether the peers that can be reached have had time to connect. */
+  get hasSettled(): boolean {
+    const waitedMs = this.#clock.now() - this.#startedAt;
+    return this.#slots.areTried ||
+      waitedMs >= this.#settings.timing["peer-deadline"];
+  }
+
+  /** This node's load as its heartbeats report it; 1 is a full node. */
+  get load(): number {
+    return this.#readLoad();
+  }
+
+  /** Sets where heartbeats take this node's load from. */
+  reportLoad(readLoad: () => number): void {
+    this.#readLoad = readLoad;
   }
 
   /** Peers that are connected. */
   list(): Peer[] {
-    return [...this.#peers.values()];
+    return this.#registry.list();
   }
 
-  /** Calls `listener` for every message of a kind that a peer sends. */
+  /**
+   * Calls `listener` for every message of a kind that a peer sends. A message
+   * that was passed on is given with the name of the node that it comes from.
+   */
   onMessage<Kind extends PeerMessage["kind"]>(
     kind: Kind,
     listener: (node: string, message: PeerMessageOf<Kind>) => void,
@@ -92,15 +136,46 @@
     this.#listeners.set(kind, [...listeners, listener as PeerListener]);
   }
 
-  /** Sends a message to every peer that is connected. */
+  /**
+   * Sends a message to every peer that is connected. Where a node has no
+   * connection to some others, peers pass evidence and usage on to them.
+   */
   broadcast(message: PeerMessage): void {
+    const isRelayed = this.#isPartial && isRelayable(message);
+    this.#sendToAll(isRelayed ? this.#relay.wrap(message) : message);
+  }
+
+  /** Sends a message to one peer; does nothing when it is not connected. */
+  send(node: string, message: PeerMessage): void {
+    this.#registry.live.get(node)?.send(encodePeerMessage(message));
+  }
+
+  #sendToAll(message: PeerMessage, except?: Conversation): void {
     const bytes = encodePeerMessage(message);
-    for (const connection of this.#connections) {
-      connection.send(bytes);
+    for (const conversation of this.#registry.live.values()) {
+      if (conversation !== except) {
+        conversation.send(bytes);
+      }
     }
   }
 
-  async #connect(address: string, signal: AbortSignal): Promise<void> {
+  #createSlots(plan: ReturnType<typeof planPeerSlots>): PeerSlots {
+    const registry = this.#registry;
+    return new PeerSlots(this.#clock, {
+      isConnected: (address) => registry.findByAddress(address) !== undefined,
+      dial: (address, signal) => this.#dial(address, signal),
+      release: (address) => {
+        const conversation = registry.findByAddress(address);
+        if (conversation?.isDialled === true) {
+          conversation.end("surplus");
+        }
+      },
+      waitForChange: (signal) => registry.changed.wait(signal),
+    }, plan);
+  }
+
+  /** Connects and waits until the peer was admitted and has sent a heartbeat. */
+  async #dial(address: string, signal: AbortSignal): Promise<boolean> {
     const limitMs = this.#settings.timing["peer-deadline"];
     try {
       const connection = await withDeadline(
@@ -109,96 +184,99 @@
         signal,
         (limited) => this.#transport.connect(address, limited),
       );
-      await this.#talk(connection, signal);
-    } catch {
-      this.#logger.debug("peer_unreachable", { address });
+      const conversation = this.#converse(connection, true);
+      const hasSpoken = () => conversation.peer?.heartbeat !== undefined;
+      await this.#registry.changed.until(
+        () => hasSpoken() || conversation.isEnded,
+        signal,
+      );
+      return this.#registry.findByAddress(address) !== undefined;
+    } catch (failure) {
+      this.#logger.debug("peer_unreachable", {
+        address,
+        error: describeError(failure),
+      });
+      return false;
     }
   }
 
-  /** Exchanges messages on one connection until it ends or goes silent. */
-  async #talk(connection: PeerConnection, signal: AbortSignal): Promise<void> {
-    const limitMs = this.#settings.timing["peer-deadline"];
-    const ended = new AbortController();
-    this.#connections.add(connection);
-    const beating = this.#beat(
+  #converse(connection: PeerConnection, isDialled: boolean): Conversation {
+    const { timing } = this.#settings;
+    const conversation = new Conversation(
+      {
+        clock: this.#clock,
+        deadlineMs: timing["peer-deadline"],
+        heartbeatMs: timing["heartbeat-interval"],
+        createHello: () => this.#createHello(),
+        createHeartbeat: (sequence) => this.#createHeartbeat(sequence),
+        waitForNews: (signal) => this.#lifecycle.changed.wait(signal),
+        admit: (source, hello) => this.#registry.admit(source, hello),
+        deliver: (source, message) => this.#deliver(source, message),
+        onEnd: (source, fault) => this.#registry.remove(source, fault),
+      },
       connection,
-      AbortSignal.any([signal, ended.signal]),
-    ).catch(() => {});
-    let name: string | undefined;
-    try {
-      for (;;) {
-        const bytes = await withDeadline(
-          this.#clock,
-          limitMs,
-          signal,
-          (limited) => connection.receive(limited),
-        );
-        if (bytes === undefined) {
-          return;
-        }
-        const message = decodePeerMessage(bytes);
-        if (message.isErr) {
-          this.#logger.warn("peer_message_invalid", { error: message.error });
-          return;
-        }
-        name = this.#onMessage(name, message.value);
-      }
-    } finally {
-      this.#connections.delete(connection);
-      connection.close();
-      ended.abort();
-      await beating;
-      if (name !== undefined) {
-        this.#peers.delete(name);
-      }
-    }
+      isDialled,
+    );
+    this.#tasks.run("serve_peer", (signal) => conversation.run(signal));
+    return conversation;
   }
 
-  #onMessage(
-    name: string | undefined,
-    message: PeerMessage,
-  ): string | undefined {
-    if (message.kind === "hello") {
-      this.#peers.set(message.node, { hello: message });
-      return message.node;
+  #deliver(source: Conversation, message: PeerMessage): void {
+    const node = source.peer?.hello.node;
+    if (node === undefined) {
+      return;
     }
-    const peer = this.#peers.get(name ?? "");
-    if (name === undefined || peer === undefined) {
-      return name;
+    if (message.kind !== "relayed") {
+      this.#notify(node, message);
+    } else if (this.#relay.accept(message)) {
+      this.#sendToAll(message, source);
+      this.#notify(message.origin, message.message);
     }
-    if (message.kind === "heartbeat") {
-      peer.heartbeat = message;
+    if (message.kind === "heartbeat" && message.sequence === 1) {
+      this.#registry.changed.notify();
     }
+  }
+
+  /** A listener that fails must not end the connection of the peer. */
+  #notify(node: string, message: PeerMessage): void {
     for (const listener of this.#listeners.get(message.kind) ?? []) {
-      listener(name, message);
+      try {
+        listener(node, message);
+      } catch (failure) {
+        this.#logger.error("peer_listener_failed", {
+          kind: message.kind,
+          error: describeError(failure),
+        });
+      }
     }
-    return name;
   }
 
-  async #beat(
-    connection: PeerConnection,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { node, timing } = this.#settings;
-    connection.send(encodePeerMessage({
+  #createHello(): PeerMessageOf<"hello"> {
+    const { node } = this.#settings;
+    return {
       kind: "hello",
       protocol: PROTOCOL_VERSION,
       node: node.name,
+      instance: this.#instance,
       dataCentre: node["data-centre"],
       publicAddress: node["public-address"],
       peerAddress: node["peer-address"],
-    }));
-    for (let sequence = 1;; sequence++) {
-      connection.send(encodePeerMessage({
-        kind: "heartbeat",
-        sequence,
-        configurationVersion: this.#state.control.configuration.version,
-        controlOffset: this.#state.control.asOf,
-        logReachable: this.#state.isLogReachable,
-        load: 0,
-        stopping: this.#lifecycle.isStopping,
-      }));
-      await this.#clock.sleep(timing["heartbeat-interval"], signal);
-    }
+    };
   }
+
+  #createHeartbeat(sequence: number): HeartbeatMessage {
+    return {
+      kind: "heartbeat",
+      sequence,
+      configurationVersion: this.#state.control.configuration.version,
+      controlOffset: this.#state.control.asOf,
+      logReachable: this.#state.isLogReachable,
+      load: this.#readLoad(),
+      stopping: this.#lifecycle.isStopping,
+    };
+  }
+}
+
+function hashName(name: string): number {
+  return createHash("sha256").update(name).digest().readUInt32BE();
 }
--- a/packages/node/src/peers/transport.ts
+++ b/packages/node/src/peers/transport.ts
@@ -5,7 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
-import { Condition, type Service } from "@zinniahill/kernel";
+import { Condition, describeError, type Service } from "@zinniahill/kernel";
 import { MAX_PEER_MESSAGE_BYTES } from "@zinniahill/schema";
 import { WebSocket, WebSocketServer } from "ws";
 import { hashSecret, isSameHash, readBearer } from "../serving/http.ts";
@@ -14,6 +14,8 @@
 export interface PeerConnection {
   /** Bytes that were sent but have not left this process. */
   readonly queuedBytes: number;
+  /** Why the connection broke; undefined while it has not. */
+  readonly failure?: string | undefined;
   /** Sends one message; does nothing when the connection has ended. */
   send(message: Uint8Array): void;
   /** Waits for the next message; undefined when the connection has ended. */
@@ -100,6 +102,7 @@
   #inbox: Uint8Array[] = [];
   #changed = new Condition();
   #isEnded = false;
+  #failure: string | undefined;
 
   constructor(socket: WebSocket) {
     this.#socket = socket;
@@ -107,7 +110,9 @@
       this.#inbox.push(bytes);
       this.#changed.notify();
     });
-    socket.on("error", () => {});
+    socket.on("error", (failure) => {
+      this.#failure = describeError(failure);
+    });
     socket.on("close", () => {
       this.#isEnded = true;
       this.#changed.notify();
@@ -118,6 +123,10 @@
     return this.#socket.bufferedAmount;
   }
 
+  get failure(): string | undefined {
+    return this.#failure;
+  }
+
   send(message: Uint8Array): void {
     if (this.#socket.readyState === WebSocket.OPEN) {
       this.#socket.send(message);
--- a/packages/node/src/services.ts
+++ b/packages/node/src/services.ts
@@ -26,7 +26,9 @@
 import type { Lookup } from "./serving/lookup.ts";
 import type { Router } from "./serving/router.ts";
 import type { Streams } from "./serving/streams.ts";
+import type { Checkpoints } from "./state/checkpoints.ts";
 import type { ControlState } from "./state/control-state.ts";
+import type { Recovery } from "./state/recovery.ts";
 import type { Lifecycle } from "./lifecycle.ts";
 
 /** Service types by name. */
@@ -45,6 +47,8 @@
   state: ControlState;
   peerTransport: PeerTransport;
   peers: Peers;
+  checkpoints: Checkpoints;
+  recovery: Recovery;
   hosts: Hosts;
   evidence: Evidence;
   leases: Leases;
--- /dev/null
+++ b/packages/node/src/state/checkpoints.ts
@@ -0,0 +1,107 @@
+/**
+ * Checkpoints: the reducer's state, appended well before the records expire
+ * that it was made from.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type Logger,
+  type Random,
+  type Service,
+  TaskGroup,
+} from "@zinniahill/kernel";
+import { computeCheckpointDelay, isCheckpointDue } from "@zinniahill/policy";
+import type { Settings } from "@zinniahill/schema";
+import type { NodeKernel } from "../services.ts";
+import type { ControlState } from "./control-state.ts";
+
+const CHECK_INTERVAL_MS = 1000;
+
+/** Appends checkpoints when it is this node's turn. */
+export class Checkpoints implements Service {
+  #clock: Clock;
+  #logger: Logger;
+  #random: Random;
+  #settings: Settings;
+  #state: ControlState;
+  #tasks: TaskGroup;
+  #written = 0;
+
+  constructor(kernel: NodeKernel) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#random = kernel.find("random");
+    this.#settings = kernel.find("settings");
+    this.#state = kernel.find("state");
+    this.#tasks = new TaskGroup(this.#clock, this.#logger);
+  }
+
+  start(): void {
+    this.#tasks.repeat(
+      "write_checkpoint",
+      CHECK_INTERVAL_MS,
+      (signal) => this.#writeWhenDue(signal),
+    );
+  }
+
+  stop(): Promise<void> {
+    return this.#tasks.stop();
+  }
+
+  dump(): unknown {
+    return { written: this.#written };
+  }
+
+  /** Waits for this node's turn and appends unless another node did. */
+  async #writeWhenDue(signal: AbortSignal): Promise<void> {
+    if (!this.#isDue()) {
+      return;
+    }
+    const delayMs = computeCheckpointDelay({
+      node: this.#settings.node.name,
+      holders: this.#listHolders(),
+      stepMs: this.#settings.platform["log-timeout"],
+      spreadMs: this.#settings.timing["checkpoint-interval"] / 2,
+    }, this.#random);
+    await this.#clock.sleep(delayMs, signal);
+    if (!this.#isDue()) {
+      return;
+    }
+    const state = this.#state.control.createSnapshot();
+    const decision = await this.#state.propose({
+      kind: "checkpoint",
+      id: this.#random.id(),
+      node: this.#settings.node.name,
+      state,
+    }, signal);
+    if (decision.isOk) {
+      this.#written++;
+      this.#logger.info("checkpoint_written", { as_of: state.asOf });
+    }
+  }
+
+  #isDue(): boolean {
+    const { control, checkpoint, isCaughtUp } = this.#state;
+    const age = {
+      entries: control.asOf - checkpoint.asOf,
+      ms: this.#clock.now() - checkpoint.readAt,
+    };
+    return isCaughtUp && control.asOf > 0 && isCheckpointDue(age, {
+      entries: this.#settings.limits["checkpoint-records"],
+      ms: this.#settings.timing["checkpoint-interval"],
+    });
+  }
+
+  /** Nodes whose lease has not lapsed, in the order of their scopes. */
+  #listHolders(): string[] {
+    const termMs = this.#settings.timing["lease-term"];
+    return [...this.#state.control.leases.values()]
+      .filter(({ scope }) => {
+        const readAt = this.#state.findLeaseReadTime(scope);
+        return readAt !== undefined && this.#clock.now() - readAt < termMs;
+      })
+      .sort((a, b) => a.scope < b.scope ? -1 : 1)
+      .map(({ holder }) => holder);
+  }
+}
--- a/packages/node/src/state/control-state.ts
+++ b/packages/node/src/state/control-state.ts
@@ -9,23 +9,37 @@
   type Logger,
   type Service,
   TaskGroup,
-  withDeadline,
 } from "@zinniahill/kernel";
 import type { Log } from "@zinniahill/platform";
 import { ControlReducer, type Decision } from "@zinniahill/policy";
 import {
   ControlRecord,
+  type ControlRecordOf,
+  type ControlSnapshot,
   type LogPage,
   parseRules,
-  Refusal,
+  type Refusal,
   type Rules,
   type Settings,
 } from "@zinniahill/schema";
-import { Result } from "true-myth";
+import type { Result } from "true-myth";
 import type { NodeKernel } from "../services.ts";
+import { PAGE_ENTRIES, searchCheckpoint } from "./checkpoint-search.ts";
+import { Proposals } from "./proposals.ts";
+import { OBSTACLES, type Reading } from "./reading.ts";
 
-const PAGE_ENTRIES = 500;
 const RETRY_PAUSE_MS = 200;
+/** A search reads all that is retained, so it is not repeated at once. */
+const SEARCH_PAUSE_MS = 2000;
+
+/** Where a state that was adopted as a whole came from. */
+export type SnapshotSource = "checkpoint" | "peer";
+
+type Effect<Kind extends ControlRecord["kind"]> = (
+  record: ControlRecordOf<Kind>,
+  offset: number,
+  decision: Decision,
+) => void;
 
 /** Reads the control stream and proposes records to it. */
 export class ControlState implements Service {
@@ -37,10 +51,15 @@
   #settings: Settings;
   #tasks: TaskGroup;
   #reducer = new ControlReducer();
+  #proposals: Proposals;
   #rules: Rules | undefined;
+  #reading: Reading = "starting";
   #isLogReachable = false;
+  #isCaughtUp = false;
+  #mustSearch = true;
+  #checkpoint = { asOf: 0, readAt: 0 };
+  #unknownRecords = 0;
   #leaseReadAt = new Map<string, { last: number; at: number }>();
-  #decisions = new Map<string, (decision: Decision) => void>();
 
   constructor(kernel: NodeKernel) {
     this.#clock = kernel.find("clock");
@@ -48,6 +67,12 @@
     this.#log = kernel.find("log");
     this.#settings = kernel.find("settings");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
+    this.#proposals = new Proposals(
+      this.#clock,
+      this.#log,
+      this.#settings.platform["log-timeout"],
+    );
+    this.#checkpoint.readAt = this.#clock.now();
   }
 
   /** The agreed state. */
@@ -65,6 +90,32 @@
     return this.#isLogReachable;
   }
 
+  /** Whether the last read reached the end of the stream. */
+  get isCaughtUp(): boolean {
+    return this.#isCaughtUp && this.#reading === "following";
+  }
+
+  /** Whether the log cannot bring this node's state up to date at present. */
+  get needsPeers(): boolean {
+    return this.#reading === "unreachable" || this.#reading === "expired";
+  }
+
+  /** The newest checkpoint that was read, and when. */
+  get checkpoint(): { readonly asOf: number; readonly readAt: number } {
+    return this.#checkpoint;
+  }
+
+  /** Why no rules are in force; undefined when there are some. */
+  get obstacle(): string | undefined {
+    if (this.#rules !== undefined) {
+      return undefined;
+    }
+    if (this.#reducer.configuration.version > 0) {
+      return "the configuration in force is invalid";
+    }
+    return OBSTACLES[this.#reading];
+  }
+
   start(): void {
     this.#tasks.repeat(
       "read_control",
@@ -80,6 +131,10 @@
   dump(): unknown {
     return {
       isLogReachable: this.#isLogReachable,
+      reading: this.#reading,
+      obstacle: this.obstacle ?? null,
+      unknownRecords: this.#unknownRecords,
+      checkpoint: this.#checkpoint,
       ...this.#reducer.createSnapshot(),
     };
   }
@@ -93,101 +148,152 @@
    * Appends a record and waits until this node has read it. The decision is
    * the reducer's; a refusal says whether the append may have taken effect.
    */
-  async propose(
+  propose(
     record: ControlRecord,
     signal: AbortSignal,
   ): Promise<Result<Decision, Refusal>> {
-    const decided = new Promise<Decision>((resolve) => {
-      this.#decisions.set(record.id, resolve);
-    });
-    try {
-      const appended = await this.#log.append("control", [record], signal);
-      if (appended.isErr && appended.error.verdict === "not-run") {
-        return Result.err(
-          new Refusal("log-unavailable", "not-run", appended.error.message),
-        );
-      }
-      const limitMs = 2 * this.#settings.platform["log-timeout"];
-      const decision = await withDeadline(
-        this.#clock,
-        limitMs,
-        signal,
-        () => decided,
-      );
-      return Result.ok(decision);
-    } catch {
-      return Result.err(
-        new Refusal(
-          "log-unavailable",
-          "may-have-run",
-          "the record was not read back in time",
-        ),
-      );
-    } finally {
-      this.#decisions.delete(record.id);
+    return this.#proposals.propose(record, signal);
+  }
+
+  /**
+   * Replaces the state by a later one of the same stream. An earlier state, or
+   * one with a lower version of the configuration, is refused.
+   */
+  adopt(snapshot: ControlSnapshot, source: SnapshotSource): boolean {
+    const { version } = this.#reducer.configuration;
+    const isLater = snapshot.asOf > this.#reducer.asOf;
+    if (!isLater || snapshot.configuration.version < version) {
+      return false;
     }
+    this.#reducer.restore(snapshot);
+    this.#noteLeases();
+    if (snapshot.configuration.version > version) {
+      this.#readRules();
+    }
+    for (const id of this.#proposals.pendingIds) {
+      this.#settleFromState(id);
+    }
+    this.#logger.info("state_adopted", { source, as_of: snapshot.asOf });
+    this.changed.notify();
+    return true;
   }
 
   async #readStream(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      if (this.#mustSearch && !await this.#startFromCheckpoint(signal)) {
+        await this.#clock.sleep(SEARCH_PAUSE_MS, signal);
+        return;
+      }
       const page = await this.#log.read("control", {
         from: this.#reducer.asOf + 1,
         max: PAGE_ENTRIES,
         waitMs: this.#settings.platform["log-poll"],
       }, signal);
       this.#setReachable(page.isOk);
-      if (page.isErr) {
+      if (page.isErr || !this.#applyPage(page.value)) {
         return;
       }
-      this.#applyPage(page.value);
     }
   }
 
-  #applyPage(page: LogPage): void {
+  /** Adopts the newest checkpoint; fails when no entry can follow the state. */
+  async #startFromCheckpoint(signal: AbortSignal): Promise<boolean> {
+    const search = await searchCheckpoint(this.#log, signal);
+    this.#setReachable(search.isOk);
+    if (search.isErr) {
+      return false;
+    }
+    const { first, checkpoint } = search.value;
+    if (checkpoint !== undefined) {
+      this.#noteCheckpoint(checkpoint.asOf);
+      this.adopt(checkpoint, "checkpoint");
+    }
+    const canFollow = first <= this.#reducer.asOf + 1;
+    this.#mustSearch = !canFollow;
+    this.#setReading(canFollow ? "following" : "expired");
+    return canFollow;
+  }
+
+  #applyPage(page: LogPage): boolean {
     if (page.first > this.#reducer.asOf + 1) {
-      this.#adoptCheckpoint(page);
+      this.#mustSearch = true;
+      return true;
+    }
+    if (page.next <= this.#reducer.asOf) {
+      this.#setReading("truncated");
+      return false;
     }
+    this.#setReading("following");
     for (const { offset, records } of page.entries) {
       if (offset > this.#reducer.asOf) {
         this.#applyEntry(offset, records);
       }
     }
-  }
-
-  #adoptCheckpoint(page: LogPage): void {
-    for (const { records } of page.entries) {
-      for (const candidate of records) {
-        const record = ControlRecord.safeParse(candidate);
-        if (record.success && record.data.kind === "checkpoint") {
-          this.#reducer.restore(record.data.state);
-          this.#readRules();
-          return;
-        }
-      }
+    this.#isCaughtUp = page.next === this.#reducer.asOf + 1;
+    if (page.entries.length > 0) {
+      this.changed.notify();
     }
+    return true;
   }
 
   #applyEntry(offset: number, records: readonly unknown[]): void {
     for (const candidate of records) {
       const record = ControlRecord.safeParse(candidate);
-      if (!record.success) {
+      if (record.success) {
+        this.#applyRecord(offset, record.data);
+      } else {
+        this.#unknownRecords++;
         this.#logger.warn("record_unknown", { offset });
-        continue;
       }
-      this.#applyRecord(offset, record.data);
     }
     this.#reducer.skipTo(offset);
-    this.changed.notify();
   }
 
   #applyRecord(offset: number, record: ControlRecord): void {
+    const isRepeat = this.#reducer.findDecision(record.id) !== undefined;
     const decision = this.#reducer.apply(offset, record);
-    this.#noteLeases();
-    if (record.kind === "configuration" && decision.accepted) {
-      this.#readRules();
-      this.#logger.info("configuration_in_force", { version: offset });
+    if (isRepeat) {
+      this.#settleFromState(record.id);
+      return;
+    }
+    const effect = this.#effects[record.kind] as
+      | Effect<typeof record.kind>
+      | undefined;
+    effect?.(record, offset, decision);
+    this.#proposals.settle(record.id, decision);
+  }
+
+  /** What this node does once the reducer has decided a record. */
+  readonly #effects: {
+    readonly [Kind in ControlRecord["kind"]]?: Effect<Kind>;
+  } = {
+    "configuration": (_record, offset, decision) => {
+      if (decision.accepted) {
+        this.#readRules();
+        this.#logger.info("configuration_in_force", { version: offset });
+      }
+    },
+    "lease": () => this.#noteLeases(),
+    "checkpoint": ({ state }) => this.#noteCheckpoint(state.asOf),
+  };
+
+  #settleFromState(id: string): void {
+    const isHeld = [...this.#reducer.leases.values()]
+      .some(({ lastId }) => lastId === id);
+    const accepted = isHeld || this.#reducer.findDecision(id);
+    if (accepted !== undefined) {
+      const reason = "refused; the reason is not part of a snapshot";
+      this.#proposals.settle(
+        id,
+        accepted ? { accepted } : { accepted, reason },
+      );
+    }
+  }
+
+  #noteCheckpoint(asOf: number): void {
+    if (asOf > this.#checkpoint.asOf) {
+      this.#checkpoint = { asOf, readAt: this.#clock.now() };
     }
-    this.#decisions.get(record.id)?.(decision);
   }
 
   #noteLeases(): void {
@@ -213,10 +319,21 @@
   }
 
   #setReachable(isReachable: boolean): void {
+    if (!isReachable) {
+      this.#setReading("unreachable");
+    }
     if (this.#isLogReachable !== isReachable) {
       this.#isLogReachable = isReachable;
       this.#logger.info("log_health", { reachable: isReachable });
       this.changed.notify();
     }
   }
+
+  #setReading(reading: Reading): void {
+    if (this.#reading !== reading) {
+      this.#reading = reading;
+      this.#logger.info("control_reading", { reading });
+      this.changed.notify();
+    }
+  }
 }
--- a/packages/policy/src/control-reducer.ts
+++ b/packages/policy/src/control-reducer.ts
@@ -24,6 +24,32 @@
   return { accepted: false, reason };
 }
 
+/**
+ * Decisions that are remembered. Writers repeat an append within seconds, so
+ * the window only has to cover the records of that time; forming 150 groups
+ * anew takes about 450 records.
+ */
+export const DECISION_WINDOW = 512;
+
+/**
+ * Kinds whose decisions are remembered by id. A repeated lease record is
+ * refused by its basis, and a checkpoint changes nothing.
+ */
+const IS_REMEMBERED: {
+  readonly [Kind in ControlRecord["kind"]]: boolean;
+} = {
+  "configuration": true,
+  "lease": false,
+  "group-assigned": true,
+  "group-loading": true,
+  "group-ready": true,
+  "group-draining": true,
+  "group-retired": true,
+  "host-released": true,
+  "host-drained": true,
+  "checkpoint": false,
+};
+
 const NO_CONFIGURATION = { version: 0, text: "", author: "" };
 
 /** Phases that a group may move on to. */
@@ -54,6 +80,7 @@
   #groups = new Map<string, GroupState>();
   #heldHosts = new Map<string, HeldHost>();
   #drainedHosts = new Set<string>();
+  #decisions = new Map<string, boolean>();
 
   /** Offset of the last record that the state includes. */
   get asOf(): number {
@@ -85,14 +112,28 @@
     return this.#drainedHosts;
   }
 
-  /** Applies one record; records must come in the order of their offsets. */
+  /**
+   * Applies one record; records must come in the order of their offsets. The
+   * first record with an id decides, and a repeat of it changes nothing.
+   */
   apply(offset: number, record: ControlRecord): Decision {
+    this.#asOf = Math.max(this.#asOf, offset);
+    if (this.#decisions.has(record.id)) {
+      return refuse("the record repeats one that was decided before");
+    }
     const handler = this.#handlers[record.kind] as Handler<typeof record.kind>;
     const decision = handler(record, offset);
-    this.#asOf = Math.max(this.#asOf, offset);
+    if (IS_REMEMBERED[record.kind]) {
+      this.#remember(record.id, decision);
+    }
     return decision;
   }
 
+  /** Whether the record with this id was accepted, if that is remembered. */
+  findDecision(id: string): boolean | undefined {
+    return this.#decisions.get(id);
+  }
+
   /** Moves the state past an entry that holds no known record. */
   skipTo(offset: number): void {
     this.#asOf = Math.max(this.#asOf, offset);
@@ -107,6 +148,10 @@
       groups: [...this.#groups.values()],
       heldHosts: [...this.#heldHosts.values()],
       drainedHosts: [...this.#drainedHosts],
+      decisions: [...this.#decisions].map(([id, accepted]) => ({
+        id,
+        accepted,
+      })),
     };
   }
 
@@ -118,6 +163,9 @@
     this.#groups = indexBy(snapshot.groups, ({ group }) => group);
     this.#heldHosts = indexBy(snapshot.heldHosts, ({ host }) => host);
     this.#drainedHosts = new Set(snapshot.drainedHosts);
+    this.#decisions = new Map(
+      snapshot.decisions.map(({ id, accepted }) => [id, accepted]),
+    );
   }
 
   /** Whether a host belongs to no group and is not held by a retired one. */
@@ -171,6 +219,14 @@
     "checkpoint": () => ACCEPTED,
   };
 
+  #remember(id: string, decision: Decision): void {
+    this.#decisions.set(id, decision.accepted);
+    if (this.#decisions.size > DECISION_WINDOW) {
+      const [oldest] = this.#decisions.keys();
+      this.#decisions.delete(oldest!);
+    }
+  }
+
   #isFenceCurrent(record: { scope: string; fence: number }): boolean {
     return this.#leases.get(record.scope)?.fence === record.fence;
   }
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -21,6 +21,7 @@
   PeerMessage,
   type PeerMessageOf,
   PROTOCOL_VERSION,
+  RelayedMessage,
   SnapshotMessage,
   SnapshotRequestMessage,
   UsageMessage,
@@ -48,6 +49,7 @@
   LeaseState,
   Offset,
   OutcomeRecord,
+  RecordDecision,
 } from "./records.ts";
 export {
   AccountRule,
--- a/packages/schema/src/peer.ts
+++ b/packages/schema/src/peer.ts
@@ -18,6 +18,8 @@
   kind: z.literal("hello"),
   protocol: z.number().int(),
   node: z.string(),
+  /** Id of the process, which differs after a restart. */
+  instance: z.string(),
   dataCentre: z.string(),
   publicAddress: z.string(),
   peerAddress: z.string(),
@@ -72,6 +74,20 @@
   state: ControlSnapshot,
 });
 
+/**
+ * A message that nodes pass on to their peers, so that it also reaches nodes
+ * that have no connection to its origin.
+ */
+export const RelayedMessage = z.object({
+  kind: z.literal("relayed"),
+  origin: z.string(),
+  /** Id of the origin's process. */
+  instance: z.string(),
+  /** Rises by one with each message of the origin's process. */
+  sequence: z.number().int().min(1),
+  message: z.discriminatedUnion("kind", [EvidenceMessage, UsageMessage]),
+});
+
 /** A message between nodes. */
 export const PeerMessage = z.discriminatedUnion("kind", [
   HelloMessage,
@@ -80,6 +96,7 @@
   UsageMessage,
   SnapshotRequestMessage,
   SnapshotMessage,
+  RelayedMessage,
 ]);
 /** A message between nodes. */
 export type PeerMessage = z.infer<typeof PeerMessage>;
@@ -101,6 +118,9 @@
 export function decodePeerMessage(
   bytes: Uint8Array,
 ): Result<PeerMessage, string> {
+  if (bytes.length > MAX_PEER_MESSAGE_BYTES) {
+    return Result.err("the message is too large");
+  }
   let value: unknown;
   try {
     value = packr.unpack(bytes);
--- a/packages/schema/src/records.ts
+++ b/packages/schema/src/records.ts
@@ -138,6 +138,14 @@
 /** A group that is not retired. */
 export type GroupState = z.infer<typeof GroupState>;
 
+/** How one record was decided, so that a repeat with its id changes nothing. */
+export const RecordDecision = z.object({
+  id: z.string(),
+  accepted: z.boolean(),
+});
+/** How one record was decided, so that a repeat with its id changes nothing. */
+export type RecordDecision = z.infer<typeof RecordDecision>;
+
 /** The state that all readers of the control stream agree on. */
 export const ControlSnapshot = z.object({
   /** Offset of the last record that the state includes. */
@@ -152,6 +160,8 @@
     scope: z.string(),
   })),
   drainedHosts: z.array(z.string()),
+  /** The most recent decisions, oldest first. */
+  decisions: z.array(RecordDecision).default([]),
 });
 /** The state that all readers of the control stream agree on. */
 export type ControlSnapshot = z.infer<typeof ControlSnapshot>;
