Keep groups whole under loss, planned leave and a paused holder

Cause: the holder ran one round for all groups of a scope, so a silent host delayed every group; a lost reply of the log lost the lease; a group was drained without a replacement and unloaded without waiting for its requests; each node probed every host of every group.

Now a lease is derived from the log (an accepted record that this node sent), each group has a task of its own, evidence follows the first negative source and a settled time, planned leave forms the replacement first, orders check the lease immediately before they are sent, and a node probes a rendezvous subset through the lead.

Ruled out: a task that checks the lease once a round (a pause between the check and an order goes unnoticed), and believing a peer's negative word for the settled time (one broken link would take a group from all nodes).

--- a/packages/node/src/groups/evidence.ts
+++ b/packages/node/src/groups/evidence.ts
@@ -6,53 +6,92 @@
 import {
   type Clock,
   Condition,
+  type Logger,
   type Service,
   TaskGroup,
 } from "@zinniahill/kernel";
-import type { Engines } from "@zinniahill/platform";
-import type { EngineStatus, GroupState, Settings } from "@zinniahill/schema";
+import { createSubset, type Subset } from "@zinniahill/policy";
+import type { GroupState, PeerMessageOf, Settings } from "@zinniahill/schema";
+import type { Peers } from "../peers/peers.ts";
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
+import { EvidenceReports } from "./evidence-reports.ts";
+import { GroupProbe, type ProbeRound } from "./group-probe.ts";
+import { type HostEvidence, HostEvidenceTable } from "./host-evidence.ts";
 import type { Hosts } from "./hosts.ts";
+import type { Leases } from "./leases.ts";
+import { waitUpTo } from "./wait.ts";
 
-/** What is known of one host. */
-export interface HostEvidence {
-  /** The last status that the host gave, and when. */
-  status?: EngineStatus;
-  seenAt?: number;
-  /** When the host was last known to be missing. */
-  missingAt?: number;
-  /** Since when the host has been missing without a break. */
-  missingSince?: number;
+/** A host that returns is served again after this many probe intervals. */
+const SETTLE_INTERVALS = 2;
+/** Rounds that suspicions cause are this far apart, whatever peers send. */
+const SUSPICION_PAUSE_MS = 100;
+
+/** A group that this node probes. */
+interface Watch {
+  readonly wake: Condition;
+  /** Counts suspicions; those up to `cleared` were followed by a probe. */
+  suspicions: number;
+  cleared: number;
+  /** No suspicion causes a probe before this time. */
+  quietUntil: number;
+  /** Whether the last round found every host in its role. */
+  isGood: boolean;
 }
 
-/** Probes the hosts of all groups; one task for each group. */
+/** Probes the groups that concern this node; one task for each group. */
 export class Evidence implements Service {
-  /** Notified whenever a host appears or goes missing. */
+  /** Notified whenever a group may have become servable, or not servable. */
   readonly changed = new Condition();
   #clock: Clock;
-  #engines: Engines;
+  #logger: Logger;
+  #peers: Peers;
   #state: ControlState;
   #hosts: Hosts;
+  #leases: Leases;
   #settings: Settings;
   #tasks: TaskGroup;
-  #evidence = new Map<string, HostEvidence>();
-  #probed = new Set<string>();
+  #probe: GroupProbe;
+  #table: HostEvidenceTable;
+  #subset: Subset | undefined;
+  #watches = new Map<string, Watch>();
+  #reports: EvidenceReports;
 
   constructor(kernel: NodeKernel) {
     this.#clock = kernel.find("clock");
-    this.#engines = kernel.find("engines");
+    this.#logger = kernel.find("logger");
+    this.#peers = kernel.find("peers");
+    this.#reports = new EvidenceReports(this.#peers);
     this.#state = kernel.find("state");
     this.#hosts = kernel.find("hosts");
+    this.#leases = kernel.find("leases");
     this.#settings = kernel.find("settings");
-    this.#tasks = new TaskGroup(this.#clock, kernel.find("logger"));
+    this.#tasks = new TaskGroup(this.#clock, this.#logger);
+    this.#probe = new GroupProbe(
+      this.#clock,
+      kernel.find("engines"),
+      (host) => this.#hosts.findAddress(host),
+    );
+    const intervalMs = this.#settings.timing["probe-interval"];
+    this.#table = new HostEvidenceTable(SETTLE_INTERVALS * intervalMs);
   }
 
-  start(): void {
+  async start(): Promise<void> {
+    const { name, "data-centre": dataCentre } = this.#settings.node;
+    this.#subset = await createSubset(name, dataCentre);
+    this.#peers.onMessage("evidence", (_node, message) => {
+      this.#onPeerEvidence(message);
+    });
     this.#tasks.run("watch_groups", async (signal) => {
       while (!signal.aborted) {
         this.#startProbes();
-        await this.#state.changed.wait(signal);
+        await this.#pause(this.#state.changed, signal);
+      }
+    });
+    this.#tasks.run("watch_hosts", async (signal) => {
+      while (!signal.aborted) {
+        await this.#hosts.changed.wait(signal);
+        this.changed.notify();
       }
     });
   }
@@ -62,30 +101,35 @@
   }
 
   dump(): unknown {
-    return { hosts: Object.fromEntries(this.#evidence) };
+    return {
+      hosts: Object.fromEntries(this.#table.all),
+      probed: [...this.#watches.keys()],
+    };
   }
 
   /** Returns what is known of a host. */
   find(host: string): HostEvidence {
-    return this.#evidence.get(host) ?? {};
+    return this.#table.find(host);
   }
 
-  /** Notes a status that a host gave. */
-  notePresent(host: string, status: EngineStatus): void {
-    this.#evidence.set(host, { status, seenAt: this.#clock.now() });
-    this.changed.notify();
+  /** Whether the host's own status is known and still counts. */
+  hasFreshStatus(host: string): boolean {
+    const { status, missingSince } = this.find(host);
+    return status !== undefined && missingSince === undefined &&
+      this.#isFresh(host);
   }
 
-  /** Notes that a host did not answer, or that somebody else says so. */
-  noteMissing(host: string): void {
-    const now = this.#clock.now();
-    const known = this.find(host);
-    this.#evidence.set(host, {
-      ...known,
-      missingAt: now,
-      missingSince: known.missingSince ?? now,
-    });
-    this.changed.notify();
+  /**
+   * Notes that something speaks against a group, such as a broken stream. The
+   * group is not served until a probe that begins after this is positive.
+   */
+  noteSuspect(group: string): void {
+    const watch = this.#watches.get(group);
+    if (watch !== undefined) {
+      watch.suspicions++;
+      watch.wake.notify();
+      this.changed.notify();
+    }
   }
 
   /** Why a group is not served; undefined when it is. */
@@ -93,70 +137,206 @@
     if (group.phase !== "ready") {
       return `the group is ${group.phase}`;
     }
-    const obstacles = group.hosts.map((host) =>
-      this.#findHostObstacle(host, group)
-    );
-    return obstacles.find((obstacle) => obstacle !== undefined);
+    const watch = this.#watches.get(group.group);
+    if (watch === undefined) {
+      return "this node does not probe the group";
+    }
+    if (watch.suspicions !== watch.cleared) {
+      return "the group is suspect until it is probed again";
+    }
+    return group.hosts
+      .map((host) => this.#findHostObstacle(host, group))
+      .find((obstacle) => obstacle !== undefined);
   }
 
   /** Groups of a model that may be served now. */
   listServable(model: string): GroupState[] {
-    return [...this.#state.control.groups.values()].filter((group) =>
-      group.model === model && this.findObstacle(group) === undefined
-    );
+    return [...this.#watches.keys()]
+      .map((id) => this.#state.control.groups.get(id))
+      .filter((group) => group !== undefined)
+      .filter((group) =>
+        group.model === model && this.findObstacle(group) === undefined
+      );
   }
 
   #findHostObstacle(host: string, group: GroupState): string | undefined {
-    const { status, seenAt, missingSince } = this.find(host);
+    if (!this.#hosts.all.has(host)) {
+      return `host ${host} is not in the host list`;
+    }
+    const { missingSince, returnedAt, heardIn } = this.find(host);
     if (missingSince !== undefined) {
       return `host ${host} is missing`;
     }
-    const validMs = this.#settings.timing["evidence-validity"];
-    if (seenAt === undefined || this.#clock.now() - seenAt > validMs) {
+    if (!this.#isFresh(host)) {
       return `host ${host} was not seen lately`;
     }
-    const hasRole = status?.group === group.group && status.role === "serving";
-    return hasRole ? undefined : `host ${host} does not serve this group`;
+    if (returnedAt !== undefined) {
+      return `host ${host} has returned but is not settled`;
+    }
+    return heardIn === group.group || this.#hasRole(host, group)
+      ? undefined
+      : `host ${host} does not serve this group`;
+  }
+
+  /** Whether the host's own status shows the right role and number. */
+  #hasRole(host: string, group: GroupState): boolean {
+    const { status } = this.find(host);
+    const ignoresFence = this.#state.rules?.unfencedHosts.has(host) ?? false;
+    return status?.group === group.group && status.role === "serving" &&
+      (ignoresFence || status.fence >= group.fence);
+  }
+
+  #isFresh(host: string): boolean {
+    const { seenAt } = this.find(host);
+    const validMs = this.#settings.timing["evidence-validity"];
+    return seenAt !== undefined && this.#clock.now() - seenAt <= validMs;
   }
 
   #startProbes(): void {
-    for (const id of this.#state.control.groups.keys()) {
-      if (!this.#probed.has(id)) {
-        this.#probed.add(id);
-        this.#tasks.run("probe_group", (signal) => this.#probe(id, signal));
+    const chosen = this.#chooseGroups();
+    const hosts = new Set([...chosen.values()].flatMap((group) => group.hosts));
+    this.#table.retain(hosts);
+    for (const id of chosen.keys()) {
+      if (!this.#watches.has(id)) {
+        this.#watches.set(id, {
+          wake: new Condition(),
+          suspicions: 0,
+          cleared: 0,
+          quietUntil: 0,
+          isGood: false,
+        });
+        this.#tasks.run("probe_group", (signal) => this.#watch(id, signal));
       }
     }
   }
 
-  async #probe(id: string, signal: AbortSignal): Promise<void> {
-    const intervalMs = this.#settings.timing["probe-interval"];
+  /** Groups of the scopes held, and a subset of the groups of each model. */
+  #chooseGroups(): Map<string, GroupState> {
+    const groups = [...this.#state.control.groups.values()];
+    const ready = groups.filter(({ phase }) => phase === "ready");
+    const size = this.#settings.limits["routing-subset"];
+    const models = [...new Set(ready.map(({ model }) => model))];
+    const chosen = [
+      ...groups.filter((group) => this.#isHeld(group)),
+      ...models.flatMap((model) =>
+        this.#subset?.choose(
+          ready.filter((group) => group.model === model),
+          size,
+          (group) => this.#isMissing(group),
+        ) ?? []
+      ),
+    ];
+    return new Map(chosen.map((group) => [group.group, group]));
+  }
+
+  #isHeld({ scope }: GroupState): boolean {
+    return this.#leases.findHeld(scope) !== undefined;
+  }
+
+  #isMissing({ hosts }: GroupState): boolean {
+    return hosts.some((host) =>
+      this.find(host).missingSince !== undefined ||
+      (this.#hosts.readAt !== undefined && !this.#hosts.all.has(host))
+    );
+  }
+
+  /** Probes one group until it no longer concerns this node. */
+  async #watch(id: string, signal: AbortSignal): Promise<void> {
+    const watch = this.#watches.get(id)!;
     try {
       for (
-        let group = this.#state.control.groups.get(id);
+        let group = this.#chooseGroups().get(id);
         group !== undefined;
-        group = this.#state.control.groups.get(id)
+        group = this.#chooseGroups().get(id)
       ) {
-        await Promise.all(
-          group.hosts.map((host) => this.#probeHost(host, signal)),
-        );
-        await this.#clock.sleep(intervalMs, signal);
+        await this.#runRound(group, watch, signal);
+        if (watch.suspicions === watch.cleared) {
+          await this.#pause(watch.wake, signal);
+        }
+        if (watch.suspicions !== watch.cleared) {
+          const pauseMs = Math.max(0, watch.quietUntil - this.#clock.now());
+          await this.#clock.sleep(pauseMs, signal);
+          watch.quietUntil = this.#clock.now() + SUSPICION_PAUSE_MS;
+        }
       }
     } finally {
-      this.#probed.delete(id);
+      this.#watches.delete(id);
+      this.changed.notify();
     }
   }
 
-  async #probeHost(host: string, signal: AbortSignal): Promise<void> {
-    const address = this.#hosts.all.get(host)?.address;
-    if (address === undefined) {
-      this.noteMissing(host);
+  async #runRound(
+    group: GroupState,
+    watch: Watch,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const suspicions = watch.suspicions;
+    const isDirect = !watch.isGood || suspicions !== watch.cleared ||
+      this.#isHeld(group) || this.#hasUnfencedHost(group);
+    const timeoutMs = this.#settings.timing["probe-interval"];
+    const options = { isDirect, timeoutMs, signal };
+    const round = await this.#probe.run(group, options);
+    if (signal.aborted) {
       return;
     }
-    const timeoutMs = this.#settings.timing["probe-interval"];
-    const status = await this.#engines.probe(address, timeoutMs, signal);
-    status.match({
-      Ok: (value) => this.notePresent(host, value),
-      Err: () => this.noteMissing(host),
+    this.#apply(round);
+    watch.cleared = suspicions;
+    const current = this.#state.control.groups.get(group.group);
+    if (current?.phase === "ready") {
+      const faults = this.#listFaults(current, round);
+      watch.isGood = faults.size === 0;
+      this.#reports.send(current.hosts, faults);
+    }
+    this.changed.notify();
+  }
+
+  #apply({ startedAt, hosts }: ProbeRound): void {
+    for (const [host, observation] of hosts) {
+      if (observation === "missing") {
+        if (this.find(host).missingSince === undefined) {
+          this.#logger.warn("host_missing", { host });
+        }
+        this.#table.noteMissing(host, this.#clock.now());
+      } else {
+        this.#table.notePresent(host, observation, startedAt);
+      }
+    }
+  }
+
+  /** Hosts of a ready group that are missing or in a wrong role. */
+  #listFaults(group: GroupState, { hosts }: ProbeRound): Set<string> {
+    const faults = group.hosts.filter((host) => {
+      const observation = hosts.get(host);
+      const isHeard = observation !== undefined && observation !== "missing" &&
+        "heardIn" in observation;
+      return observation !== undefined && !isHeard &&
+        (observation === "missing" || !this.#hasRole(host, group));
     });
+    return new Set(faults);
+  }
+
+  /**
+   * A peer's word stops a group at once but is not believed longer than the
+   * probe takes that it causes: one peer with a broken link must not take a
+   * group away from all nodes.
+   */
+  #onPeerEvidence({ hosts }: PeerMessageOf<"evidence">): void {
+    for (const { host, missing } of hosts) {
+      const group = this.#state.control.findGroup(host);
+      if (missing && group !== undefined) {
+        this.noteSuspect(group.group);
+      }
+    }
+  }
+
+  #hasUnfencedHost({ hosts }: GroupState): boolean {
+    const unfenced = this.#state.rules?.unfencedHosts;
+    return hosts.some((host) => unfenced?.has(host) ?? false);
+  }
+
+  /** Waits for one probe interval, or less when the condition is notified. */
+  #pause(condition: Condition, signal: AbortSignal): Promise<void> {
+    const intervalMs = this.#settings.timing["probe-interval"];
+    return waitUpTo(this.#clock, condition, intervalMs, signal);
   }
 }
--- /dev/null
+++ b/packages/node/src/groups/group-probe.ts
@@ -0,0 +1,103 @@
+/**
+ * One round of probes of a group.
+ *
+ * @module
+ */
+import type { Clock } from "@zinniahill/kernel";
+import type { Engines } from "@zinniahill/platform";
+import type { EngineStatus, GroupState } from "@zinniahill/schema";
+import type { Sighting } from "./host-evidence.ts";
+
+/** What one round says of a host. */
+export type Observation = Sighting | "missing";
+
+/** What one round found; a host that is not in it was not observed. */
+export interface ProbeRound {
+  readonly startedAt: number;
+  readonly hosts: ReadonlyMap<string, Observation>;
+}
+
+/** How a group is probed. */
+export interface ProbeOptions {
+  /** Whether every host is asked, and not only the lead. */
+  readonly isDirect: boolean;
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Probes the hosts of groups. */
+export class GroupProbe {
+  #clock: Clock;
+  #engines: Engines;
+  #findAddress: (host: string) => string | undefined;
+
+  constructor(
+    clock: Clock,
+    engines: Engines,
+    findAddress: (host: string) => string | undefined,
+  ) {
+    this.#clock = clock;
+    this.#engines = engines;
+    this.#findAddress = findAddress;
+  }
+
+  /** Asks the lead, and the other hosts if wanted, and combines the answers. */
+  async run(group: GroupState, options: ProbeOptions): Promise<ProbeRound> {
+    const startedAt = this.#clock.now();
+    const asked = options.isDirect ? group.hosts : group.hosts.slice(0, 1);
+    const answers = new Map(
+      await Promise.all(asked.map(async (host) => {
+        const status = await this.#probeHost(host, options);
+        return [host, status] as const;
+      })),
+    );
+    const hosts = new Map<string, Observation>();
+    for (const [host, status] of answers) {
+      hosts.set(host, status === undefined ? "missing" : { status });
+    }
+    const lead = answers.get(group.hosts[0]!);
+    if (lead !== undefined && isServingLead(lead, group)) {
+      addMembers(hosts, group, lead, options.timeoutMs);
+    }
+    return { startedAt, hosts };
+  }
+
+  async #probeHost(
+    host: string,
+    { timeoutMs, signal }: ProbeOptions,
+  ): Promise<EngineStatus | undefined> {
+    const address = this.#findAddress(host);
+    if (address === undefined) {
+      return undefined;
+    }
+    const reply = await this.#engines.probe(address, timeoutMs, signal);
+    // An address that was given to another host says nothing about this one.
+    return reply.isOk && reply.value.host === host ? reply.value : undefined;
+  }
+}
+
+/** Whether the lead's word on the members counts. */
+function isServingLead(lead: EngineStatus, group: GroupState): boolean {
+  return group.phase === "ready" && lead.group === group.group &&
+    lead.role === "serving";
+}
+
+/**
+ * Adds what the lead says of the members. A member that the lead does not hear
+ * is missing even if it answers this node, as the group cannot work then.
+ */
+function addMembers(
+  hosts: Map<string, Observation>,
+  group: GroupState,
+  lead: EngineStatus,
+  limitMs: number,
+): void {
+  for (const member of group.hosts.slice(1)) {
+    const ageMs = lead.members[member];
+    if (ageMs === undefined || ageMs > limitMs) {
+      hosts.set(member, "missing");
+    } else if (!hosts.has(member)) {
+      hosts.set(member, { heardIn: group.group, ageMs });
+    }
+  }
+}
--- a/packages/node/src/groups/hosts.ts
+++ b/packages/node/src/groups/hosts.ts
@@ -3,18 +3,26 @@
  *
  * @module
  */
-import { type Clock, type Service, TaskGroup } from "@zinniahill/kernel";
+import {
+  type Clock,
+  Condition,
+  type Service,
+  TaskGroup,
+} from "@zinniahill/kernel";
 import type { HostList } from "@zinniahill/platform";
 import type { Host } from "@zinniahill/schema";
 import type { NodeKernel } from "../services.ts";
 
 /** Keeps the last host list that was read; it may be out of date. */
 export class Hosts implements Service {
+  /** Notified whenever the list was read. */
+  readonly changed = new Condition();
   #clock: Clock;
   #hostList: HostList;
   #intervalMs: number;
   #tasks: TaskGroup;
   #hosts = new Map<string, Host>();
+  #addresses = new Map<string, string>();
   #readAt: number | undefined;
 
   constructor(kernel: NodeKernel) {
@@ -34,12 +42,19 @@
     return this.#readAt;
   }
 
+  /**
+   * Returns the last known address of a host. A host that is no longer in the
+   * list may still run, and then has to be probed and unloaded.
+   */
+  findAddress(host: string): string | undefined {
+    return this.#addresses.get(host);
+  }
+
   start(): void {
     this.#tasks.repeat("read_hosts", this.#intervalMs, async (signal) => {
       const hosts = await this.#hostList.list(signal);
       if (hosts.isOk) {
-        this.#hosts = new Map(hosts.value.map((host) => [host.host, host]));
-        this.#readAt = this.#clock.now();
+        this.#adopt(hosts.value);
       }
     });
   }
@@ -51,4 +66,13 @@
   dump(): unknown {
     return { readAt: this.#readAt, hosts: [...this.#hosts.values()] };
   }
+
+  #adopt(hosts: readonly Host[]): void {
+    this.#hosts = new Map(hosts.map((host) => [host.host, host]));
+    for (const { host, address } of hosts) {
+      this.#addresses.set(host, address);
+    }
+    this.#readAt = this.#clock.now();
+    this.changed.notify();
+  }
 }
--- a/packages/node/src/groups/leases.ts
+++ b/packages/node/src/groups/leases.ts
@@ -18,6 +18,7 @@
   state,
   transition,
 } from "robot3";
+import type { Lifecycle } from "../lifecycle.ts";
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
 import type { Hosts } from "./hosts.ts";
@@ -28,6 +29,17 @@
   readonly fence: number;
   /** Time of the node's clock after which nothing may be done with it. */
   readonly deadline: number;
+  /**
+   * Time from which engines that ignore the fencing number may be given
+   * orders: by then no order of an earlier holder is under way.
+   */
+  readonly unfencedFrom: number;
+}
+
+/** A lease record that this node has sent; the log tells what became of it. */
+interface SentRecord {
+  readonly sentAt: number;
+  readonly basis: number;
 }
 
 const SCOPE_PREFIX = "placement/";
@@ -54,17 +66,20 @@
   #clock: Clock;
   #random: Random;
   #logger: Logger;
+  #lifecycle: Lifecycle;
   #state: ControlState;
   #hosts: Hosts;
   #settings: Settings;
   #tasks: TaskGroup;
-  #scopes = new Set<string>();
-  #held = new Map<string, HeldLease>();
+  #scopes = new Map<string, LeaseMachine>();
+  #sent = new Map<string, SentRecord>();
+  #unfencedFrom = new Map<string, { fence: number; at: number }>();
 
   constructor(kernel: NodeKernel) {
     this.#clock = kernel.find("clock");
     this.#random = kernel.find("random");
     this.#logger = kernel.find("logger");
+    this.#lifecycle = kernel.find("lifecycle");
     this.#state = kernel.find("state");
     this.#hosts = kernel.find("hosts");
     this.#settings = kernel.find("settings");
@@ -85,35 +100,69 @@
   }
 
   dump(): unknown {
-    return { held: [...this.#held.values()] };
+    const phases = [...this.#scopes].map(([scope, { machine }]) => [
+      scope,
+      machine.current,
+    ]);
+    return { held: this.listHeld(), phases: Object.fromEntries(phases) };
   }
 
-  /** Returns the lease if this node holds it at this moment. */
+  /**
+   * Returns the lease if this node holds it at this moment. This is derived
+   * from the log alone, so a record whose reply was lost counts as soon as it
+   * is read.
+   */
   findHeld(scope: string): HeldLease | undefined {
-    const lease = this.#held.get(scope);
     const agreed = this.#state.control.leases.get(scope);
-    const isValid = lease !== undefined && agreed?.fence === lease.fence &&
-      this.#clock.now() < lease.deadline;
-    return isValid ? lease : undefined;
+    const sent = this.#sent.get(agreed?.lastId ?? "");
+    if (agreed === undefined || sent === undefined) {
+      return undefined;
+    }
+    const { fence } = agreed;
+    const deadline = sent.sentAt + this.#settings.timing["lease-term"];
+    const unfencedFrom = this.#findUnfencedTime(scope, fence, sent.basis);
+    return this.#clock.now() < deadline
+      ? { scope, fence, deadline, unfencedFrom }
+      : undefined;
+  }
+
+  /** Whether a lease that was held is still held under the same number. */
+  isCurrent({ scope, fence }: HeldLease): boolean {
+    return this.findHeld(scope)?.fence === fence;
   }
 
   /** Scopes whose lease this node holds at this moment. */
   listHeld(): HeldLease[] {
-    return [...this.#scopes]
+    return [...this.#scopes.keys()]
       .map((scope) => this.findHeld(scope))
       .filter((lease) => lease !== undefined);
   }
 
+  /** The wait is measured from when this node first saw its claim accepted. */
+  #findUnfencedTime(scope: string, fence: number, basis: number): number {
+    const known = this.#unfencedFrom.get(scope);
+    if (known?.fence === fence) {
+      return known.at;
+    }
+    const { "lease-term": termMs, "longest-order": orderMs } =
+      this.#settings.timing;
+    const waitMs = basis === 0 ? 0 : termMs + orderMs;
+    const at = this.#clock.now() + waitMs;
+    this.#unfencedFrom.set(scope, { fence, at });
+    return at;
+  }
+
   #keepScope(dataCentre: string): void {
     const scope = createScope(dataCentre);
     if (this.#scopes.has(scope)) {
       return;
     }
-    this.#scopes.add(scope);
+    const machine = interpret(leaseMachine, () => {});
+    this.#scopes.set(scope, machine);
     const isNear = dataCentre === this.#settings.node["data-centre"];
-    const pauseMs = this.#settings.timing["lease-renewal"];
-    this.#tasks.repeat("keep_lease", pauseMs / 2, async (signal) => {
-      await this.#holdLease(scope, isNear, signal);
+    const pauseMs = this.#settings.timing["lease-renewal"] / 2;
+    this.#tasks.repeat("keep_lease", pauseMs, async (signal) => {
+      await this.#holdLease(scope, isNear, machine, signal);
     });
   }
 
@@ -121,22 +170,37 @@
   async #holdLease(
     scope: string,
     isNear: boolean,
+    machine: LeaseMachine,
     signal: AbortSignal,
   ): Promise<void> {
-    const machine = interpret(leaseMachine, () => {});
     await this.#waitForLapse(scope, isNear, signal);
+    if (this.#lifecycle.isStopping) {
+      return;
+    }
     machine.send("claim");
-    await this.#writeLease(scope, 0, machine, signal);
+    await this.#writeLease(scope, 0, signal);
+    const claimed = this.findHeld(scope);
+    machine.send(claimed === undefined ? "refuse" : "accept");
+    if (claimed === undefined) {
+      return;
+    }
+    this.#logger.info("lease_claimed", { scope, fence: claimed.fence });
+    await this.#renew(claimed, signal);
+    machine.send("lose");
+    this.#logger.warn("lease_lost", { scope, fence: claimed.fence });
+  }
+
+  /** Renews a lease for as long as it is held; a stopping node lets it lapse. */
+  async #renew(lease: HeldLease, signal: AbortSignal): Promise<void> {
     const renewalMs = this.#settings.timing["lease-renewal"];
-    while (machine.machine.current === "held") {
+    for (;;) {
       await this.#clock.sleep(renewalMs, signal);
-      const lease = this.findHeld(scope);
-      if (lease === undefined) {
-        machine.send("lose");
-        this.#logger.warn("lease_lost", { scope });
+      if (!this.isCurrent(lease)) {
         return;
       }
-      await this.#writeLease(scope, lease.fence, machine, signal);
+      if (!this.#lifecycle.isStopping) {
+        await this.#writeLease(lease.scope, lease.fence, signal);
+      }
     }
   }
 
@@ -162,38 +226,33 @@
     }
   }
 
+  /** Sends a claim (`fence` 0) or a renewal, and waits until it is read. */
   async #writeLease(
     scope: string,
     fence: number,
-    machine: LeaseMachine,
     signal: AbortSignal,
   ): Promise<void> {
-    const sentAt = this.#clock.now();
     const id = this.#random.id();
     const basis = this.#state.control.leases.get(scope)?.last ?? 0;
-    const decision = await this.#state.propose({
-      kind: "lease",
+    this.#forgetLapsed();
+    this.#sent.set(id, { sentAt: this.#clock.now(), basis });
+    const record = {
+      kind: "lease" as const,
       id,
       node: this.#settings.node.name,
       scope,
       fence,
       basis,
-    }, signal);
-    const agreed = this.#state.control.leases.get(scope);
-    const isAccepted = decision.isOk && decision.value.accepted &&
-      agreed?.lastId === id;
-    if (!isAccepted) {
-      machine.send("refuse");
-      return;
-    }
-    if (fence === 0) {
-      this.#logger.info("lease_claimed", { scope, fence: agreed.fence });
+    };
+    await this.#state.propose(record, signal);
+  }
+
+  #forgetLapsed(): void {
+    const termMs = this.#settings.timing["lease-term"];
+    for (const [id, { sentAt }] of this.#sent) {
+      if (this.#clock.now() - sentAt > termMs) {
+        this.#sent.delete(id);
+      }
     }
-    machine.send("accept");
-    this.#held.set(scope, {
-      scope,
-      fence: agreed.fence,
-      deadline: sentAt + this.#settings.timing["lease-term"],
-    });
   }
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -150,12 +150,12 @@
   provide("hosts", [...base, "hostList"], (services) => new Hosts(services));
   provide(
     "evidence",
-    [...base, "engines", "state", "hosts"],
+    [...base, "engines", "peers", "state", "hosts", "leases"],
     (services) => new Evidence(services),
   );
   provide(
     "leases",
-    [...base, "state", "hosts"],
+    [...base, "lifecycle", "state", "hosts"],
     (services) => new Leases(services),
   );
   provide(
--- /dev/null
+++ b/packages/node/test/groups/loss.test.ts
@@ -0,0 +1,153 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import {
+  findLease,
+  Fleet,
+  type FleetNode,
+  listGroups,
+  listServable,
+  startRequest,
+} from "./fleet.ts";
+
+const ABSENCE_MS = 5000;
+const REPLACE_LIMIT_MS = 30_000;
+
+describe("Loss of a host", () => {
+  let fleet: Fleet;
+  let node: FleetNode;
+
+  async function startFleet(hosts: string[], rules: string): Promise<void> {
+    fleet.addHosts(hosts, "fd-1");
+    fleet.publish(rules);
+    node = await fleet.start("n1");
+    await fleet.untilServed(node);
+  }
+
+  function findHeld(): string[] {
+    return [...node.kernel.find("state").control.heldHosts.keys()];
+  }
+
+  beforeEach(() => {
+    fleet = new Fleet();
+  });
+
+  afterEach(() => fleet.stop());
+
+  describe("with one spare", () => {
+    beforeEach(() =>
+      startFleet(
+        ["h1", "h2", "h3", "h4", "h5"],
+        "model chat version=1 hosts=4 replicas=1 spares=1",
+      )
+    );
+
+    for (const lost of ["h1", "h3"]) {
+      it(`forms a group from the survivors and the spare when ${lost} is lost`, async () => {
+        const [before] = listServable(node);
+        fleet.setHost(lost, "silent");
+        await fleet.until(
+          REPLACE_LIMIT_MS,
+          () => listServable(node).some(({ group }) => group !== before!.group),
+        );
+        const [after] = listServable(node);
+        expect(after!.hosts).not.toContain(lost);
+        expect(after!.hosts).toContain("h5");
+        expect(findHeld()).toEqual([lost]);
+      });
+    }
+
+    it("does not retire the group before the absence limit", async () => {
+      fleet.setHost("h2", "refuse");
+      await fleet.clock.advance(ABSENCE_MS - 1000);
+      expect(listGroups(node).map(({ phase }) => phase)).toEqual(["ready"]);
+    });
+
+    it("keeps a lost host held until it has confirmed the unload", async () => {
+      fleet.setHost("h2", "silent");
+      await fleet.until(REPLACE_LIMIT_MS, () => findHeld().length === 1);
+      await fleet.untilServed(node);
+      expect(fleet.engine("h2").status.role).toBe("serving");
+      fleet.setHost("h2", "pass");
+      await fleet.until(REPLACE_LIMIT_MS, () => findHeld().length === 0);
+      expect(fleet.engine("h2").status.role).toBe("idle");
+    });
+
+    it("is carried on by the next holder when the holder fails midway", async () => {
+      const second = await fleet.start("n2");
+      await fleet.untilServed(second);
+      fleet.setHost("h2", "silent");
+      await fleet.until(
+        REPLACE_LIMIT_MS,
+        () => listGroups(second).some(({ phase }) => phase === "draining"),
+      );
+      node.process.pause();
+      await fleet.until(
+        REPLACE_LIMIT_MS,
+        () => findLease(second) !== undefined,
+      );
+      await fleet.untilServed(second);
+      expect(listServable(second)[0]!.hosts).not.toContain("h2");
+    });
+  });
+
+  describe("while requests run", () => {
+    it("unloads no host that has requests in flight", async () => {
+      await startFleet(
+        ["h1", "h2", "h3"],
+        "model chat version=1 hosts=2 replicas=1",
+      );
+      const lead = fleet.engine("h1");
+      startRequest(lead, listServable(node)[0]!.group, 5000);
+      fleet.setHost("h2", "silent");
+      await fleet.until(REPLACE_LIMIT_MS, () => findHeld().length > 0);
+      expect(findHeld()).toContain("h1");
+      expect(lead.orders.map(({ order }) => order)).not.toContain("unload");
+      lead.cancel("r1");
+      await fleet.untilServed(node);
+      expect(listServable(node)[0]!.hosts).not.toContain("h2");
+    });
+  });
+
+  describe("a host that never settles", () => {
+    it("is replaced in the end, as its group would never serve again", async () => {
+      await startFleet(
+        ["h1", "h2", "h3"],
+        "model chat version=1 hosts=2 replicas=1",
+      );
+      const deadline = fleet.clock.now() + 60_000;
+      let isUp = false;
+      while (fleet.clock.now() < deadline && listGroupsWith("h2") > 0) {
+        fleet.setHost("h2", isUp ? "pass" : "refuse");
+        isUp = !isUp;
+        await fleet.clock.advance(1200);
+      }
+      expect(listGroupsWith("h2")).toBe(0);
+    });
+  });
+
+  describe("the whole fabric domain", () => {
+    it("moves the replica to a domain of another data centre", async () => {
+      fleet.addHosts(["g1", "g2"], "fd-2", "dc-2");
+      await startFleet(
+        ["h1", "h2"],
+        "model chat version=1 hosts=2 replicas=1",
+      );
+      const remote = await fleet.start("n2", "dc-2");
+      await fleet.untilServed(remote);
+      const dark = listServable(remote)[0]!;
+      dark.hosts.forEach((host) => fleet.setHost(host, "silent"));
+      await fleet.until(
+        REPLACE_LIMIT_MS,
+        () =>
+          listServable(remote).some(({ dataCentre }) =>
+            dataCentre !== dark.dataCentre
+          ),
+      );
+    });
+  });
+
+  function listGroupsWith(host: string): number {
+    return listGroups(node).filter(({ hosts, phase }) =>
+      hosts.includes(host) && phase !== "draining"
+    ).length;
+  }
+});
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -6,5 +6,27 @@
 export { Admission, type AdmissionRequest, type Permit } from "./admission.ts";
 export { CallReducer, type RememberedCall } from "./call-reducer.ts";
 export { ControlReducer, type Decision } from "./control-reducer.ts";
-export { type PlacedGroup, placeGroup } from "./placement.ts";
+export {
+  type Departure,
+  type DepartureSources,
+  DRAIN_AHEAD_MS,
+  findDeparture,
+  isDrainDue,
+  REPLACE_AHEAD_MS,
+} from "./departure.ts";
+export {
+  compareText,
+  countStranded,
+  type PlacedGroup,
+  placeGroup,
+  type PlacementContext,
+} from "./placement.ts";
+export {
+  listReplicas,
+  listSurplus,
+  planGroups,
+  type PlannedGroup,
+  type ReplicaInput,
+} from "./replicas.ts";
 export { type RouteCandidate, type RouteRequest, Routing } from "./routing.ts";
+export { createSubset, Subset } from "./subset.ts";
--- /dev/null
+++ b/packages/policy/src/subset.ts
@@ -0,0 +1,69 @@
+/**
+ * The groups that one node probes and routes to, by rendezvous hashing: nodes
+ * choose different groups, and a change of one group moves few choices.
+ *
+ * @module
+ */
+import type { GroupState } from "@zinniahill/schema";
+import xxhash from "xxhash-wasm";
+
+/** Orders groups by the preference of one node. */
+export class Subset {
+  #hash: (text: string) => number;
+  #node: string;
+  #dataCentre: string;
+
+  constructor(
+    hash: (text: string) => number,
+    node: string,
+    dataCentre: string,
+  ) {
+    this.#hash = hash;
+    this.#node = node;
+    this.#dataCentre = dataCentre;
+  }
+
+  /**
+   * Chooses `size` groups, those of the node's data centre first. Groups that
+   * are known to be missing stay in the choice, so that their return is seen,
+   * and others stand in for them, at most `size` more.
+   */
+  choose(
+    groups: readonly GroupState[],
+    size: number,
+    isMissing: (group: GroupState) => boolean,
+  ): GroupState[] {
+    const chosen: GroupState[] = [];
+    let present = 0;
+    for (const group of this.#sort(groups)) {
+      if (present >= size || chosen.length >= 2 * size) {
+        break;
+      }
+      chosen.push(group);
+      present += isMissing(group) ? 0 : 1;
+    }
+    return chosen;
+  }
+
+  #sort(groups: readonly GroupState[]): GroupState[] {
+    return groups
+      .map((group) => ({
+        group,
+        isNear: group.dataCentre === this.#dataCentre,
+        weight: this.#hash(`${this.#node} ${group.group}`),
+      }))
+      .sort((a, b) =>
+        Number(b.isNear) - Number(a.isNear) || b.weight - a.weight
+      )
+      .map(({ group }) => group);
+  }
+}
+
+/** Creates the choice of a node; the hash function is compiled first. */
+export async function createSubset(
+  node: string,
+  dataCentre: string,
+): Promise<Subset> {
+  const { h32 } = await xxhash();
+  return new Subset((text) => h32(text), node, dataCentre);
+}
--- a/stand-ins/src/engine-model.ts
+++ b/stand-ins/src/engine-model.ts
@@ -101,7 +101,7 @@
   /** Notes the status of another host of the group. */
   noteMember(host: string, status: EngineStatus): void {
     const isMember = status.group === this.#status.group &&
-      status.role !== "idle";
+      (status.role === "serving" || status.role === "draining");
     if (isMember) {
       this.#heardAt.set(host, this.#clock.now());
     }
