--- a/packages/node/src/groups/evidence.ts
+++ b/packages/node/src/groups/evidence.ts
@@ -10,8 +10,13 @@
   type Service,
   TaskGroup,
 } from "@zinniahill/kernel";
-import { createSubset, type Subset } from "@zinniahill/policy";
-import type { GroupState, PeerMessageOf, Settings } from "@zinniahill/schema";
+import { createSubset } from "@zinniahill/policy";
+import type {
+  EngineStatus,
+  GroupState,
+  PeerMessageOf,
+  Settings,
+} from "@zinniahill/schema";
 import type { Peers } from "../peers/peers.ts";
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
@@ -19,7 +24,7 @@
 import { GroupProbe, type ProbeRound } from "./group-probe.ts";
 import { type HostEvidence, HostEvidenceTable } from "./host-evidence.ts";
 import type { Hosts } from "./hosts.ts";
-import type { Leases } from "./leases.ts";
+import { ProbeChoice } from "./probe-choice.ts";
 import { waitUpTo } from "./wait.ts";
 
 /** A host that returns is served again after this many probe intervals. */
@@ -48,12 +53,13 @@
   #peers: Peers;
   #state: ControlState;
   #hosts: Hosts;
-  #leases: Leases;
   #settings: Settings;
   #tasks: TaskGroup;
   #probe: GroupProbe;
   #table: HostEvidenceTable;
-  #subset: Subset | undefined;
+  #choice: ProbeChoice;
+  /** The groups that were last chosen to be probed. */
+  #chosen: ReadonlyMap<string, GroupState> = new Map();
   #watches = new Map<string, Watch>();
   #reports: EvidenceReports;
 
@@ -64,7 +70,7 @@
     this.#reports = new EvidenceReports(this.#peers);
     this.#state = kernel.find("state");
     this.#hosts = kernel.find("hosts");
-    this.#leases = kernel.find("leases");
+    this.#choice = new ProbeChoice(kernel, (group) => this.#isMissing(group));
     this.#settings = kernel.find("settings");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
     this.#probe = new GroupProbe(
@@ -78,7 +84,8 @@
 
   async start(): Promise<void> {
     const { name, "data-centre": dataCentre } = this.#settings.node;
-    this.#subset = await createSubset(name, dataCentre);
+    const subset = await createSubset(name, dataCentre);
+    this.#choice.useSubset(subset);
     this.#peers.onMessage("evidence", (_node, message) => {
       this.#onPeerEvidence(message);
     });
@@ -112,6 +119,12 @@
     return this.#table.find(host);
   }
 
+  /** Notes the status that a host gave in reply to an order. */
+  noteStatus(host: string, status: EngineStatus, sentAt: number): void {
+    this.#table.notePresent(host, { status }, sentAt);
+    this.changed.notify();
+  }
+
   /** Whether the host's own status is known and still counts. */
   hasFreshStatus(host: string): boolean {
     const { status, missingSince } = this.find(host);
@@ -193,10 +206,10 @@
   }
 
   #startProbes(): void {
-    const chosen = this.#chooseGroups();
-    const hosts = new Set([...chosen.values()].flatMap((group) => group.hosts));
-    this.#table.retain(hosts);
-    for (const id of chosen.keys()) {
+    this.#chosen = this.#choice.list();
+    const groups = [...this.#chosen.values()];
+    this.#table.retain(new Set(groups.flatMap(({ hosts }) => hosts)));
+    for (const id of this.#chosen.keys()) {
       if (!this.#watches.has(id)) {
         this.#watches.set(id, {
           wake: new Condition(),
@@ -210,29 +223,6 @@
     }
   }
 
-  /** Groups of the scopes held, and a subset of the groups of each model. */
-  #chooseGroups(): Map<string, GroupState> {
-    const groups = [...this.#state.control.groups.values()];
-    const ready = groups.filter(({ phase }) => phase === "ready");
-    const size = this.#settings.limits["routing-subset"];
-    const models = [...new Set(ready.map(({ model }) => model))];
-    const chosen = [
-      ...groups.filter((group) => this.#isHeld(group)),
-      ...models.flatMap((model) =>
-        this.#subset?.choose(
-          ready.filter((group) => group.model === model),
-          size,
-          (group) => this.#isMissing(group),
-        ) ?? []
-      ),
-    ];
-    return new Map(chosen.map((group) => [group.group, group]));
-  }
-
-  #isHeld({ scope }: GroupState): boolean {
-    return this.#leases.findHeld(scope) !== undefined;
-  }
-
   #isMissing({ hosts }: GroupState): boolean {
     return hosts.some((host) =>
       this.find(host).missingSince !== undefined ||
@@ -240,14 +230,20 @@
     );
   }
 
+  #findChosen(id: string): GroupState | undefined {
+    return this.#chosen.has(id)
+      ? this.#state.control.groups.get(id)
+      : undefined;
+  }
+
   /** Probes one group until it no longer concerns this node. */
   async #watch(id: string, signal: AbortSignal): Promise<void> {
     const watch = this.#watches.get(id)!;
     try {
       for (
-        let group = this.#chooseGroups().get(id);
+        let group = this.#findChosen(id);
         group !== undefined;
-        group = this.#chooseGroups().get(id)
+        group = this.#findChosen(id)
       ) {
         await this.#runRound(group, watch, signal);
         if (watch.suspicions === watch.cleared) {
@@ -272,7 +268,7 @@
   ): Promise<void> {
     const suspicions = watch.suspicions;
     const isDirect = !watch.isGood || suspicions !== watch.cleared ||
-      this.#isHeld(group) || this.#hasUnfencedHost(group);
+      this.#choice.needsDirectProbe(group);
     const timeoutMs = this.#settings.timing["probe-interval"];
     const options = { isDirect, timeoutMs, signal };
     const round = await this.#probe.run(group, options);
@@ -329,11 +325,6 @@
     }
   }
 
-  #hasUnfencedHost({ hosts }: GroupState): boolean {
-    const unfenced = this.#state.rules?.unfencedHosts;
-    return hosts.some((host) => unfenced?.has(host) ?? false);
-  }
-
   /** Waits for one probe interval, or less when the condition is notified. */
   #pause(condition: Condition, signal: AbortSignal): Promise<void> {
     const intervalMs = this.#settings.timing["probe-interval"];
--- a/packages/node/src/groups/host-evidence.ts
+++ b/packages/node/src/groups/host-evidence.ts
@@ -20,6 +20,8 @@
   readonly heardIn?: string;
   /** When the last probe that found the host was sent. */
   readonly seenAt?: number;
+  /** When the host was last found missing. */
+  readonly missedAt?: number;
   /** Since when the host has been missing without a break. */
   readonly missingSince?: number;
   /** Since when the host has been seen without a break after an absence. */
@@ -52,7 +54,12 @@
   notePresent(host: string, sighting: Sighting, sentAt: number): void {
     const ageMs = "heardIn" in sighting ? sighting.ageMs : 0;
     const seenAt = sentAt - ageMs;
-    const { missingSince, returnedAt, unsettledSince } = this.find(host);
+    const known = this.find(host);
+    const { missingSince, returnedAt, unsettledSince } = known;
+    // A reply that was overtaken by a later one says nothing new.
+    if (seenAt < Math.max(known.seenAt ?? 0, known.missedAt ?? 0)) {
+      return;
+    }
     const returned = missingSince === undefined ? returnedAt : seenAt;
     const isSettled = returned === undefined ||
       seenAt - returned >= this.#settleMs;
@@ -69,6 +76,7 @@
     const { returnedAt: _returnedAt, ...rest } = known;
     this.#hosts.set(host, {
       ...rest,
+      missedAt: now,
       missingSince: known.missingSince ?? now,
       unsettledSince: known.unsettledSince ?? now,
     });
--- a/packages/node/src/groups/orders.ts
+++ b/packages/node/src/groups/orders.ts
@@ -13,6 +13,7 @@
 } from "@zinniahill/schema";
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
+import type { Evidence } from "./evidence.ts";
 import type { Hosts } from "./hosts.ts";
 import type { HeldLease, Leases } from "./leases.ts";
 
@@ -40,6 +41,7 @@
   #engines: Engines;
   #state: ControlState;
   #hosts: Hosts;
+  #evidence: Evidence;
   #leases: Leases;
   #settings: Settings;
 
@@ -50,6 +52,7 @@
     this.#engines = kernel.find("engines");
     this.#state = kernel.find("state");
     this.#hosts = kernel.find("hosts");
+    this.#evidence = kernel.find("evidence");
     this.#leases = kernel.find("leases");
     this.#settings = kernel.find("settings");
   }
@@ -73,7 +76,12 @@
     if (!this.mayOrder(host, lease)) {
       return false;
     }
+    const sentAt = this.#clock.now();
     const reply = await this.#engines.order(address, body, limitMs, signal);
+    if (reply.isOk) {
+      // Without this, the order would be repeated until the next probe.
+      this.#evidence.noteStatus(host, reply.value, sentAt);
+    }
     this.#logger.debug("engine_order", {
       order,
       host,
