Run non-idempotent calls at most once under faults

Cause: a repeat got may-have-run while the first call ran; an outcome that could not be appended was lost; each record was an append of its own; a later attempt that was not run hid an earlier one that may have run; EHOSTUNREACH of an open connection and any status of an engine counted as proof of not-run; records that expired unread left a claim that could be dispatched. Ruled out: waiting for the append of the outcome before the caller is answered; a repeat is answered from the queue or waits for the log, so it adds only time. Ruled out: an outcome record for each claim that lost; the reducer remembers the losing intent, so a second copy of it cannot take a freed key.

--- /dev/null
+++ b/packages/node/src/calls/append-queue.ts
@@ -0,0 +1,133 @@
+/**
+ * Appends call records to the log, several in one entry.
+ *
+ * @module
+ */
+import { type Clock, Condition, type Logger } from "@zinniahill/kernel";
+import type { Log } from "@zinniahill/platform";
+import type { CallRecord, CallRecordOf } from "@zinniahill/schema";
+
+interface QueuedRecord {
+  readonly record: CallRecord;
+  /** Whether an append that contains the record may have taken effect. */
+  isSent: boolean;
+}
+
+const MAX_BATCH_RECORDS = 256;
+const MAX_BATCH_BYTES = 1024 * 1024;
+const RETRY_PAUSE_MS = 200;
+
+/**
+ * Records that wait for the log. One append is in flight at a time: the log
+ * accepts several hundred appends a second over all nodes, so what arrives
+ * meanwhile goes into the next one. A record is kept until it is appended or
+ * read back.
+ */
+export class AppendQueue {
+  /** Notified when an append ends. */
+  readonly changed = new Condition();
+  #clock: Clock;
+  #logger: Logger;
+  #log: Log;
+  #added = new Condition();
+  #queued = new Map<string, QueuedRecord>();
+  #failures = 0;
+  #appends = 0;
+
+  constructor(clock: Clock, logger: Logger, log: Log) {
+    this.#clock = clock;
+    this.#logger = logger;
+    this.#log = log;
+  }
+
+  /** Records that are not known to be in the log. */
+  get size(): number {
+    return this.#queued.size;
+  }
+
+  /** Appends that failed since the last one that succeeded. */
+  get failures(): number {
+    return this.#failures;
+  }
+
+  /** Appends that were begun. */
+  get appends(): number {
+    return this.#appends;
+  }
+
+  /** Puts a record at the end of the queue. */
+  add(record: CallRecord): void {
+    this.#queued.set(record.id, { record, isSent: false });
+    this.#added.notify();
+  }
+
+  /** Removes a record; returns whether it may be in the log. */
+  remove(id: string): boolean {
+    const queued = this.#queued.get(id);
+    this.#queued.delete(id);
+    return queued?.isSent ?? true;
+  }
+
+  /** Notes that a record was read from the log. */
+  noteRead(id: string): void {
+    this.#queued.delete(id);
+  }
+
+  /** Returns the queued outcome of an intent. */
+  findOutcome(intent: string): CallRecordOf<"outcome"> | undefined {
+    for (const { record } of this.#queued.values()) {
+      if (record.kind === "outcome" && record.intent === intent) {
+        return record;
+      }
+    }
+    return undefined;
+  }
+
+  /** Appends whatever is added, until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#added.until(() => this.#queued.size > 0, signal);
+      await this.#appendBatch(signal);
+      this.changed.notify();
+      if (this.#failures > 0) {
+        await this.#clock.sleep(RETRY_PAUSE_MS, signal);
+      }
+    }
+  }
+
+  async #appendBatch(signal: AbortSignal): Promise<void> {
+    const batch = this.#takeBatch();
+    const records = batch.map(({ record }) => record);
+    this.#appends++;
+    const appended = await this.#log.append("calls", records, signal);
+    if (appended.isErr) {
+      this.#failures++;
+      this.#logger.warn("calls_not_appended", {
+        records: records.length,
+        error: appended.error.message,
+      });
+      return;
+    }
+    this.#failures = 0;
+    for (const { id } of records) {
+      this.#queued.delete(id);
+    }
+  }
+
+  #takeBatch(): QueuedRecord[] {
+    const batch: QueuedRecord[] = [];
+    let bytes = 0;
+    for (const queued of this.#queued.values()) {
+      const { record } = queued;
+      bytes += record.kind === "outcome" ? record.body.length : 0;
+      const isFull = batch.length >= MAX_BATCH_RECORDS ||
+        bytes > MAX_BATCH_BYTES;
+      if (isFull && batch.length > 0) {
+        break;
+      }
+      queued.isSent = true;
+      batch.push(queued);
+    }
+    return batch;
+  }
+}
--- a/packages/node/src/calls/calls.ts
+++ b/packages/node/src/calls/calls.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
-import { createHash } from "node:crypto";
 import {
   type Clock,
   Condition,
@@ -14,33 +12,49 @@
   TaskGroup,
   withDeadline,
 } from "@zinniahill/kernel";
-import type { Log, PlainReply, PlainServices } from "@zinniahill/platform";
+import type { Log, PlainReply } from "@zinniahill/platform";
 import { CallReducer, type RememberedCall } from "@zinniahill/policy";
 import {
   CallRecord,
-  Refusal,
-  type ServiceRule,
+  type LogPage,
+  type Refusal,
   type Settings,
   type Verdict,
 } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import type { NodeKernel } from "../services.ts";
+import { AppendQueue } from "./append-queue.ts";
+import { Dispatch } from "./dispatch.ts";
+import {
+  answerRepeat,
+  createDeadlineRefusal,
+  createLogRefusal,
+  hashKey,
+  hashRequest,
+  type ServiceCall,
+  type ServiceReply,
+} from "./service-call.ts";
 
-/** A call of a client account to a plain service. */
-export interface ServiceCall {
-  readonly request: string;
-  readonly account: string;
-  readonly service: ServiceRule;
-  readonly method: string;
-  readonly path: string;
-  readonly contentType: string;
+/** A call that is to run at most once, with its hashes and deadline. */
+interface OnceCall {
+  readonly call: ServiceCall;
   readonly key: string;
-  readonly body: Buffer;
+  readonly bodyHash: string;
+  readonly deadline: number;
 }
 
 const PAGE_ENTRIES = 500;
 const RETRY_PAUSE_MS = 200;
-const RETRY_AFTER_MS = 1000;
+/**
+ * Size up to which a reply is kept in the log with its outcome. A larger one is
+ * given to the first caller only; a repeat is told that the call ran.
+ */
+const MAX_KEPT_REPLY_BYTES = 16 * 1024;
+/**
+ * Failed appends in a row after which waiting intents are given up. One may be
+ * a lost reply whose intent is about to be read.
+ */
+const MAX_APPEND_FAILURES = 2;
 
 /** Makes calls and remembers those that must not be repeated. */
 export class Calls implements Service {
@@ -49,12 +63,15 @@
   #logger: Logger;
   #log: Log;
   #settings: Settings;
-  #plainServices: PlainServices;
+  #dispatch: Dispatch;
+  #queue: AppendQueue;
   #tasks: TaskGroup;
   #reducer: CallReducer;
   #changed = new Condition();
   #readUpTo = 0;
-  #isLogReachable = false;
+  /** How often records expired before they were read. */
+  #gaps = 0;
+  #isLogReadable = false;
 
   constructor(kernel: NodeKernel) {
     this.#clock = kernel.find("clock");
@@ -62,7 +79,8 @@
     this.#logger = kernel.find("logger");
     this.#log = kernel.find("log");
     this.#settings = kernel.find("settings");
-    this.#plainServices = kernel.find("plainServices");
+    this.#dispatch = new Dispatch(this.#clock, kernel.find("plainServices"));
+    this.#queue = new AppendQueue(this.#clock, this.#logger, this.#log);
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
     this.#reducer = new CallReducer(
       this.#settings.limits["remembered-calls"],
@@ -75,157 +93,193 @@
       RETRY_PAUSE_MS,
       (signal) => this.#readStream(signal),
     );
+    this.#tasks.repeat(
+      "append_calls",
+      RETRY_PAUSE_MS,
+      (signal) => this.#queue.run(signal),
+    );
+    this.#tasks.run("watch_appends", async (signal) => {
+      while (!signal.aborted) {
+        await this.#queue.changed.wait(signal);
+        this.#changed.notify();
+      }
+    });
   }
 
-  stop(): Promise<void> {
-    return this.#tasks.stop();
+  /** Appends the outcomes that wait, for as long as one append may take. */
+  async stop(): Promise<void> {
+    await this.#waitUntil(
+      () => this.#queue.size === 0,
+      this.#clock.now() + this.#settings.platform["log-timeout"],
+    );
+    await this.#tasks.stop();
   }
 
   dump(): unknown {
-    return { readUpTo: this.#readUpTo, remembered: this.#reducer.size };
+    return {
+      readUpTo: this.#readUpTo,
+      gaps: this.#gaps,
+      isLogReadable: this.#isLogReadable,
+      remembered: this.#reducer.size,
+      keptReplyBytes: this.#reducer.bodyBytes,
+      notAppended: this.#queue.size,
+      appends: this.#queue.appends,
+    };
   }
 
   /** Makes a call, at most once unless its method may be repeated. */
-  call(
-    call: ServiceCall,
-    signal: AbortSignal,
-  ): Promise<Result<PlainReply, Refusal>> {
-    const isRetrySafe = call.service["retry-safe"].includes(call.method);
-    return isRetrySafe ? this.#dispatchAny(call, signal) : this.#callOnce(call);
-  }
-
-  async #callOnce(call: ServiceCall): Promise<Result<PlainReply, Refusal>> {
+  call(call: ServiceCall, signal: AbortSignal): Promise<ServiceReply> {
     const deadline = this.#clock.now() + this.#settings.timing["call-deadline"];
-    const key = hashParts(call.account, call.service.name, call.key);
-    const bodyHash = hashParts(
-      call.method,
-      call.path,
-      call.body.toString("base64"),
-    );
-    const known = this.#reducer.find(key);
-    if (known !== undefined) {
-      return answerRepeat(known, bodyHash);
+    if (call.service["retry-safe"].includes(call.method)) {
+      return this.#dispatch.again(call, deadline, signal);
     }
-    const intent = this.#random.id();
-    const claimed = await this.#claim(intent, key, bodyHash, deadline);
-    if (claimed.isErr) {
-      return Result.err(claimed.error);
+    return this.#callOnce({
+      call,
+      key: hashKey(call),
+      bodyHash: hashRequest(call),
+      deadline,
+    });
+  }
+
+  /** Runs on when the caller has gone, so that the outcome is recorded. */
+  async #callOnce(once: OnceCall): Promise<ServiceReply> {
+    while (this.#clock.now() < once.deadline) {
+      const known = await this.#findEnded(once);
+      if (known !== undefined) {
+        return answerRepeat(known, once.bodyHash);
+      }
+      const intent = this.#random.id();
+      const claimed = await this.#claim(once, intent);
+      if (claimed.isErr) {
+        return Result.err(claimed.error);
+      }
+      if (claimed.value) {
+        return this.#runClaimed(once, intent);
+      }
     }
-    if (claimed.value.intent !== intent) {
-      return answerRepeat(claimed.value, bodyHash);
+    return Result.err(createDeadlineRefusal());
+  }
+
+  /** Waits while the first call of a key runs; undefined when it is free. */
+  async #findEnded(once: OnceCall): Promise<RememberedCall | undefined> {
+    const find = () => this.#findCall(once.key);
+    const isRunning = () => {
+      const known = find();
+      return known?.bodyHash === once.bodyHash && known.outcome === undefined;
+    };
+    await this.#waitUntil(() => !isRunning(), once.deadline);
+    return find();
+  }
+
+  /**
+   * What the log says of a key, and what this node is about to append. A new
+   * intent is queued behind the outcome that frees its key.
+   */
+  #findCall(key: string): RememberedCall | undefined {
+    const known = this.#reducer.find(key);
+    if (known === undefined || known.outcome !== undefined) {
+      return known;
     }
-    if (this.#clock.now() >= deadline) {
-      await this.#conclude(intent, key, "not-run");
-      return Result.err(
-        new Refusal("deadline", "not-run", "the deadline passed"),
-      );
+    const outcome = this.#queue.findOutcome(known.intent);
+    if (outcome === undefined) {
+      return known;
     }
-    const reply = await this.#dispatch(call, deadline);
-    const verdict = reply.isOk ? "ran" : reply.error.verdict;
-    if (verdict !== "may-have-run") {
-      await this.#conclude(
-        intent,
-        key,
-        verdict,
-        reply.isOk ? reply.value : undefined,
-      );
+    if (outcome.verdict === "not-run") {
+      return undefined;
     }
-    return reply;
+    const body = outcome.isBodyOmitted ? undefined : outcome.body;
+    return { ...known, outcome: { ...outcome, body } };
   }
 
-  /** Appends an intent and waits until the first one for the key is read. */
+  /**
+   * Appends an intent and waits until it is read. Resolves to whether it is the
+   * first for its key; a claim that is given up never runs.
+   */
   async #claim(
+    once: OnceCall,
     intent: string,
-    key: string,
-    bodyHash: string,
-    deadline: number,
-  ): Promise<Result<RememberedCall, Refusal>> {
-    if (!this.#isLogReachable) {
+  ): Promise<Result<boolean, Refusal>> {
+    if (!this.#canRecord()) {
       return Result.err(createLogRefusal());
     }
+    const { key, bodyHash } = once;
+    const gaps = this.#gaps;
     const node = this.#settings.node.name;
-    await this.#log.append("calls", [
-      { kind: "intent", id: intent, node, key, bodyHash },
-    ]);
-    try {
-      await withDeadline(
-        this.#clock,
-        deadline - this.#clock.now(),
-        this.#tasks.signal,
-        (signal) =>
-          this.#changed.until(
-            () => this.#reducer.find(key) !== undefined,
-            signal,
-          ),
-      );
-    } catch {
-      await this.#conclude(intent, key, "not-run");
+    this.#queue.add({ kind: "intent", id: intent, node, key, bodyHash });
+    const isRead = () =>
+      this.#reducer.find(key)?.intent === intent ||
+      this.#reducer.hasEnded(intent);
+    // After a gap this node may have missed an earlier intent for the key.
+    const isLost = () => !this.#canRecord() || this.#gaps !== gaps;
+    await this.#waitUntil(() => isRead() || isLost(), once.deadline);
+    if (this.#gaps !== gaps || !isRead()) {
+      this.#giveUp(once, intent);
       return Result.err(createLogRefusal());
     }
-    return Result.ok(this.#reducer.find(key)!);
+    return Result.ok(!this.#reducer.hasEnded(intent));
   }
 
-  async #dispatch(
-    call: ServiceCall,
-    deadline: number,
-  ): Promise<Result<PlainReply, Refusal>> {
-    let last: Result<PlainReply, Refusal> | undefined;
-    for (const address of call.service.upstreams) {
-      const remainingMs = deadline - this.#clock.now();
-      if (remainingMs <= 0) {
-        break;
-      }
-      const reply = await this.#plainServices.call(address, {
-        method: call.method,
-        path: call.path,
-        headers: createHeaders(call),
-        body: call.body,
-      }, remainingMs);
-      if (reply.isOk) {
-        return Result.ok(reply.value);
-      }
-      const { verdict, message } = reply.error;
-      last = Result.err(createUpstreamRefusal(verdict, message));
-      if (verdict !== "not-run") {
-        return last;
-      }
-    }
-    return last ?? Result.err(
-      new Refusal("deadline", "not-run", "the deadline passed"),
-    );
+  #canRecord(): boolean {
+    const isAppendable = this.#queue.size === 0 ||
+      this.#queue.failures < MAX_APPEND_FAILURES;
+    return this.#isLogReadable && isAppendable;
   }
 
-  async #dispatchAny(
-    call: ServiceCall,
-    signal: AbortSignal,
-  ): Promise<Result<PlainReply, Refusal>> {
-    const deadline = this.#clock.now() + this.#settings.timing["call-deadline"];
-    let reply = await this.#dispatch(call, deadline);
-    if (reply.isErr && !signal.aborted) {
-      reply = await this.#dispatch(call, deadline);
+  #giveUp(once: OnceCall, intent: string): void {
+    const mayBeInLog = this.#queue.remove(intent);
+    if (mayBeInLog) {
+      this.#conclude(once, intent, "not-run");
     }
+  }
+
+  async #runClaimed(once: OnceCall, intent: string): Promise<ServiceReply> {
+    const reply = await this.#dispatch.once(once.call, once.deadline);
+    const verdict = reply.isOk ? "ran" : reply.error.verdict;
+    this.#conclude(once, intent, verdict, reply.isOk ? reply.value : undefined);
     return reply;
   }
 
-  async #conclude(
+  /** Records how a call ended; the caller's answer does not wait for it. */
+  #conclude(
+    once: OnceCall,
     intent: string,
-    key: string,
     verdict: Verdict,
     reply?: PlainReply,
-  ): Promise<void> {
-    const appended = await this.#log.append("calls", [{
+  ): void {
+    const isBodyOmitted = reply === undefined ||
+      reply.body.length > MAX_KEPT_REPLY_BYTES;
+    this.#queue.add({
       kind: "outcome",
       id: this.#random.id(),
       node: this.#settings.node.name,
-      key,
+      key: once.key,
       intent,
       verdict,
       status: reply?.status ?? 0,
       contentType: reply?.contentType ?? "",
-      body: reply?.body.toString("base64") ?? "",
-    }]);
-    if (appended.isErr) {
-      this.#logger.warn("outcome_not_appended", { intent });
+      body: isBodyOmitted ? "" : reply.body.toString("base64"),
+      ...(isBodyOmitted ? { isBodyOmitted } : {}),
+    });
+    this.#changed.notify();
+    this.#logger.info("call_ended", {
+      request: once.call.request,
+      service: once.call.service.name,
+      intent,
+      verdict,
+    });
+  }
+
+  /** Waits until a condition holds or the deadline has passed. */
+  async #waitUntil(isMet: () => boolean, deadline: number): Promise<void> {
+    try {
+      await withDeadline(
+        this.#clock,
+        deadline - this.#clock.now(),
+        this.#tasks.signal,
+        (signal) => this.#changed.until(isMet, signal),
+      );
+    } catch {
+      // The caller looks at the state itself, whatever ended the wait.
     }
   }
 
@@ -234,79 +288,38 @@
       const page = await this.#log.read("calls", {
         from: this.#readUpTo + 1,
         max: PAGE_ENTRIES,
-        waitMs: this.#settings.platform["log-poll"],
+        // While the log is not known to answer, calls are refused, so the first
+        // read does not wait for an entry.
+        waitMs: this.#isLogReadable ? this.#settings.platform["log-poll"] : 0,
       }, signal);
-      this.#isLogReachable = page.isOk;
+      this.#isLogReadable = page.isOk;
       if (page.isErr) {
+        this.#changed.notify();
         return;
       }
-      for (const { offset, records } of page.value.entries) {
-        for (const candidate of records) {
-          const record = CallRecord.safeParse(candidate);
-          if (record.success) {
-            this.#reducer.apply(record.data);
-          }
-        }
-        this.#readUpTo = offset;
-      }
+      this.#applyPage(page.value);
       this.#changed.notify();
     }
   }
-}
-
-function answerRepeat(
-  known: RememberedCall,
-  bodyHash: string,
-): Result<PlainReply, Refusal> {
-  if (known.bodyHash !== bodyHash) {
-    return Result.err(
-      new Refusal(
-        "key-reused",
-        "not-run",
-        "the idempotency key was used with another request",
-      ),
-    );
-  }
-  if (known.outcome === undefined) {
-    return Result.err(
-      new Refusal(
-        "call-in-progress",
-        "may-have-run",
-        "the first call with this key has no known outcome",
-      ),
-    );
-  }
-  const { status, contentType, body } = known.outcome;
-  return Result.ok({ status, contentType, body: Buffer.from(body, "base64") });
-}
-
-function createHeaders(call: ServiceCall): Record<string, string> {
-  const headers: Record<string, string> = { "idempotency-key": call.key };
-  if (call.contentType !== "") {
-    headers["content-type"] = call.contentType;
-  }
-  return headers;
-}
-
-function createLogRefusal(): Refusal {
-  return new Refusal(
-    "log-unavailable",
-    "not-run",
-    "the call cannot be recorded now",
-    RETRY_AFTER_MS,
-  );
-}
-
-function createUpstreamRefusal(verdict: Verdict, message: string): Refusal {
-  return verdict === "not-run"
-    ? new Refusal("upstream-unavailable", verdict, message, RETRY_AFTER_MS)
-    : new Refusal("outcome-unknown", verdict, message);
-}
 
-function hashParts(...parts: readonly string[]): string {
-  const hash = createHash("sha256");
-  for (const part of parts) {
-    hash.update(part).update("\0");
+  #applyPage({ first, entries }: LogPage): void {
+    if (first > this.#readUpTo + 1) {
+      this.#gaps++;
+      this.#logger.warn("calls_expired_unread", {
+        read_up_to: this.#readUpTo,
+        first,
+      });
+      this.#readUpTo = first - 1;
+    }
+    for (const { offset, records } of entries) {
+      for (const candidate of records) {
+        const record = CallRecord.safeParse(candidate);
+        if (record.success) {
+          this.#reducer.apply(record.data);
+          this.#queue.noteRead(record.data.id);
+        }
+      }
+      this.#readUpTo = offset;
+    }
   }
-  return hash.digest("base64url");
 }
--- a/packages/node/src/serving/front.ts
+++ b/packages/node/src/serving/front.ts
@@ -219,7 +219,7 @@
       service,
       method: request.method ?? "GET",
       path: (request.url ?? "").replace(SERVICE_PREFIX, ""),
-      contentType: request.headers["content-type"] ?? "",
+      headers: {},
       key: idempotencyKey,
       body,
     }, createCloseSignal(response));
--- a/packages/platform/src/engines.ts
+++ b/packages/platform/src/engines.ts
@@ -68,12 +68,21 @@
 const CANCEL_TIMEOUT_MS = 1000;
 const CACHE_TIMEOUT_MS = 1000;
 const OK_STATUS = 200;
+/** Statuses by which an engine refuses a request before it runs. */
+const REFUSAL_STATUSES = new Set([409, 503]);
+const MAX_REASON_LENGTH = 200;
 const JSON_HEADERS = { "content-type": "application/json" };
 
 /** The engines over HTTP. */
 export class EngineClient implements Engines {
   #clock: Clock;
   #streams = new Agent({ bodyTimeout: 0, headersTimeout: 0 });
+  /** Without keep-alive; a resumed stream must not meet a silent connection. */
+  #newConnections = new Agent({
+    bodyTimeout: 0,
+    headersTimeout: 0,
+    pipelining: 0,
+  });
   /** Probes and orders never share a connection with a stream. */
   #control = new Agent({ bodyTimeout: 0, headersTimeout: 0 });
 
@@ -82,7 +91,11 @@
   }
 
   async stop(): Promise<void> {
-    await Promise.all([this.#streams.destroy(), this.#control.destroy()]);
+    await Promise.all([
+      this.#streams.destroy(),
+      this.#newConnections.destroy(),
+      this.#control.destroy(),
+    ]);
   }
 
   probe(
@@ -130,21 +143,23 @@
       controller.abort();
     };
     try {
-      const reply = await withDeadline(
+      return await withDeadline(
         this.#clock,
         options.timeoutMs,
         options.signal,
-        () =>
-          request(`http://${address}/generate`, {
-            dispatcher: this.#streams,
+        async () => {
+          const reply = await request(`http://${address}/generate`, {
+            dispatcher: options.newConnection
+              ? this.#newConnections
+              : this.#streams,
             method: "POST",
             headers: JSON_HEADERS,
             body: JSON.stringify(body),
-            reset: options.newConnection,
             signal: controller.signal,
-          }),
+          });
+          return await readReply(reply, close);
+        },
       );
-      return await readReply(reply, close);
     } catch (failure) {
       close();
       return Result.err(createFault(failure));
@@ -187,10 +202,12 @@
   close: () => void,
 ): Promise<Result<EngineStream, Fault>> {
   if (reply.statusCode !== OK_STATUS) {
-    const reason = await reply.body.text();
+    const reason = await readReason(reply);
     close();
     return Result.err({
-      verdict: "not-run",
+      verdict: REFUSAL_STATUSES.has(reply.statusCode)
+        ? "not-run"
+        : "may-have-run",
       message: `refused with status ${reply.statusCode}`,
       status: reply.statusCode,
       reason,
@@ -202,3 +219,15 @@
     close,
   });
 }
+
+/** Reads the start of a refusal's body. */
+async function readReason(reply: Dispatcher.ResponseData): Promise<string> {
+  let text = "";
+  for await (const chunk of reply.body) {
+    text += String(chunk);
+    if (text.length >= MAX_REASON_LENGTH) {
+      break;
+    }
+  }
+  return text.slice(0, MAX_REASON_LENGTH);
+}
--- a/packages/platform/src/fault.ts
+++ b/packages/platform/src/fault.ts
@@ -16,28 +16,30 @@
   readonly reason?: string;
 }
 
-/** Error codes raised before any byte of the request was written. */
-const CODES_BEFORE_WRITE = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
+/**
+ * System calls and codes of errors raised before any byte was written. The
+ * same codes are also raised by an established connection whose route fails,
+ * so a code counts only together with the system call.
+ */
+const CONNECT_SYSCALL = "connect";
+const CONNECT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH"]);
+const CONNECT_TIMEOUT_CODE = "UND_ERR_CONNECT_TIMEOUT";
 
 /** Derives from a thrown error whether the call may have taken effect. */
 export function createFault(failure: unknown): Fault {
   return {
-    verdict: CODES_BEFORE_WRITE.has(findCode(failure))
-      ? "not-run"
-      : "may-have-run",
+    verdict: isBeforeWrite(failure) ? "not-run" : "may-have-run",
     message: describeError(failure),
   };
 }
 
-function findCode(failure: unknown): string {
+function isBeforeWrite(failure: unknown): boolean {
   if (!(failure instanceof Error)) {
-    return "";
+    return false;
   }
   const code = "code" in failure ? String(failure.code) : "";
-  return CODES_BEFORE_WRITE.has(code) ? code : findCode(failure.cause);
+  const syscall = "syscall" in failure ? String(failure.syscall) : "";
+  return code === CONNECT_TIMEOUT_CODE ||
+    (syscall === CONNECT_SYSCALL && CONNECT_CODES.has(code)) ||
+    isBeforeWrite(failure.cause);
 }
--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -21,7 +21,8 @@
 }
 
 const OK_STATUS = 200;
-const SERVER_ERROR_STATUS = 500;
+/** Statuses by which the platform and the engines refuse before they act. */
+const REFUSAL_STATUSES = new Set([400, 404, 405, 409, 413]);
 const JSON_HEADERS = { "content-type": "application/json" };
 
 /** Makes a JSON call and checks the reply against its schema. */
@@ -66,14 +67,14 @@
   });
 }
 
-/** A 4xx is an explicit refusal; after a 5xx the call may have taken effect. */
+/** After any other status the call may have taken effect. */
 function createReplyFault(status: number, value: unknown): Fault {
   const reason = typeof value === "object" && value !== null &&
       "error" in value && typeof value.error === "string"
     ? value.error
     : undefined;
   return {
-    verdict: status < SERVER_ERROR_STATUS ? "not-run" : "may-have-run",
+    verdict: REFUSAL_STATUSES.has(status) ? "not-run" : "may-have-run",
     message: `refused with status ${status}${reason ? `: ${reason}` : ""}`,
     status,
     ...(reason === undefined ? {} : { reason }),
--- a/packages/platform/src/plain-services.ts
+++ b/packages/platform/src/plain-services.ts
@@ -22,6 +22,8 @@
   readonly status: number;
   readonly contentType: string;
   readonly body: Buffer;
+  /** End-to-end headers of the reply beside its content type. */
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** The plain services beside the engines. */
@@ -37,6 +39,20 @@
 
 const REFUSED_STATUS = 503;
 const NOT_RUN_HEADER = "x-not-run";
+const NOT_RUN_VALUE = "1";
+/** A reply beyond this size is dropped, as each one is held in memory. */
+const MAX_REPLY_BYTES = 8 * 1024 * 1024;
+/** Headers that belong to the connection, or that the node sets itself. */
+const CONNECTION_HEADERS = new Set([
+  "connection",
+  "content-length",
+  "content-type",
+  "keep-alive",
+  "proxy-authenticate",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
 
 /**
  * Plain services over HTTP. Each call has a connection of its own: on a reused
@@ -85,19 +101,53 @@
 async function readReply(
   reply: Dispatcher.ResponseData,
 ): Promise<Result<PlainReply, Fault>> {
-  const body = Buffer.from(await reply.body.arrayBuffer());
   const isRefusal = reply.statusCode === REFUSED_STATUS &&
-    reply.headers[NOT_RUN_HEADER] !== undefined;
+    reply.headers[NOT_RUN_HEADER] === NOT_RUN_VALUE;
   if (isRefusal) {
+    await reply.body.dump();
     return Result.err({
       verdict: "not-run",
       message: "the upstream refused the call",
       status: reply.statusCode,
     });
   }
+  const body = await readBody(reply.body);
+  if (body === undefined) {
+    return Result.err({
+      verdict: "ran",
+      message: `the reply is larger than ${MAX_REPLY_BYTES} bytes`,
+      status: reply.statusCode,
+    });
+  }
   return Result.ok({
     status: reply.statusCode,
     contentType: String(reply.headers["content-type"] ?? ""),
     body,
+    headers: collectHeaders(reply.headers),
   });
 }
+
+/** Reads a body up to the limit; undefined when it is larger. */
+async function readBody(
+  stream: AsyncIterable<Buffer>,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of stream) {
+    size += chunk.length;
+    if (size > MAX_REPLY_BYTES) {
+      return undefined;
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+function collectHeaders(
+  headers: Dispatcher.ResponseData["headers"],
+): Record<string, string> {
+  const kept = Object.entries(headers).filter(([name, value]) =>
+    !CONNECTION_HEADERS.has(name) && typeof value === "string"
+  );
+  return Object.fromEntries(kept) as Record<string, string>;
+}
--- a/packages/schema/src/records.ts
+++ b/packages/schema/src/records.ts
@@ -205,6 +205,8 @@
   status: z.number().int(),
   contentType: z.string(),
   body: z.string(),
+  /** Whether the reply was too large to be kept with the record. */
+  isBodyOmitted: z.boolean().optional(),
 });
 
 /** A record of the `calls` stream. */
