Resume streams without losing, repeating or mixing tokens

Ruled out: the same request id for a resume on the same engine (a cancel 50 ms late then ends the new stream). Before: one write for each token. After: one write for each network chunk.

--- a/packages/node/src/calls/calls.ts
+++ b/packages/node/src/calls/calls.ts
@@ -79,7 +79,11 @@
     this.#logger = kernel.find("logger");
     this.#log = kernel.find("log");
     this.#settings = kernel.find("settings");
-    this.#dispatch = new Dispatch(this.#clock, kernel.find("plainServices"));
+    this.#dispatch = new Dispatch(
+      this.#clock,
+      this.#logger,
+      kernel.find("plainServices"),
+    );
     this.#queue = new AppendQueue(this.#clock, this.#logger, this.#log);
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
     this.#reducer = new CallReducer(
--- a/packages/node/src/calls/dispatch.ts
+++ b/packages/node/src/calls/dispatch.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Clock } from "@zinniahill/kernel";
+import type { Clock, Logger } from "@zinniahill/kernel";
 import type { PlainServices } from "@zinniahill/platform";
 import type { Refusal, Verdict } from "@zinniahill/schema";
 import { Result } from "true-myth";
@@ -20,10 +20,12 @@
 /** Writes calls to upstreams. */
 export class Dispatch {
   #clock: Clock;
+  #logger: Logger;
   #plainServices: PlainServices;
 
-  constructor(clock: Clock, plainServices: PlainServices) {
+  constructor(clock: Clock, logger: Logger, plainServices: PlainServices) {
     this.#clock = clock;
+    this.#logger = logger;
     this.#plainServices = plainServices;
   }
 
@@ -83,9 +85,15 @@
       remainingMs,
       signal,
     );
-    return reply.mapErr(({ verdict, message }) =>
-      createUpstreamRefusal(verdict, message)
-    );
+    return reply.mapErr((fault) => {
+      this.#logger.warn("upstream_fault", {
+        request: call.request,
+        address,
+        verdict: fault.verdict,
+        error: fault.message,
+      });
+      return createUpstreamRefusal(fault.verdict);
+    });
   }
 }
 
--- a/packages/node/src/calls/service-call.ts
+++ b/packages/node/src/calls/service-call.ts
@@ -64,9 +64,7 @@
   }
   const { verdict, status, contentType, body } = known.outcome;
   if (verdict !== "ran") {
-    return Result.err(
-      createUpstreamRefusal(verdict, "the outcome of the call is not known"),
-    );
+    return Result.err(createUpstreamRefusal(verdict));
   }
   if (body === undefined) {
     return Result.err(
@@ -95,22 +93,34 @@
   return new Refusal("deadline", "not-run", "the deadline passed");
 }
 
-const UPSTREAM_REFUSALS: {
-  readonly [Kind in Verdict]: (message: string) => Refusal;
-} = {
-  "not-run": (message) =>
-    new Refusal("upstream-unavailable", "not-run", message, RETRY_AFTER_MS),
-  "may-have-run": (message) =>
-    new Refusal("outcome-unknown", "may-have-run", message),
-  "ran": (message) => new Refusal("reply-not-kept", "ran", message),
+const UPSTREAM_REFUSALS: { readonly [Kind in Verdict]: () => Refusal } = {
+  "not-run": () =>
+    new Refusal(
+      "upstream-unavailable",
+      "not-run",
+      "no upstream has taken the call",
+      RETRY_AFTER_MS,
+    ),
+  "may-have-run": () =>
+    new Refusal(
+      "outcome-unknown",
+      "may-have-run",
+      "the outcome of the call is not known",
+    ),
+  "ran": () =>
+    new Refusal(
+      "reply-not-kept",
+      "ran",
+      "the call ran; its reply is too large",
+    ),
 };
 
-/** The refusal of a call that got no usable reply from its upstream. */
-export function createUpstreamRefusal(
-  verdict: Verdict,
-  message: string,
-): Refusal {
-  return UPSTREAM_REFUSALS[verdict](message);
+/**
+ * The refusal of a call that got no usable reply from its upstream. It does not
+ * name the upstream, which is no concern of the caller.
+ */
+export function createUpstreamRefusal(verdict: Verdict): Refusal {
+  return UPSTREAM_REFUSALS[verdict]();
 }
 
 function hashParts(...parts: readonly (string | Buffer)[]): string {
--- /dev/null
+++ b/packages/node/src/serving/chat.ts
@@ -0,0 +1,136 @@
+/**
+ * Chat completions; the task of one request.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import type { Clock, Logger } from "@zinniahill/kernel";
+import {
+  type AccountRule,
+  ChatRequest,
+  DEFAULT_MAX_TOKENS,
+  Rank,
+  Refusal,
+  type Settings,
+} from "@zinniahill/schema";
+import type { Metrics } from "../metrics.ts";
+import type { NodeKernel } from "../services.ts";
+import type { Caller } from "./authentication.ts";
+import { StreamedReply, WholeReply } from "./chat-reply.ts";
+import type { Gate } from "./gate.ts";
+import { createCloseSignal, readJson, type RoutedRequest } from "./http.ts";
+import type { Streams } from "./streams.ts";
+
+const MS_PER_SECOND = 1000;
+/**
+ * Time of a whole request. At 64 ms a token the largest answer, 32,768 tokens,
+ * takes 35 minutes.
+ */
+const REQUEST_DEADLINE_MS = 40 * 60 * 1000;
+
+/** Serves chat completions. */
+export class Chat {
+  #clock: Clock;
+  #logger: Logger;
+  #metrics: Metrics;
+  #settings: Settings;
+  #gate: Gate;
+  #streams: Streams;
+
+  constructor(kernel: NodeKernel) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#metrics = kernel.find("metrics");
+    this.#settings = kernel.find("settings");
+    this.#gate = kernel.find("admission");
+    this.#streams = kernel.find("streams");
+  }
+
+  /** Answers one request. */
+  async complete(
+    id: string,
+    { rules, account }: Caller,
+    request: RoutedRequest,
+    response: ServerResponse,
+  ): Promise<void> {
+    const rank = readRank(request, account);
+    const limit = this.#settings.limits["body-bytes"];
+    const body = await readJson(request, limit, ChatRequest);
+    if (!rules.models.has(body.model)) {
+      throw new Refusal(
+        "unknown-model",
+        "not-run",
+        `there is no model ${JSON.stringify(body.model)}`,
+      );
+    }
+    const startedAt = this.#clock.now();
+    const signal = createCloseSignal(response);
+    const maxTokens = body.max_completion_tokens ?? body.max_tokens ??
+      DEFAULT_MAX_TOKENS;
+    const permit = await this.#gate.admit(
+      { account: account.name, rank, tokens: maxTokens },
+      signal,
+    );
+    if (permit.isErr) {
+      throw permit.error;
+    }
+    const createReply = body.stream ? StreamedReply : WholeReply;
+    const reply = new createReply(this.#clock, response, {
+      request: id,
+      model: body.model,
+      created: Math.floor(this.#clock.wallTime() / MS_PER_SECOND),
+      includesUsage: body.stream_options?.include_usage ?? false,
+    });
+    let tokens = 0;
+    try {
+      const end = await this.#streams.run({
+        request: id,
+        model: body.model,
+        messages: body.messages,
+        maxTokens,
+        rank,
+        deadline: startedAt + REQUEST_DEADLINE_MS,
+        sink: {
+          write: (events, count) => {
+            tokens += count;
+            return reply.write(events);
+          },
+        },
+      }, signal);
+      if (end.isErr) {
+        throw end.error;
+      }
+      reply.end(end.value.progress);
+      this.#logger.info("request_served", {
+        request: id,
+        account: account.name,
+        rank,
+        tokens,
+        attempts: end.value.attempts,
+        duration_ms: Math.round(this.#clock.now() - startedAt),
+      });
+      this.#metrics.count("requests", 1, { rank });
+    } finally {
+      permit.value.release(tokens);
+    }
+  }
+}
+
+function readRank(request: RoutedRequest, account: AccountRule): Rank {
+  const parsed = Rank.safeParse(request.headers["x-rank"] ?? "normal");
+  if (!parsed.success) {
+    throw new Refusal(
+      "bad-request",
+      "not-run",
+      "X-Rank: expected urgent, normal or batch",
+    );
+  }
+  if (!account.ranks.includes(parsed.data)) {
+    throw new Refusal(
+      "forbidden",
+      "not-run",
+      `the client account may not use rank ${parsed.data}`,
+    );
+  }
+  return parsed.data;
+}
--- a/packages/node/src/serving/http.ts
+++ b/packages/node/src/serving/http.ts
@@ -28,24 +28,35 @@
   response: ServerResponse,
 ) => Promise<void>;
 
+/** Looks at every request before its task, such as to give it an id. */
+export type RequestHook = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
 const MS_PER_SECOND = 1000;
+/** How long a caller whose body was not read may take to read the reply. */
+const UNREAD_LINGER_MS = 1000;
+const METHODS = ["GET", "POST"] as const;
 
 /** An HTTP server whose requests are tasks. */
 export class HttpListener {
   #server: Server;
   #app: Polka;
 
-  constructor() {
+  constructor(onRequest: RequestHook = () => {}) {
     this.#server = createServer();
     this.#app = polka({
       server: this.#server,
-      onNoMatch: (_request, response) => {
-        sendRefusal(
-          response,
-          new Refusal("not-found", "not-run", "there is no such path"),
-        );
+      onNoMatch: (request, response) => this.#refuseRoute(request, response),
+      onError: (failure, _request, response) => {
+        sendRefusal(response, createRefusal(failure));
       },
     });
+    this.#app.use((request, response, next) => {
+      onRequest(request, response);
+      next();
+    });
   }
 
   /** Adds a route. */
@@ -67,6 +78,24 @@
     }
   }
 
+  #refuseRoute(request: RoutedRequest, response: ServerResponse): void {
+    const path = request.path;
+    const allowed = METHODS.filter((method) =>
+      this.#app.find(method, path).handlers.length > 0
+    );
+    if (allowed.length === 0) {
+      const message = "there is no such path";
+      sendRefusal(response, new Refusal("not-found", "not-run", message));
+      return;
+    }
+    response.setHeader("allow", allowed.join(", "));
+    const message = `expected method ${allowed.join(" or ")}`;
+    sendRefusal(
+      response,
+      new Refusal("method-not-allowed", "not-run", message),
+    );
+  }
+
   /** Listens on an IP literal with a port. */
   listen(address: string): Promise<void> {
     const separator = address.lastIndexOf(":");
@@ -90,27 +119,40 @@
   }
 }
 
-/** Reads a request's body up to a limit. */
+/**
+ * Reads a request's body up to a limit. A larger body is not read further, nor
+ * begun when its length is announced.
+ */
 export async function readBody(
   request: IncomingMessage,
   limitBytes: number,
 ): Promise<Buffer> {
+  const announced = Number(request.headers["content-length"] ?? 0);
+  if (announced > limitBytes) {
+    throw refuseBody(request, limitBytes);
+  }
   const chunks: Buffer[] = [];
   let size = 0;
-  for await (const chunk of request) {
+  // Without this option, leaving the loop closes the connection before the
+  // refusal is sent.
+  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
     size += (chunk as Buffer).length;
     if (size > limitBytes) {
-      throw new Refusal(
-        "too-large",
-        "not-run",
-        `the body is larger than ${limitBytes} bytes`,
-      );
+      throw refuseBody(request, limitBytes);
     }
     chunks.push(chunk as Buffer);
   }
   return Buffer.concat(chunks);
 }
 
+function refuseBody(request: IncomingMessage, limitBytes: number): Refusal {
+  const { socket } = request;
+  request.pause();
+  socket.setTimeout(UNREAD_LINGER_MS, () => socket.destroy());
+  const message = `the body is larger than ${limitBytes} bytes`;
+  return new Refusal("too-large", "not-run", message);
+}
+
 /** Reads a request's body as JSON of a schema. */
 export async function readJson<Value>(
   request: IncomingMessage,
@@ -128,7 +170,10 @@
   if (!parsed.success) {
     const [issue] = parsed.error.issues;
     const place = issue?.path.join(".") ?? "";
-    throw new Refusal("bad-request", "not-run", `${place}: ${issue?.message}`);
+    const message = place === ""
+      ? `${issue?.message}`
+      : `${place}: ${issue?.message}`;
+    throw new Refusal("bad-request", "not-run", message);
   }
   return parsed.data;
 }
@@ -175,10 +220,18 @@
   return timingSafeEqual(Buffer.from(a, "hex"), Buffer.from(b, "hex"));
 }
 
-function createRefusal(failure: unknown): Refusal {
+/** The refusal that a failure of a task stands for. */
+export function createRefusal(failure: unknown): Refusal {
   return failure instanceof Refusal ? failure : new Refusal(
     "internal",
     "may-have-run",
     "the request failed inside the node",
   );
 }
+
+/** A signal that aborts when the connection to the caller ends. */
+export function createCloseSignal(response: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  response.on("close", () => controller.abort());
+  return controller.signal;
+}
--- /dev/null
+++ b/packages/node/src/serving/stream-attempt.ts
@@ -0,0 +1,147 @@
+/**
+ * One attempt at a stream: a connection to the lead of one group.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { type Clock, describeError, withDeadline } from "@zinniahill/kernel";
+import {
+  type Engines,
+  type EngineStream,
+  type Fault,
+  TokenSplitter,
+} from "@zinniahill/platform";
+import type { GenerateRequest } from "@zinniahill/schema";
+import { DeliveredText, readFinishReason } from "./delivered-text.ts";
+import { findForeignEvent, selectRun, type TokenRun } from "./token-run.ts";
+
+/** Takes the events of an answer, each token once and in order. */
+export interface TokenSink {
+  /** Takes whole events; a promise makes the stream wait for a slow caller. */
+  write(events: Uint8Array, tokens: number): Promise<void> | void;
+}
+
+/** How far an answer has come, over all attempts. */
+export class Progress {
+  readonly delivered = new DeliveredText();
+  /** Index of the next token. */
+  next = 0;
+  #last: Buffer | undefined;
+
+  /** Notes new events. */
+  note({ bytes, last, next }: TokenRun): void {
+    if (last !== undefined) {
+      this.delivered.push(bytes);
+      this.#last = last;
+      this.next = next;
+    }
+  }
+
+  /** Why the answer ended; null while it has not. */
+  get finishReason(): string | null {
+    return this.#last === undefined ? null : readFinishReason(this.#last);
+  }
+
+  /** Whether the answer is complete; the end event alone does not prove it. */
+  get isComplete(): boolean {
+    return this.finishReason !== null;
+  }
+}
+
+/** What one attempt needs. */
+export interface Attempt {
+  readonly address: string;
+  readonly body: GenerateRequest;
+  readonly newConnection: boolean;
+  /** How long the engine may take until the first event. */
+  readonly firstTokenMs: number;
+  /** How long it may take between two events. */
+  readonly tokenGapMs: number;
+  /** When the whole request must have ended. */
+  readonly deadline: number;
+  readonly sink: TokenSink;
+  readonly progress: Progress;
+  readonly signal: AbortSignal;
+}
+
+const CHUNK_ID_PREFIX = '"id":"chatcmpl-';
+
+/** Runs one attempt; returns why it ended, complete or not. */
+export async function runAttempt(
+  clock: Clock,
+  engines: Engines,
+  attempt: Attempt,
+): Promise<Fault> {
+  const { address, body, newConnection, signal } = attempt;
+  const startedAt = clock.now();
+  if (startedAt >= attempt.deadline) {
+    return { verdict: "not-run", message: "the deadline has passed" };
+  }
+  const stream = await engines.generate(address, body, {
+    timeoutMs: limitWait(clock, attempt, startedAt + attempt.firstTokenMs),
+    newConnection,
+    signal,
+  });
+  if (stream.isErr) {
+    return stream.error;
+  }
+  try {
+    await forward(clock, stream.value, attempt, startedAt);
+    return { verdict: "may-have-run", message: "the stream ended" };
+  } catch (failure) {
+    return { verdict: "may-have-run", message: describeError(failure) };
+  } finally {
+    stream.value.close();
+  }
+}
+
+async function forward(
+  clock: Clock,
+  stream: EngineStream,
+  attempt: Attempt,
+  startedAt: number,
+): Promise<void> {
+  const { body, progress, sink, signal } = attempt;
+  if (stream.request !== body.request) {
+    throw new Error("the stream belongs to another request");
+  }
+  const mark = Buffer.from(`${CHUNK_ID_PREFIX}${body.request}"`);
+  const splitter = new TokenSplitter();
+  const chunks = stream.chunks[Symbol.asyncIterator]();
+  // Only new tokens move the deadline, so a connection that repeats old ones
+  // stalls like a silent one.
+  let progressBy = startedAt + attempt.firstTokenMs;
+  while (true) {
+    const chunk = await withDeadline(
+      clock,
+      limitWait(clock, attempt, progressBy),
+      signal,
+      () => chunks.next(),
+    );
+    if (chunk.done) {
+      return;
+    }
+    const block = splitter.push(chunk.value);
+    const foreign = findForeignEvent(block, mark);
+    if (foreign !== undefined) {
+      throw new Error(`event ${foreign} belongs to another request`);
+    }
+    const run = selectRun(block, progress.next);
+    const tokens = run.next - progress.next;
+    progress.note(run);
+    if (tokens > 0) {
+      await sink.write(run.bytes, tokens);
+      progressBy = clock.now() + attempt.tokenGapMs;
+    }
+    if (run.hasGap) {
+      throw new Error(`token ${progress.next} is missing`);
+    }
+    if (run.isEnded) {
+      return;
+    }
+  }
+}
+
+function limitWait(clock: Clock, attempt: Attempt, until: number): number {
+  return Math.max(0, Math.min(until, attempt.deadline) - clock.now());
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -27,7 +27,7 @@
 } from "./plain-services.ts";
 export {
   END_INDEX,
-  type TokenEvent,
+  type TokenBlock,
   TokenFormatError,
   TokenSplitter,
 } from "./token-events.ts";
--- a/packages/platform/src/token-events.ts
+++ b/packages/platform/src/token-events.ts
@@ -5,20 +5,27 @@
  */
 import { Buffer } from "node:buffer";
 
-/** One event of an engine's stream. */
-export interface TokenEvent {
-  /** Index of the token; -1 for the event that ends the stream. */
-  readonly index: number;
-  /** The event's bytes as they came, with the empty line at the end. */
-  readonly bytes: Uint8Array;
-}
-
 /** Index of the event that ends a stream. */
 export const END_INDEX = -1;
 
-const SEPARATOR = "\n\n";
+/**
+ * Events that one chunk completes: their bytes in one piece as they came, so
+ * that they can be forwarded with one write.
+ */
+export interface TokenBlock {
+  readonly bytes: Buffer;
+  /** Index of each token; `END_INDEX` for the event that ends the stream. */
+  readonly indices: readonly number[];
+  /** Position after each event, with its empty line. */
+  readonly ends: readonly number[];
+}
+
+/** Bytes of an event; an engine that sends more does not follow the format. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+const SEPARATOR = Buffer.from("\n\n");
 const ID_PREFIX = Buffer.from("id: ");
 const END_PREFIX = Buffer.from("data: [DONE]");
+const LINE_FEED = 0x0a;
 const DIGIT_ZERO = 0x30;
 const DIGIT_NINE = 0x39;
 
@@ -32,58 +39,69 @@
   #rest: Buffer = Buffer.alloc(0);
 
   /** Returns the events that the chunk completes. */
-  push(chunk: Uint8Array): TokenEvent[] {
-    const arrived = Buffer.from(
-      chunk.buffer,
-      chunk.byteOffset,
-      chunk.byteLength,
-    );
-    const bytes = this.#rest.length === 0
-      ? arrived
-      : Buffer.concat([this.#rest, arrived]);
-    const events: TokenEvent[] = [];
+  push(chunk: Uint8Array): TokenBlock {
+    const bytes = this.#join(chunk);
+    const indices: number[] = [];
+    const ends: number[] = [];
+    // The separator may begin in the rest, so its last byte is searched again.
+    const searchFrom = Math.max(0, this.#rest.length - 1);
     let start = 0;
     for (
-      let end = bytes.indexOf(SEPARATOR);
+      let end = bytes.indexOf(SEPARATOR, searchFrom);
       end >= 0;
       end = bytes.indexOf(SEPARATOR, start)
     ) {
-      const next = end + SEPARATOR.length;
-      events.push(createEvent(bytes.subarray(start, next)));
-      start = next;
+      indices.push(readEventIndex(bytes, start, end));
+      start = end + SEPARATOR.length;
+      ends.push(start);
     }
     this.#rest = bytes.subarray(start);
-    return events;
+    if (this.#rest.length > MAX_EVENT_BYTES) {
+      throw new TokenFormatError("the event is too large");
+    }
+    return { bytes: bytes.subarray(0, start), indices, ends };
+  }
+
+  #join(chunk: Uint8Array): Buffer {
+    const arrived = Buffer.from(
+      chunk.buffer,
+      chunk.byteOffset,
+      chunk.byteLength,
+    );
+    return this.#rest.length === 0
+      ? arrived
+      : Buffer.concat([this.#rest, arrived]);
   }
 }
 
-function createEvent(bytes: Buffer): TokenEvent {
-  if (startsWith(bytes, END_PREFIX)) {
-    return { index: END_INDEX, bytes };
+function readEventIndex(bytes: Buffer, start: number, end: number): number {
+  if (hasPrefix(bytes, start, END_PREFIX)) {
+    return END_INDEX;
   }
-  if (!startsWith(bytes, ID_PREFIX)) {
+  if (!hasPrefix(bytes, start, ID_PREFIX)) {
     throw new TokenFormatError("expected an event that begins with its id");
   }
-  return { index: readIndex(bytes), bytes };
-}
-
-function startsWith(bytes: Buffer, prefix: Buffer): boolean {
-  return bytes.length >= prefix.length &&
-    bytes.compare(prefix, 0, prefix.length, 0, prefix.length) === 0;
-}
-
-function readIndex(bytes: Buffer): number {
   let index = 0;
-  let position = ID_PREFIX.length;
-  for (; position < bytes.length; position++) {
+  let position = start + ID_PREFIX.length;
+  for (; position < end; position++) {
     const digit = bytes[position]!;
     if (digit < DIGIT_ZERO || digit > DIGIT_NINE) {
       break;
     }
     index = index * 10 + digit - DIGIT_ZERO;
   }
-  if (position === ID_PREFIX.length) {
+  const hasDigits = position > start + ID_PREFIX.length;
+  if (!hasDigits || bytes[position] !== LINE_FEED) {
     throw new TokenFormatError("expected a number as the event's id");
   }
   return index;
 }
+
+function hasPrefix(bytes: Buffer, start: number, prefix: Buffer): boolean {
+  for (let offset = 0; offset < prefix.length; offset++) {
+    if (bytes[start + offset] !== prefix[offset]) {
+      return false;
+    }
+  }
+  return true;
+}
