Add ranked admission, fair queueing, limits, routing and their bench

Cause: admission was one bounded queue and routing two random choices; neither could be measured under load.

--- /dev/null
+++ b/bench/src/policy/fleet.ts
@@ -0,0 +1,325 @@
+/**
+ * Four nodes in front of sixteen groups on a manual clock.
+ *
+ * @module
+ */
+import { ManualClock, type Random, SeededRandom } from "@zinniahill/kernel";
+import {
+  Admission,
+  Capacity,
+  type Permit,
+  RetryBudget,
+  type RouteCandidate,
+  Routing,
+} from "@zinniahill/policy";
+import { type Rank, RANKS, type Rules } from "@zinniahill/schema";
+import { BenchEngine, type CacheEvent } from "./engine.ts";
+import { type BenchGate, FifoGate } from "./fifo-gate.ts";
+import type { BenchRequest, Recorder } from "./traffic.ts";
+
+/** What a run uses; a baseline switches one part off. */
+export interface Variant {
+  readonly admission: "ranked" | "fifo";
+  readonly yields: boolean;
+  readonly routing: "two-choices" | "random";
+  readonly affinity: boolean;
+  readonly ejection: boolean;
+  readonly budget: boolean;
+}
+
+/** Everything that is built. */
+export const FULL: Variant = {
+  admission: "ranked",
+  yields: true,
+  routing: "two-choices",
+  affinity: true,
+  ejection: true,
+  budget: true,
+};
+
+/** The size and the conditions of a run. */
+export interface FleetOptions {
+  readonly seed: number;
+  readonly rules: Rules;
+  readonly variant: Variant;
+  readonly clientMs: number;
+  readonly nodes?: number;
+  readonly groups?: number;
+  readonly cacheBlocks?: number;
+}
+
+interface Node {
+  readonly gate: BenchGate;
+  readonly capacity: Capacity;
+  readonly routing: Routing;
+  readonly budget: RetryBudget;
+  readonly dataCentre: string;
+  candidates: RouteCandidate[];
+}
+
+/** Nodes and groups of today's size. */
+export const NODES = 4;
+export const GROUPS = 16;
+const DATA_CENTRES = 3;
+const CROSS_MS = 0.5;
+const PROBE_INTERVAL_MS = 1000;
+const CACHE_EVENT_DELAY_MS = 2000;
+const CACHE_EVENT_LOSS = 0.1;
+const PROGRESS_DEADLINE_MS = 2000;
+const MAX_ATTEMPTS = 8;
+const DEFAULT_CACHE_BLOCKS = 4096;
+
+/** Runs requests from the caller to the engine and back. */
+export class Fleet {
+  readonly clock = new ManualClock();
+  readonly engines = new Map<string, BenchEngine>();
+  readonly nodes: Node[];
+  /** Attempts that reached an engine. */
+  attempts = 0;
+  /** Batch requests that gave their place to urgent work. */
+  yields = 0;
+  #options: FleetOptions;
+  #random: Random;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    this.#random = new SeededRandom(options.seed);
+    for (let index = 0; index < (options.groups ?? GROUPS); index++) {
+      const group = `g${index}`;
+      this.engines.set(
+        group,
+        new BenchEngine({
+          clock: this.clock,
+          cacheBlocks: options.cacheBlocks ?? DEFAULT_CACHE_BLOCKS,
+          onCacheEvent: (event) => this.#onCacheEvent(group, event),
+        }),
+      );
+    }
+    const count = options.nodes ?? NODES;
+    this.nodes = Array.from({ length: count }, (_, index) => {
+      const node = this.#createNode(index);
+      this.#probe(node);
+      return node;
+    });
+  }
+
+  /** Requests that all nodes have in flight. */
+  get inFlight(): number {
+    return this.nodes.reduce((sum, { gate }) => sum + gate.inFlight, 0);
+  }
+
+  /** Carries one request; records what the caller sees. */
+  async serve(
+    request: BenchRequest,
+    recorder: Recorder,
+    nodeIndex: number,
+  ): Promise<void> {
+    const { clock } = this;
+    const startedAt = clock.now();
+    const node = this.nodes[nodeIndex]!;
+    await clock.sleep(this.#options.clientMs);
+    const signal = new AbortController().signal;
+    const admitted = await node.gate.admit({
+      account: request.account,
+      rank: request.rank,
+      tokens: request.maxTokens,
+    }, signal);
+    if (admitted.isErr) {
+      recorder.onRefused(request, clock.now() - startedAt);
+      return;
+    }
+    let permit: Permit = admitted.value;
+    node.budget.noteFirst(request.rank);
+    let served = 0;
+    let lastAt = startedAt;
+    const excluded = new Set<string>();
+    const onToken = () => {
+      const seenAt = clock.now() + this.#options.clientMs;
+      if (served === 0) {
+        recorder.onFirstToken(request, seenAt - startedAt);
+      } else {
+        recorder.onGap(request, seenAt - lastAt);
+      }
+      permit.noteFirstToken();
+      served++;
+      lastAt = seenAt;
+      recorder.onToken(request);
+    };
+    for (let attempt = 1; served < request.tokens; attempt++) {
+      const remaining = request.tokens - served;
+      const end = await this.#attempt(
+        node,
+        request,
+        permit,
+        remaining,
+        excluded,
+        onToken,
+      );
+      if (end === "yielded") {
+        this.yields++;
+        const again = await permit.resume(signal);
+        permit.release(served);
+        if (again.isErr) {
+          recorder.onBroken(request);
+          return;
+        }
+        permit = again.value;
+      } else if (end === "failed" && !this.#mayRetry(node, request, attempt)) {
+        permit.release(served);
+        recorder.onBroken(request);
+        return;
+      }
+    }
+    permit.release(served);
+    recorder.onServed(request, clock.now() - startedAt);
+  }
+
+  /** One attempt on one group, until it ends, yields or makes no progress. */
+  #attempt(
+    node: Node,
+    request: BenchRequest,
+    permit: Permit,
+    tokens: number,
+    excluded: Set<string>,
+    onToken: () => void,
+  ): Promise<"done" | "yielded" | "failed"> {
+    const group = this.#choose(node, request, excluded);
+    const engine = this.engines.get(group)!;
+    const crossMs = this.#countCrossings(node, group);
+    this.attempts++;
+    node.routing.begin(group);
+    return new Promise((resolve) => {
+      const startedAt = this.clock.now();
+      let firstAt: number | undefined;
+      let seen = 0;
+      let cancelDeadline = () => {};
+      const finish = (end: "done" | "yielded" | "failed") => {
+        cancelDeadline();
+        permit.yielded.removeEventListener("abort", onYield);
+        const gaps = Math.max(1, seen - 1);
+        const gap = (this.clock.now() - (firstAt ?? startedAt)) / gaps;
+        const isMeasured = seen > 1 || end === "failed";
+        node.routing.end(group, isMeasured ? { tokenGapMs: gap } : undefined);
+        resolve(end);
+      };
+      const onYield = () => {
+        if (this.#options.variant.yields) {
+          engine.cancel(job);
+          finish("yielded");
+        }
+      };
+      const expectProgress = () => {
+        cancelDeadline();
+        cancelDeadline = this.clock.schedule(PROGRESS_DEADLINE_MS, () => {
+          // A caller that goes away does not remove its work from an engine
+          // that has stalled, so the job stays there.
+          excluded.add(group);
+          job.onToken = () => {};
+          job.onEnd = () => {};
+          finish("failed");
+        });
+      };
+      const job = {
+        priority: this.#getPriority(request.rank),
+        prefix: request.prefix,
+        tokensLeft: tokens,
+        onToken: () => {
+          firstAt ??= this.clock.now() + crossMs;
+          seen++;
+          expectProgress();
+          onToken();
+        },
+        onEnd: () => finish("done"),
+      };
+      permit.yielded.addEventListener("abort", onYield, { once: true });
+      expectProgress();
+      engine.submit(job);
+    });
+  }
+
+  #getPriority(rank: Rank): number {
+    return this.#options.variant.admission === "fifo" ? 0 : RANKS.indexOf(rank);
+  }
+
+  #mayRetry(node: Node, request: BenchRequest, attempt: number): boolean {
+    return attempt < MAX_ATTEMPTS &&
+      (!this.#options.variant.budget || node.budget.tryTake(request.rank));
+  }
+
+  #choose(
+    node: Node,
+    request: BenchRequest,
+    excluded: ReadonlySet<string>,
+  ): string {
+    const { variant } = this.#options;
+    const { candidates } = node;
+    if (variant.routing === "random") {
+      return candidates[this.#random.below(candidates.length)]!.group;
+    }
+    const now = this.clock.now();
+    const aged = candidates.map((candidate) => ({
+      ...candidate,
+      reportAgeMs: now - this.engines.get(candidate.group)!.report.at,
+    }));
+    const route = {
+      dataCentre: node.dataCentre,
+      excluded,
+      ...(variant.affinity ? { prefix: request.prefix } : {}),
+    };
+    const chosen = node.routing.choose(route, aged) ??
+      node.routing.choose({ ...route, excluded: new Set() }, aged);
+    return chosen!.group;
+  }
+
+  #createNode(index: number): Node {
+    const capacity = new Capacity();
+    const { rules, variant } = this.#options;
+    const readLimit = () => capacity.limit;
+    const gate = variant.admission === "fifo"
+      ? new FifoGate(this.clock, readLimit)
+      : new Admission({
+        clock: this.clock,
+        rules: () => rules,
+        capacity: readLimit,
+      });
+    return {
+      gate,
+      capacity,
+      routing: new Routing(this.clock, this.#random),
+      budget: new RetryBudget((rank) => rules.ranks[rank], this.#random),
+      dataCentre: `dc-${index % DATA_CENTRES}`,
+      candidates: [],
+    };
+  }
+
+  #probe(node: Node): void {
+    const reports = [...this.engines].map(([group, { report }]) => ({
+      group,
+      ...report,
+    }));
+    node.capacity.observe(reports, this.nodes?.length ?? 1, node.gate.inFlight);
+    node.candidates = reports.map(({ group, running, waiting, at }, index) => ({
+      group,
+      dataCentre: `dc-${index % DATA_CENTRES}`,
+      reportedLoad: running + waiting,
+      reportAgeMs: this.clock.now() - at,
+    }));
+    this.clock.schedule(PROBE_INTERVAL_MS, () => this.#probe(node));
+  }
+
+  #countCrossings(node: Node, group: string): number {
+    const index = Number(group.slice(1));
+    return node.dataCentre === `dc-${index % DATA_CENTRES}` ? 0 : CROSS_MS;
+  }
+
+  #onCacheEvent(group: string, event: CacheEvent): void {
+    if (this.#random.fraction() < CACHE_EVENT_LOSS) {
+      return;
+    }
+    this.clock.schedule(CACHE_EVENT_DELAY_MS, () => {
+      for (const { routing } of this.nodes) {
+        routing.prefixes.correct(group, event);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/bench/src/policy/output.ts
@@ -0,0 +1,58 @@
+/**
+ * Figures of the bench, one JSON object a line.
+ *
+ * @module
+ */
+import { build, type Histogram } from "hdr-histogram-js";
+
+const UNITS_PER_MS = 10;
+const MAX_MS = 600_000;
+
+/** Times in milliseconds with a resolution of 0.1 ms. */
+export class Times {
+  #histogram: Histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: MAX_MS * UNITS_PER_MS,
+    numberOfSignificantValueDigits: 3,
+  });
+
+  get count(): number {
+    return this.#histogram.totalCount;
+  }
+
+  record(ms: number): void {
+    this.#histogram.recordValue(Math.max(1, Math.round(ms * UNITS_PER_MS)));
+  }
+
+  at(percentile: number): number {
+    return this.#histogram.getValueAtPercentile(percentile) / UNITS_PER_MS;
+  }
+}
+
+/** One measured figure beside its baseline. */
+export interface Figure {
+  readonly name: string;
+  readonly value: number;
+  readonly unit: string;
+  readonly baseline?: number;
+  readonly seed: number;
+}
+
+/** Prints one figure. */
+export function emit({ name, value, unit, baseline, seed }: Figure): void {
+  const ratio = baseline === undefined || baseline === 0
+    ? null
+    : round(value / baseline);
+  console.log(JSON.stringify({
+    name,
+    value: round(value),
+    unit,
+    baseline: baseline === undefined ? null : round(baseline),
+    ratio,
+    seed,
+  }));
+}
+
+function round(value: number): number {
+  return Number(value.toPrecision(4));
+}
--- a/packages/node/src/serving/gate.ts
+++ b/packages/node/src/serving/gate.ts
@@ -20,7 +20,11 @@
   constructor(kernel: NodeKernel) {
     const state = kernel.find("state");
     const { streams } = kernel.find("settings").limits;
-    this.#admission = new Admission(() => state.rules, () => streams);
+    this.#admission = new Admission({
+      clock: kernel.find("clock"),
+      rules: () => state.rules,
+      capacity: () => streams,
+    });
   }
 
   /** The number of requests that hold a place. */
--- a/packages/node/src/serving/router.ts
+++ b/packages/node/src/serving/router.ts
@@ -18,7 +18,10 @@
   constructor(kernel: NodeKernel) {
     this.#evidence = kernel.find("evidence");
     this.#dataCentre = kernel.find("settings").node["data-centre"];
-    this.#routing = new Routing(kernel.find("random"));
+    this.#routing = new Routing(
+      kernel.find("clock"),
+      kernel.find("random"),
+    );
   }
 
   /** Chooses a servable group of a model. */
@@ -31,6 +34,7 @@
       group: group.group,
       dataCentre: group.dataCentre,
       reportedLoad: this.#readLoad(group),
+      reportAgeMs: 0,
     }));
     const request = { dataCentre: this.#dataCentre, excluded };
     const chosen = this.#routing.choose(request, candidates);
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -3,9 +3,12 @@
  *
  * @module
  */
-import { Condition } from "@zinniahill/kernel";
+import type { Clock } from "@zinniahill/kernel";
 import { type Rank, RANKS, Refusal, type Rules } from "@zinniahill/schema";
 import { Result } from "true-myth";
+import { FairQueue } from "./fair-queue.ts";
+import { FirstTokenControl } from "./first-token-control.ts";
+import { ServiceRate } from "./service-rate.ts";
 
 /** What admission needs to know of a request. */
 export interface AdmissionRequest {
@@ -17,102 +20,334 @@
 
 /** A place that a request holds until it ends. */
 export interface Permit {
+  /**
+   * Aborts when a batch request is to give its place to urgent work. The
+   * holder cancels it on the engine, then calls `resume`.
+   */
+  readonly yielded: AbortSignal;
+  /** Waits for a place again after a yield, ahead of nobody else's turn. */
+  resume(signal: AbortSignal): Promise<Result<Permit, Refusal>>;
+  /** Says that the first token of an attempt has come. */
+  noteFirstToken(): void;
   /** Gives the place back and says how many tokens were served. */
   release(tokens: number): void;
 }
 
+/** What admission depends on. */
+export interface AdmissionOptions {
+  readonly clock: Clock;
+  readonly rules: () => Rules | undefined;
+  /** Requests that may be in flight. */
+  readonly capacity: () => number;
+}
+
 interface Waiter {
-  readonly request: AdmissionRequest;
-  isAdmitted: boolean;
+  readonly account: string;
+  readonly rank: Rank;
+  readonly cost: number;
+  readonly weight: number;
+  readonly expiresAt: number;
+  readonly yields: number;
+  readonly settle: (result: Result<Permit, Refusal>) => void;
+  readonly verdict: Refusal["verdict"];
 }
 
-const RETRY_AFTER_MS = 1000;
+interface Place {
+  readonly waiter: Waiter;
+  readonly admittedAt: number;
+  readonly yielding: AbortController;
+  isHeld: boolean;
+  isFirstTokenSeen: boolean;
+}
+
+const MIN_RETRY_AFTER_MS = 1000;
+const MAX_RETRY_AFTER_MS = 30_000;
+/** A request that was cancelled this often keeps its place until it ends. */
+const MAX_YIELDS = 2;
 
-/** Admits requests by rank, as long as capacity is free. */
+/** Admits requests by rank and by client account while capacity is free. */
 export class Admission {
-  #rules: () => Rules | undefined;
-  #capacity: () => number;
-  #inFlight = 0;
-  #queues: Record<Rank, Waiter[]> = { urgent: [], normal: [], batch: [] };
-  #changed = new Condition();
+  #options: AdmissionOptions;
+  #queues = createTable(() => new FairQueue<Waiter>());
+  #waiting = createTable(() => new Set<Waiter>());
+  #rates: Record<Rank, ServiceRate>;
+  #inFlight = createTable(() => 0);
+  #running = new Set<Place>();
+  #control: FirstTokenControl;
+  #cancelExpiry: (() => void) | undefined;
 
-  constructor(rules: () => Rules | undefined, capacity: () => number) {
-    this.#rules = rules;
-    this.#capacity = capacity;
+  constructor(options: AdmissionOptions) {
+    this.#options = options;
+    this.#rates = createTable(() => new ServiceRate(options.clock));
+    this.#control = new FirstTokenControl(options.clock);
   }
 
   /** The number of requests that hold a place. */
   get inFlight(): number {
-    return this.#inFlight;
+    return RANKS.reduce((sum, rank) => sum + this.#inFlight[rank], 0);
+  }
+
+  /** Requests that may be in flight now. */
+  get limit(): number {
+    return Math.max(
+      1,
+      Math.floor(this.#options.capacity() * this.#control.factor),
+    );
+  }
+
+  /** The number of requests of a rank that wait. */
+  countWaiting(rank: Rank): number {
+    return this.#queues[rank].size;
   }
 
   /** Waits for a place; refuses at once when the wait would be too long. */
-  async admit(
+  admit(
     request: AdmissionRequest,
     signal: AbortSignal,
   ): Promise<Result<Permit, Refusal>> {
-    const rules = this.#rules();
+    const rules = this.#options.rules();
     if (rules === undefined) {
-      return Result.err(
+      return Promise.resolve(Result.err(
         new Refusal("no-configuration", "not-run", "no configuration is known"),
-      );
+      ));
     }
-    const queue = this.#queues[request.rank];
-    if (queue.length >= this.#capacity()) {
-      return Result.err(
-        new Refusal(
-          "overloaded",
-          "not-run",
-          `too many ${request.rank} requests wait`,
-          RETRY_AFTER_MS,
-        ),
-      );
+    const weight = rules.accounts.get(request.account)?.weight ?? 1;
+    const target = rules.ranks[request.rank]["first-token"];
+    const budget = target - this.#control.getTypicalMs(request.rank);
+    const expected = this.#estimateWaitMs(request, weight);
+    if (expected > budget) {
+      return Promise.resolve(Result.err(createOverload(
+        request.rank,
+        expected,
+        "not-run",
+      )));
     }
-    const waiter: Waiter = { request, isAdmitted: false };
-    queue.push(waiter);
-    this.#admitWaiting();
-    try {
-      await this.#changed.until(() => waiter.isAdmitted, signal);
-    } catch {
-      this.#leave(waiter);
-      return Result.err(
-        new Refusal("deadline", "not-run", "no place in time", RETRY_AFTER_MS),
-      );
+    return this.#wait(request, weight, budget, 0, signal);
+  }
+
+  #wait(
+    request: AdmissionRequest,
+    weight: number,
+    budget: number,
+    yields: number,
+    signal: AbortSignal,
+  ): Promise<Result<Permit, Refusal>> {
+    const { account, rank, tokens } = request;
+    const expiresAt = this.#options.clock.now() + budget;
+    const verdict = yields > 0 ? "may-have-run" : "not-run";
+    return new Promise((resolve) => {
+      const onAbort = () => {
+        this.#remove(waiter);
+        settle(
+          Result.err(
+            new Refusal("deadline", verdict, "the caller has gone"),
+          ),
+        );
+      };
+      const settle = (result: Result<Permit, Refusal>) => {
+        signal.removeEventListener("abort", onAbort);
+        resolve(result);
+      };
+      const waiter: Waiter = {
+        account,
+        rank,
+        cost: tokens,
+        weight,
+        expiresAt,
+        yields,
+        settle,
+        verdict,
+      };
+      if (signal.aborted) {
+        onAbort();
+        return;
+      }
+      signal.addEventListener("abort", onAbort, { once: true });
+      this.#queues[rank].add(waiter, weight);
+      this.#waiting[rank].add(waiter);
+      this.#admitWaiting();
+    });
+  }
+
+  /** The wait that a new request of an account has to expect. */
+  #estimateWaitMs(request: AdmissionRequest, weight: number): number {
+    const { account, rank, tokens } = request;
+    const queue = this.#queues[rank];
+    if (queue.size === 0 && this.inFlight < this.limit) {
+      return 0;
+    }
+    const ahead = queue.countAhead(account, weight);
+    return (ahead + tokens) / this.#rates[rank].tokensPerMs;
+  }
+
+  #admitWaiting(): void {
+    const rules = this.#options.rules();
+    if (rules === undefined) {
+      return;
+    }
+    const limit = this.limit;
+    for (;;) {
+      const rank = this.#findNextRank(rules, limit);
+      if (rank === undefined) {
+        break;
+      }
+      if (this.inFlight >= limit && !this.#yieldPlace(rank, rules, limit)) {
+        break;
+      }
+      this.#start(this.#queues[rank].take()!);
+    }
+    for (const rank of RANKS) {
+      this.#rates[rank].setBacklogged(this.#queues[rank].size > 0);
     }
-    return Result.ok(this.#createPermit());
+    this.#scheduleExpiry();
   }
 
-  #createPermit(): Permit {
-    let isHeld = true;
+  /** A rank below its floor goes first; then the rank of the highest worth. */
+  #findNextRank(rules: Rules, limit: number): Rank | undefined {
+    const waiting = RANKS.filter((rank) => this.#queues[rank].size > 0);
+    const isBelowFloor = (rank: Rank) =>
+      this.#inFlight[rank] < Math.ceil(rules.ranks[rank].floor * limit);
+    const below = waiting.find(isBelowFloor);
+    return below ?? waiting.reduce<Rank | undefined>(
+      (best, rank) =>
+        best === undefined || rules.ranks[rank].worth > rules.ranks[best].worth
+          ? rank
+          : best,
+      undefined,
+    );
+  }
+
+  /** Takes the place of the youngest batch request above batch's floor. */
+  #yieldPlace(rank: Rank, rules: Rules, limit: number): boolean {
+    const kept = Math.ceil(rules.ranks.batch.floor * limit);
+    if (rank !== "urgent" || this.#inFlight.batch <= kept) {
+      return false;
+    }
+    const place = [...this.#running].findLast(({ waiter }) =>
+      waiter.rank === "batch" && waiter.yields < MAX_YIELDS
+    );
+    if (place === undefined) {
+      return false;
+    }
+    this.#end(place);
+    place.yielding.abort();
+    return true;
+  }
+
+  #start(waiter: Waiter): void {
+    const { rank } = waiter;
+    this.#waiting[rank].delete(waiter);
+    this.#inFlight[rank]++;
+    this.#rates[rank].note(waiter.cost);
+    const place: Place = {
+      waiter,
+      admittedAt: this.#options.clock.now(),
+      yielding: new AbortController(),
+      isHeld: true,
+      isFirstTokenSeen: false,
+    };
+    this.#running.add(place);
+    waiter.settle(Result.ok(this.#createPermit(place)));
+  }
+
+  #createPermit(place: Place): Permit {
+    const { waiter } = place;
     return {
-      release: (_tokens) => {
-        if (isHeld) {
-          isHeld = false;
-          this.#inFlight--;
+      yielded: place.yielding.signal,
+      resume: (signal) => this.#resume(place, signal),
+      noteFirstToken: () => {
+        if (place.isHeld && !place.isFirstTokenSeen) {
+          place.isFirstTokenSeen = true;
+          const waited = this.#options.clock.now() - place.admittedAt;
+          this.#control.note(waiter.rank, waited);
+        }
+      },
+      release: (tokens) => {
+        if (place.isHeld) {
+          this.#end(place);
           this.#admitWaiting();
         }
+        this.#queues[waiter.rank].end(waiter, tokens);
       },
     };
   }
 
-  #leave(waiter: Waiter): void {
-    if (waiter.isAdmitted) {
-      this.#inFlight--;
-      this.#admitWaiting();
-      return;
+  #resume(
+    place: Place,
+    signal: AbortSignal,
+  ): Promise<Result<Permit, Refusal>> {
+    const { account, rank, cost, weight, yields } = place.waiter;
+    const budget = this.#options.rules()?.ranks[rank]["first-token"] ?? 0;
+    return this.#wait(
+      { account, rank, tokens: cost },
+      weight,
+      budget,
+      yields + 1,
+      signal,
+    );
+  }
+
+  #end(place: Place): void {
+    place.isHeld = false;
+    this.#inFlight[place.waiter.rank]--;
+    this.#running.delete(place);
+  }
+
+  #remove(waiter: Waiter): void {
+    this.#waiting[waiter.rank].delete(waiter);
+    this.#queues[waiter.rank].remove(waiter);
+  }
+
+  /** One timer serves all waiters: those of a rank expire in arrival order. */
+  #scheduleExpiry(): void {
+    this.#cancelExpiry?.();
+    this.#cancelExpiry = undefined;
+    const { clock } = this.#options;
+    let next = Infinity;
+    for (const rank of RANKS) {
+      const [first] = this.#waiting[rank];
+      next = Math.min(next, first?.expiresAt ?? Infinity);
+    }
+    if (next < Infinity) {
+      const delay = Math.max(0, next - clock.now());
+      this.#cancelExpiry = clock.schedule(delay, () => this.#expire());
     }
-    const queue = this.#queues[waiter.request.rank];
-    queue.splice(queue.indexOf(waiter), 1);
   }
 
-  #admitWaiting(): void {
+  #expire(): void {
+    const now = this.#options.clock.now();
     for (const rank of RANKS) {
-      const queue = this.#queues[rank];
-      while (queue.length > 0 && this.#inFlight < this.#capacity()) {
-        queue.shift()!.isAdmitted = true;
-        this.#inFlight++;
+      for (const waiter of this.#waiting[rank]) {
+        if (waiter.expiresAt > now) {
+          break;
+        }
+        this.#remove(waiter);
+        waiter.settle(
+          Result.err(createOverload(rank, 0, waiter.verdict)),
+        );
       }
     }
-    this.#changed.notify();
+    this.#admitWaiting();
   }
 }
+
+function createTable<Value>(create: () => Value): Record<Rank, Value> {
+  return { urgent: create(), normal: create(), batch: create() };
+}
+
+function createOverload(
+  rank: Rank,
+  expectedMs: number,
+  verdict: Refusal["verdict"],
+): Refusal {
+  const retryAfterMs = Math.min(
+    MAX_RETRY_AFTER_MS,
+    Math.max(MIN_RETRY_AFTER_MS, Math.ceil(expectedMs)),
+  );
+  return new Refusal(
+    "overloaded",
+    verdict,
+    `the wait for ${rank} requests is past the rank's target`,
+    retryAfterMs,
+  );
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,8 +3,23 @@
  *
  * @module
  */
-export { Admission, type AdmissionRequest, type Permit } from "./admission.ts";
+export { AccountLimits, type AccountUsage } from "./account-limits.ts";
+export {
+  Admission,
+  type AdmissionOptions,
+  type AdmissionRequest,
+  type Permit,
+} from "./admission.ts";
 export { CallReducer, type RememberedCall } from "./call-reducer.ts";
+export { Capacity, type GroupReport } from "./capacity.ts";
 export { ControlReducer, type Decision } from "./control-reducer.ts";
+export { FairQueue, type QueuedItem } from "./fair-queue.ts";
 export { type PlacedGroup, placeGroup } from "./placement.ts";
-export { type RouteCandidate, type RouteRequest, Routing } from "./routing.ts";
+export { PrefixIndex } from "./prefix-index.ts";
+export { RetryBudget } from "./retry-budget.ts";
+export {
+  type AttemptMeasure,
+  type RouteCandidate,
+  type RouteRequest,
+  Routing,
+} from "./routing.ts";
--- a/packages/policy/src/routing.ts
+++ b/packages/policy/src/routing.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
-import type { Random } from "@zinniahill/kernel";
+import type { Clock, Random } from "@zinniahill/kernel";
+import { GroupSpeeds } from "./group-speeds.ts";
+import { PrefixIndex } from "./prefix-index.ts";
 
 /** A group that may be chosen. */
 export interface RouteCandidate {
@@ -11,6 +13,8 @@
   readonly dataCentre: string;
   /** Requests in flight at the group, as its last report says. */
   readonly reportedLoad: number;
+  /** How old that report is. */
+  readonly reportAgeMs: number;
 }
 
 /** What routing needs to know of a request. */
@@ -18,15 +22,40 @@
   readonly dataCentre: string;
   /** Groups that have failed this request. */
   readonly excluded: ReadonlySet<string>;
+  /** Hashes of growing prefixes of the prompt, the shortest first. */
+  readonly prefix?: readonly string[];
 }
 
+/** What was measured on one attempt. */
+export interface AttemptMeasure {
+  /** Mean time between two tokens. */
+  readonly tokenGapMs: number;
+}
+
+/** A report loses half of its weight in this time. */
+const REPORT_HALF_LIFE_MS = 1000;
+/** A group with the prefix may have this much more load than the mean. */
+const AFFINITY_LOAD_FACTOR = 1.25;
+/** Load that affinity may add when groups are almost idle. */
+const AFFINITY_SLACK = 2;
+/** A new group gets its full part after this time. */
+const SLOW_START_MS = 10_000;
+const SLOW_START_SHARE = 0.1;
+
 /** Chooses groups and counts the work that this node has given them. */
 export class Routing {
+  /** Prefixes that groups are thought to hold in their caches. */
+  readonly prefixes = new PrefixIndex();
+  #clock: Clock;
   #random: Random;
+  #speeds: GroupSpeeds;
   #outstanding = new Map<string, number>();
+  #firstSeenAt = new Map<string, number>();
 
-  constructor(random: Random) {
+  constructor(clock: Clock, random: Random) {
+    this.#clock = clock;
     this.#random = random;
+    this.#speeds = new GroupSpeeds(clock);
   }
 
   /** Requests of this node that run on a group. */
@@ -39,13 +68,19 @@
     request: RouteRequest,
     candidates: readonly RouteCandidate[],
   ): RouteCandidate | undefined {
-    const allowed = candidates.filter(({ group }) =>
-      !request.excluded.has(group)
-    );
+    const allowed = request.excluded.size === 0
+      ? candidates
+      : candidates.filter(({ group }) => !request.excluded.has(group));
     const near = allowed.filter(({ dataCentre }) =>
       dataCentre === request.dataCentre
     );
-    return this.#chooseOfTwo(near.length > 0 ? near : allowed);
+    const usable = this.#speeds.filter(near.length > 0 ? near : allowed);
+    const chosen = this.#chooseByPrefix(request.prefix ?? [], usable) ??
+      this.#chooseOfTwo(usable);
+    if (chosen !== undefined && request.prefix !== undefined) {
+      this.prefixes.note(chosen.group, request.prefix);
+    }
+    return chosen;
   }
 
   /** Counts a request that begins on a group. */
@@ -54,13 +89,52 @@
   }
 
   /** Counts a request that ends on a group. */
-  end(group: string): void {
+  end(group: string, measure?: AttemptMeasure): void {
     const count = this.countOutstanding(group) - 1;
     if (count > 0) {
       this.#outstanding.set(group, count);
     } else {
       this.#outstanding.delete(group);
     }
+    if (measure !== undefined) {
+      this.#speeds.note(group, measure.tokenGapMs);
+    }
+  }
+
+  /** Forgets groups that exist no longer. */
+  retain(groups: ReadonlySet<string>): void {
+    for (const group of this.#firstSeenAt.keys()) {
+      if (!groups.has(group)) {
+        this.#firstSeenAt.delete(group);
+        this.#speeds.forget(group);
+        this.prefixes.forget(group);
+      }
+    }
+  }
+
+  #chooseByPrefix(
+    prefix: readonly string[],
+    candidates: readonly RouteCandidate[],
+  ): RouteCandidate | undefined {
+    if (prefix.length === 0 || candidates.length < 2) {
+      return undefined;
+    }
+    let best: RouteCandidate | undefined;
+    let bestLength = 0;
+    let load = 0;
+    for (const candidate of candidates) {
+      load += this.#countLoad(candidate);
+      const length = this.prefixes.match(candidate.group, prefix);
+      if (length > bestLength) {
+        best = candidate;
+        bestLength = length;
+      }
+    }
+    const bound = load / candidates.length * AFFINITY_LOAD_FACTOR +
+      AFFINITY_SLACK;
+    return best !== undefined && this.#countLoad(best) <= bound
+      ? best
+      : undefined;
   }
 
   #chooseOfTwo(
@@ -69,12 +143,29 @@
     if (candidates.length < 2) {
       return candidates[0];
     }
-    const first = candidates[this.#random.below(candidates.length)]!;
-    const second = candidates[this.#random.below(candidates.length)]!;
+    const index = this.#random.below(candidates.length);
+    const step = 1 + this.#random.below(candidates.length - 1);
+    const first = candidates[index]!;
+    const second = candidates[(index + step) % candidates.length]!;
     return this.#countLoad(second) < this.#countLoad(first) ? second : first;
   }
 
-  #countLoad({ group, reportedLoad }: RouteCandidate): number {
-    return Math.max(this.countOutstanding(group), reportedLoad);
+  /** Own work, and the work of others as far as the report is fresh. */
+  #countLoad(candidate: RouteCandidate): number {
+    const own = this.countOutstanding(candidate.group);
+    const others = Math.max(0, candidate.reportedLoad - own);
+    const weight = 0.5 ** (candidate.reportAgeMs / REPORT_HALF_LIFE_MS);
+    return (own + others * weight + 1) / this.#getStartShare(candidate.group);
+  }
+
+  #getStartShare(group: string): number {
+    const now = this.#clock.now();
+    const firstSeenAt = this.#firstSeenAt.get(group);
+    if (firstSeenAt === undefined) {
+      this.#firstSeenAt.set(group, now);
+      return SLOW_START_SHARE;
+    }
+    const share = (now - firstSeenAt) / SLOW_START_MS;
+    return Math.min(1, Math.max(SLOW_START_SHARE, share));
   }
 }
