Prefer groups of the same data centre only up to a load bound

Cause: with 4 nodes in 3 data centres, the groups of the data centre with two nodes had a queue while others had free slots, so random routing did better. Ruled out: choosing among all groups only, which gives up the shorter path.

--- a/packages/policy/src/routing.ts
+++ b/packages/policy/src/routing.ts
@@ -34,10 +34,10 @@
 
 /** A report loses half of its weight in this time. */
 const REPORT_HALF_LIFE_MS = 1000;
-/** A group with the prefix may have this much more load than the mean. */
-const AFFINITY_LOAD_FACTOR = 1.25;
-/** Load that affinity may add when groups are almost idle. */
-const AFFINITY_SLACK = 2;
+/** A preferred group may have this much more load than the mean. */
+const PREFERENCE_LOAD_FACTOR = 1.25;
+/** Load that a preference may add when groups are almost idle. */
+const PREFERENCE_SLACK = 2;
 /** A new group gets its full part after this time. */
 const SLOW_START_MS = 10_000;
 const SLOW_START_SHARE = 0.1;
@@ -71,11 +71,10 @@
     const allowed = request.excluded.size === 0
       ? candidates
       : candidates.filter(({ group }) => !request.excluded.has(group));
-    const near = allowed.filter(({ dataCentre }) =>
-      dataCentre === request.dataCentre
-    );
-    const usable = this.#speeds.filter(near.length > 0 ? near : allowed);
-    const chosen = this.#chooseByPrefix(request.prefix ?? [], usable) ??
+    const usable = this.#speeds.filter(allowed);
+    const bound = this.#getLoadBound(usable);
+    const chosen = this.#chooseByPrefix(request.prefix ?? [], usable, bound) ??
+      this.#chooseNear(request.dataCentre, usable, bound) ??
       this.#chooseOfTwo(usable);
     if (chosen !== undefined && request.prefix !== undefined) {
       this.prefixes.note(chosen.group, request.prefix);
@@ -112,28 +111,44 @@
     }
   }
 
+  /** The load up to which a group may be preferred to others. */
+  #getLoadBound(candidates: readonly RouteCandidate[]): number {
+    const load = candidates.reduce(
+      (sum, candidate) => sum + this.#countLoad(candidate),
+      0,
+    );
+    return load / candidates.length * PREFERENCE_LOAD_FACTOR +
+      PREFERENCE_SLACK;
+  }
+
   #chooseByPrefix(
     prefix: readonly string[],
     candidates: readonly RouteCandidate[],
+    bound: number,
   ): RouteCandidate | undefined {
-    if (prefix.length === 0 || candidates.length < 2) {
-      return undefined;
-    }
     let best: RouteCandidate | undefined;
     let bestLength = 0;
-    let load = 0;
-    for (const candidate of candidates) {
-      load += this.#countLoad(candidate);
+    for (const candidate of prefix.length > 0 ? candidates : []) {
       const length = this.prefixes.match(candidate.group, prefix);
-      if (length > bestLength) {
+      if (length > bestLength && this.#countLoad(candidate) <= bound) {
         best = candidate;
         bestLength = length;
       }
     }
-    const bound = load / candidates.length * AFFINITY_LOAD_FACTOR +
-      AFFINITY_SLACK;
-    return best !== undefined && this.#countLoad(best) <= bound
-      ? best
+    return best;
+  }
+
+  /** Two choices in the data centre, unless both have too much work. */
+  #chooseNear(
+    dataCentre: string,
+    candidates: readonly RouteCandidate[],
+    bound: number,
+  ): RouteCandidate | undefined {
+    const near = this.#chooseOfTwo(
+      candidates.filter((candidate) => candidate.dataCentre === dataCentre),
+    );
+    return near !== undefined && this.#countLoad(near) <= bound
+      ? near
       : undefined;
   }
 
