Derive the rate that a rank can reach from the order of ranks

Cause: the rate was learned from the rank's own dispatches while it waited; after a burst it stayed too low and refused all, which kept it too low. Ruled out: this estimate as the only cause of the refusals in a flood of urgent, which remain at 99.99%. Conclusion: kept, as the estimate no longer depends on its own refusals.

--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -8,7 +8,7 @@
 import { Result } from "true-myth";
 import { FairQueue } from "./fair-queue.ts";
 import { FirstTokenControl } from "./first-token-control.ts";
-import { ServiceRate } from "./service-rate.ts";
+import { ServiceRates } from "./service-rates.ts";
 
 /** What admission needs to know of a request. */
 export interface AdmissionRequest {
@@ -70,7 +70,7 @@
   #options: AdmissionOptions;
   #queues = createTable(() => new FairQueue<Waiter>());
   #waiting = createTable(() => new Set<Waiter>());
-  #rates: Record<Rank, ServiceRate>;
+  #rates: ServiceRates;
   #inFlight = createTable(() => 0);
   #running = new Set<Place>();
   #control: FirstTokenControl;
@@ -78,7 +78,7 @@
 
   constructor(options: AdmissionOptions) {
     this.#options = options;
-    this.#rates = createTable(() => new ServiceRate(options.clock));
+    this.#rates = new ServiceRates(options.clock);
     this.#control = new FirstTokenControl(options.clock);
   }
 
@@ -114,7 +114,7 @@
     const weight = rules.accounts.get(request.account)?.weight ?? 1;
     const target = rules.ranks[request.rank]["first-token"];
     const budget = target - this.#control.getTypicalMs(request.rank);
-    const expected = this.#estimateWaitMs(request, weight);
+    const expected = this.#estimateWaitMs(request, weight, rules);
     if (expected > budget) {
       return Promise.resolve(Result.err(createOverload(
         request.rank,
@@ -170,14 +170,18 @@
   }
 
   /** The wait that a new request of an account has to expect. */
-  #estimateWaitMs(request: AdmissionRequest, weight: number): number {
+  #estimateWaitMs(
+    request: AdmissionRequest,
+    weight: number,
+    rules: Rules,
+  ): number {
     const { account, rank, tokens } = request;
     const queue = this.#queues[rank];
     if (queue.size === 0 && this.inFlight < this.limit) {
       return 0;
     }
     const ahead = queue.countAhead(account, weight);
-    return (ahead + tokens) / this.#rates[rank].tokensPerMs;
+    return (ahead + tokens) / this.#rates.getAttainable(rank, rules);
   }
 
   #admitWaiting(): void {
@@ -196,9 +200,7 @@
       }
       this.#start(this.#queues[rank].take()!);
     }
-    for (const rank of RANKS) {
-      this.#rates[rank].setBacklogged(this.#queues[rank].size > 0);
-    }
+    this.#rates.setFull(RANKS.some((rank) => this.#queues[rank].size > 0));
     this.#scheduleExpiry();
   }
 
@@ -238,7 +240,7 @@
     const { rank } = waiter;
     this.#waiting[rank].delete(waiter);
     this.#inFlight[rank]++;
-    this.#rates[rank].note(waiter.cost);
+    this.#rates.note(rank, waiter.cost);
     const place: Place = {
       waiter,
       admittedAt: this.#options.clock.now(),
