Leave part of the target for waiting whatever first tokens take

Cause: in a flood of urgent the first tokens of the first second were slower than the target, so every later request was refused and none was measured.

--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -60,6 +60,11 @@
   isFirstTokenSeen: boolean;
 }
 
+/**
+ * Part of the target that is always left for waiting. Without it, slow first
+ * tokens refuse every request, and no new sample can ever correct them.
+ */
+const MIN_WAIT_SHARE = 0.3;
 const MIN_RETRY_AFTER_MS = 1000;
 const MAX_RETRY_AFTER_MS = 30_000;
 /** A request that was cancelled this often keeps its place until it ends. */
@@ -113,7 +118,10 @@
     }
     const weight = rules.accounts.get(request.account)?.weight ?? 1;
     const target = rules.ranks[request.rank]["first-token"];
-    const budget = target - this.#control.getTypicalMs(request.rank);
+    const budget = Math.max(
+      target * MIN_WAIT_SHARE,
+      target - this.#control.getTypicalMs(request.rank),
+    );
     const expected = this.#estimateWaitMs(request, weight, rules);
     if (expected > budget) {
       return Promise.resolve(Result.err(createOverload(
