Give borrowed slots back when groups have queues

Cause: a node above its equal share kept that number for as long as it used it, so all nodes together had more in flight than the groups have slots.

--- a/packages/policy/src/capacity.ts
+++ b/packages/policy/src/capacity.ts
@@ -34,7 +34,8 @@
    * Takes the newest reports of the servable groups. A group with a queue shows
    * its exact number of slots. Above its equal share, a node may use an equal
    * part of the slots that nobody uses, so that all callers may sit on one node
-   * and yet no set of nodes takes more than is free.
+   * and yet no set of nodes takes more than is free. When groups have queues,
+   * the nodes above their equal share give the excess back.
    */
   observe(
     reports: readonly GroupReport[],
@@ -53,7 +54,7 @@
     this.#slots = slots;
     this.#total = total;
     const nodes = Math.max(1, liveNodes);
-    const free = Math.max(0, total - used);
+    const free = total - used;
     this.#limit = Math.max(1, total / nodes, inFlight + free / nodes);
   }
 
