Take own work off a report as of the time of the report

Cause: load was the larger of own work and the report, so what a node sent after a report did not count until it was more than the report, and bursts went to one group; random routing was better.

--- a/bench/src/policy/fleet.ts
+++ b/bench/src/policy/fleet.ts
@@ -259,18 +259,13 @@
     if (variant.routing === "random") {
       return candidates[this.#random.below(candidates.length)]!.group;
     }
-    const now = this.clock.now();
-    const aged = candidates.map((candidate) => ({
-      ...candidate,
-      reportAgeMs: now - this.engines.get(candidate.group)!.report.at,
-    }));
     const route = {
       dataCentre: node.dataCentre,
       excluded,
       ...(variant.affinity ? { prefix: request.prefix } : {}),
     };
-    const chosen = node.routing.choose(route, aged) ??
-      node.routing.choose({ ...route, excluded: new Set() }, aged);
+    const chosen = node.routing.choose(route, candidates) ??
+      node.routing.choose({ ...route, excluded: new Set() }, candidates);
     return chosen!.group;
   }
 
@@ -305,7 +300,7 @@
       group,
       dataCentre: `dc-${index % DATA_CENTRES}`,
       reportedLoad: running + waiting,
-      reportAgeMs: this.clock.now() - at,
+      reportedAt: at,
     }));
     this.clock.schedule(PROBE_INTERVAL_MS, () => this.#probe(node));
   }
--- a/packages/node/src/serving/router.ts
+++ b/packages/node/src/serving/router.ts
@@ -34,7 +34,7 @@
       group: group.group,
       dataCentre: group.dataCentre,
       reportedLoad: this.#readLoad(group),
-      reportAgeMs: 0,
+      reportedAt: 0,
     }));
     const request = { dataCentre: this.#dataCentre, excluded };
     const chosen = this.#routing.choose(request, candidates);
--- a/packages/policy/src/routing.ts
+++ b/packages/policy/src/routing.ts
@@ -13,8 +13,8 @@
   readonly dataCentre: string;
   /** Requests in flight at the group, as its last report says. */
   readonly reportedLoad: number;
-  /** How old that report is. */
-  readonly reportAgeMs: number;
+  /** When that report was made, on this node's clock. */
+  readonly reportedAt: number;
 }
 
 /** What routing needs to know of a request. */
@@ -51,6 +51,7 @@
   #speeds: GroupSpeeds;
   #outstanding = new Map<string, number>();
   #firstSeenAt = new Map<string, number>();
+  #reports = new Map<string, { reportedAt: number; others: number }>();
 
   constructor(clock: Clock, random: Random) {
     this.#clock = clock;
@@ -105,6 +106,7 @@
     for (const group of this.#firstSeenAt.keys()) {
       if (!groups.has(group)) {
         this.#firstSeenAt.delete(group);
+        this.#reports.delete(group);
         this.#speeds.forget(group);
         this.prefixes.forget(group);
       }
@@ -168,11 +170,27 @@
   /** Own work, and the work of others as far as the report is fresh. */
   #countLoad(candidate: RouteCandidate): number {
     const own = this.countOutstanding(candidate.group);
-    const others = Math.max(0, candidate.reportedLoad - own);
-    const weight = 0.5 ** (candidate.reportAgeMs / REPORT_HALF_LIFE_MS);
+    const others = this.#countOthers(candidate);
+    const age = this.#clock.now() - candidate.reportedAt;
+    const weight = 0.5 ** (age / REPORT_HALF_LIFE_MS);
     return (own + others * weight + 1) / this.#getStartShare(candidate.group);
   }
 
+  /**
+   * Work of others, as of the report. Own work is taken off as it was when the
+   * report came; taking off the present number would hide all that this node
+   * has sent since, and send a burst to one group.
+   */
+  #countOthers({ group, reportedLoad, reportedAt }: RouteCandidate): number {
+    const known = this.#reports.get(group);
+    if (known?.reportedAt === reportedAt) {
+      return known.others;
+    }
+    const others = Math.max(0, reportedLoad - this.countOutstanding(group));
+    this.#reports.set(group, { reportedAt, others });
+    return others;
+  }
+
   #getStartShare(group: string): number {
     const now = this.#clock.now();
     const firstSeenAt = this.#firstSeenAt.get(group);
