Count tokens of the warm-up where they are served

Cause: tokens of requests from before the recorded time were left out though they use capacity, so what a rank kept came out too low.

--- a/bench/src/policy/traffic.ts
+++ b/bench/src/policy/traffic.ts
@@ -65,9 +65,17 @@
   };
   readonly accounts = new Map<string, Seen>();
   #rules: Rules;
+  #tokenTarget: () => Recorder;
 
-  constructor(rules: Rules) {
+  /** Tokens count where `tokenTarget` says, which may change with time. */
+  constructor(rules: Rules, tokenTarget?: () => Recorder) {
     this.#rules = rules;
+    this.#tokenTarget = tokenTarget ?? (() => this);
+  }
+
+  /** Tokens of all ranks. */
+  get tokens(): number {
+    return RANKS.reduce((sum, rank) => sum + this.ranks[rank].tokens, 0);
   }
 
   /** Share of requests with a first token in time, weighted by worth. */
@@ -106,7 +114,7 @@
   }
 
   onToken(request: BenchRequest): void {
-    this.#each(request, (seen) => seen.tokens++);
+    this.#tokenTarget().#each(request, (seen) => seen.tokens++);
   }
 
   onBroken(request: BenchRequest): void {
@@ -133,7 +141,12 @@
   options: { seed: number; warmUpMs: number; durationMs: number },
 ): Promise<Recorder> {
   const recorder = new Recorder(rules);
-  const ignored = new Recorder(rules);
+  // Requests of the warm-up are not recorded, but their later tokens use
+  // capacity that the recorded ones do not have.
+  const ignored: Recorder = new Recorder(
+    rules,
+    () => fleet.clock.now() < options.warmUpMs ? ignored : recorder,
+  );
   const endMs = options.warmUpMs + options.durationMs;
   flows.forEach((flow, index) => {
     const random = new SeededRandom(options.seed * 1000 + index);
