Leave the deviation of first-token times out of the wait

Cause: the wait was allowed up to the target less the mean first-token time, so about a tenth of the admitted urgent work was late in floods of urgent.

--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -78,13 +78,12 @@
   #rates: ServiceRates;
   #inFlight = createTable(() => 0);
   #running = new Set<Place>();
-  #control: FirstTokenControl;
+  #control = new FirstTokenControl();
   #cancelExpiry: (() => void) | undefined;
 
   constructor(options: AdmissionOptions) {
     this.#options = options;
     this.#rates = new ServiceRates(options.clock);
-    this.#control = new FirstTokenControl(options.clock);
   }
 
   /** The number of requests that hold a place. */
--- a/packages/policy/src/first-token-control.ts
+++ b/packages/policy/src/first-token-control.ts
@@ -3,31 +3,41 @@
  *
  * @module
  */
-import type { Clock } from "@zinniahill/kernel";
 import type { Rank } from "@zinniahill/schema";
 
-/** Weight of a new sample in the typical time. */
+/** Weight of a new sample in the mean and in the deviation. */
 const SMOOTHING = 0.1;
+/** Deviations above the mean that cover about 95 in 100 samples. */
+const DEVIATIONS = 2;
+
+interface Typical {
+  meanMs: number;
+  deviationMs: number;
+}
 
 /** Time between dispatch and first token, by rank. */
 export class FirstTokenControl {
-  #typicalMs = new Map<Rank, number>();
-
-  constructor(_clock: Clock) {}
+  #typical = new Map<Rank, Typical>();
 
   /** Multiplies the capacity of the node. */
   get factor(): number {
     return 1;
   }
 
-  /** The smoothed time from dispatch to first token. */
+  /** The time from dispatch to first token that few requests exceed. */
   getTypicalMs(rank: Rank): number {
-    return this.#typicalMs.get(rank) ?? 0;
+    const typical = this.#typical.get(rank);
+    return typical === undefined
+      ? 0
+      : typical.meanMs + DEVIATIONS * typical.deviationMs;
   }
 
   /** Takes one measured time. */
   note(rank: Rank, ms: number): void {
-    const known = this.#typicalMs.get(rank) ?? ms;
-    this.#typicalMs.set(rank, known + SMOOTHING * (ms - known));
+    const typical = this.#typical.get(rank) ?? { meanMs: ms, deviationMs: 0 };
+    const error = ms - typical.meanMs;
+    typical.meanMs += SMOOTHING * error;
+    typical.deviationMs += SMOOTHING * (Math.abs(error) - typical.deviationMs);
+    this.#typical.set(rank, typical);
   }
 }
