Export each name once after the merge of the parts

Cause: the merge took both sides of the index files, so names stood twice. Ruled out: nothing else; the code of the parts merged without a conflict.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -11,6 +11,7 @@
   type Permit,
 } from "./admission.ts";
 export { CallReducer, type RememberedCall } from "./call-reducer.ts";
+export { Capacity, type GroupReport } from "./capacity.ts";
 export {
   type CheckpointAge,
   type CheckpointLimits,
@@ -24,10 +25,6 @@
   type Decision,
   DECISION_WINDOW,
 } from "./control-reducer.ts";
-export { chooseEntry, type EntryCandidate } from "./entry-choice.ts";
-export { type NameHash, type PeerSlot, planPeerSlots } from "./peer-choice.ts";
-export { type PlacedGroup, placeGroup } from "./placement.ts";
-export { ControlReducer, type Decision } from "./control-reducer.ts";
 export {
   type Departure,
   type DepartureSources,
@@ -36,6 +33,9 @@
   isDrainDue,
   REPLACE_AHEAD_MS,
 } from "./departure.ts";
+export { chooseEntry, type EntryCandidate } from "./entry-choice.ts";
+export { FairQueue, type QueuedItem } from "./fair-queue.ts";
+export { type NameHash, type PeerSlot, planPeerSlots } from "./peer-choice.ts";
 export {
   compareText,
   countStranded,
@@ -43,6 +43,7 @@
   placeGroup,
   type PlacementContext,
 } from "./placement.ts";
+export { PrefixIndex } from "./prefix-index.ts";
 export {
   listReplicas,
   listSurplus,
@@ -50,13 +51,6 @@
   type PlannedGroup,
   type ReplicaInput,
 } from "./replicas.ts";
-export { type RouteCandidate, type RouteRequest, Routing } from "./routing.ts";
-export { createSubset, Subset } from "./subset.ts";
-export { Capacity, type GroupReport } from "./capacity.ts";
-export { ControlReducer, type Decision } from "./control-reducer.ts";
-export { FairQueue, type QueuedItem } from "./fair-queue.ts";
-export { type PlacedGroup, placeGroup } from "./placement.ts";
-export { PrefixIndex } from "./prefix-index.ts";
 export { RetryBudget } from "./retry-budget.ts";
 export {
   type AttemptMeasure,
@@ -64,3 +58,4 @@
   type RouteRequest,
   Routing,
 } from "./routing.ts";
+export { createSubset, Subset } from "./subset.ts";
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -24,7 +24,6 @@
   type LogQuery,
   type LogRetention,
 } from "./log-model.ts";
-export { MemoryTransports } from "./memory/transport.ts";
 export { LogStandIn } from "./log.ts";
 export { type LinkMode, MemoryNetwork } from "./memory/network.ts";
 export {
@@ -35,6 +34,7 @@
   WEIGHT_STORE_END,
 } from "./memory/platform.ts";
 export { type RecordedWrite, RecordModel } from "./memory/record-model.ts";
+export { MemoryTransports } from "./memory/transport.ts";
 export {
   type RecordedCall,
   type RecordFaults,
