Count control traffic of every client by channel

Cause: bytes on the wire are needed by channel for the 5 KB a second of control. Ruled out: a count in the fake clients in memory; they have no headers. Before: the clients made their own pools.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -14,6 +14,7 @@
   HostListClient,
   LogClient,
   PlainServiceClient,
+  Traffic,
   WeightStoreClient,
 } from "@zinniahill/platform";
 import type { Settings } from "@zinniahill/schema";
@@ -106,45 +107,57 @@
   );
   provide("metrics", [], () => new Metrics(output.metrics, node.name));
   provide("lifecycle", [], () => new Lifecycle());
+  provide("traffic", [], () => new Traffic());
   provide("processUsage", [], () => new ProcessUsage());
 
   provide(
     "log",
-    ["clock"],
+    ["clock", "traffic"],
     (services) =>
       new LogClient(services.find("clock"), {
         address: platform.log,
         timeoutMs: platform["log-timeout"],
-      }),
+      }, services.find("traffic")),
   );
   provide(
     "hostList",
-    ["clock"],
+    ["clock", "traffic"],
     (services) =>
-      new HostListClient(services.find("clock"), platform["host-list"]),
+      new HostListClient(
+        services.find("clock"),
+        platform["host-list"],
+        services.find("traffic"),
+      ),
   );
   provide(
     "weightStore",
-    ["clock"],
+    ["clock", "traffic"],
     (services) =>
-      new WeightStoreClient(services.find("clock"), platform["weight-store"]),
+      new WeightStoreClient(
+        services.find("clock"),
+        platform["weight-store"],
+        services.find("traffic"),
+      ),
   );
   provide(
     "engines",
-    ["clock"],
-    (services) => new EngineClient(services.find("clock")),
+    ["clock", "traffic"],
+    (services) =>
+      new EngineClient(services.find("clock"), services.find("traffic")),
   );
   provide(
     "plainServices",
-    ["clock"],
-    (services) => new PlainServiceClient(services.find("clock")),
+    ["clock", "traffic"],
+    (services) =>
+      new PlainServiceClient(services.find("clock"), services.find("traffic")),
   );
 
   provide("state", [...base, "log"], (services) => new ControlState(services));
   provide(
     "peerTransport",
-    [],
-    () => new WebSocketTransport(node["peer-token"]),
+    ["traffic"],
+    (services) =>
+      new WebSocketTransport(node["peer-token"], services.find("traffic")),
   );
   provide(
     "peers",
--- a/packages/node/src/peers/transport.ts
+++ b/packages/node/src/peers/transport.ts
@@ -6,6 +6,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { Condition, describeError, type Service } from "@zinniahill/kernel";
+import { Traffic } from "@zinniahill/platform";
 import { MAX_PEER_MESSAGE_BYTES } from "@zinniahill/schema";
 import { WebSocket, WebSocketServer } from "ws";
 import { hashSecret, isSameHash, readBearer } from "../serving/http.ts";
@@ -38,10 +39,12 @@
 /** Connections over WebSocket; both ends know the same token. */
 export class WebSocketTransport implements PeerTransport {
   #token: string;
+  #traffic: Traffic;
   #server: WebSocketServer | undefined;
 
-  constructor(token: string) {
+  constructor(token: string, traffic: Traffic = new Traffic()) {
     this.#token = token;
+    this.#traffic = traffic;
   }
 
   stop(): void {
@@ -66,7 +69,8 @@
           isSameHash(hashSecret(readBearer(req)), expected),
       }, resolve);
       server.on("error", reject);
-      server.on("connection", (socket) => {
+      server.on("connection", (socket, request) => {
+        this.#traffic.track("peers", request.socket);
         onConnection(new WebSocketConnection(socket));
       });
       this.#server = server;
@@ -78,6 +82,9 @@
       headers: { authorization: `Bearer ${this.#token}` },
       maxPayload: MAX_PEER_MESSAGE_BYTES,
     });
+    socket.on("upgrade", (reply) => {
+      this.#traffic.track("peers", reply.socket);
+    });
     const connection = new WebSocketConnection(socket);
     return new Promise((resolve, reject) => {
       const onAbort = () => {
--- a/packages/node/src/services.ts
+++ b/packages/node/src/services.ts
@@ -9,6 +9,7 @@
   HostList,
   Log,
   PlainServices,
+  Traffic,
   WeightStore,
 } from "@zinniahill/platform";
 import type { Settings } from "@zinniahill/schema";
@@ -41,6 +42,7 @@
   settings: Settings;
   lifecycle: Lifecycle;
   processUsage: ProcessUsage;
+  traffic: Traffic;
   log: Log;
   hostList: HostList;
   weightStore: WeightStore;
--- a/packages/platform/src/engines.ts
+++ b/packages/platform/src/engines.ts
@@ -11,10 +11,11 @@
   type GenerateRequest,
 } from "@zinniahill/schema";
 import { Result } from "true-myth";
-import { Agent, type Dispatcher, request } from "undici";
+import { type Agent, type Dispatcher, request } from "undici";
 import { z } from "zod";
 import { createFault, type Fault } from "./fault.ts";
 import { callJson } from "./http.ts";
+import { Traffic } from "./traffic.ts";
 
 /** A stream of server-sent events from the lead of a group. */
 export interface EngineStream {
@@ -72,22 +73,26 @@
 const REFUSAL_STATUSES = new Set([409, 503]);
 const MAX_REASON_LENGTH = 200;
 const JSON_HEADERS = { "content-type": "application/json" };
+/** The callers of the client set the deadlines. */
+const UNLIMITED = { bodyTimeout: 0, headersTimeout: 0 };
 
 /** The engines over HTTP. */
 export class EngineClient implements Engines {
   #clock: Clock;
-  #streams = new Agent({ bodyTimeout: 0, headersTimeout: 0 });
+  #streams: Agent;
   /** Without keep-alive; a resumed stream must not meet a silent connection. */
-  #newConnections = new Agent({
-    bodyTimeout: 0,
-    headersTimeout: 0,
-    pipelining: 0,
-  });
+  #newConnections: Agent;
   /** Probes and orders never share a connection with a stream. */
-  #control = new Agent({ bodyTimeout: 0, headersTimeout: 0 });
+  #control: Agent;
 
-  constructor(clock: Clock) {
+  constructor(clock: Clock, traffic: Traffic = new Traffic()) {
     this.#clock = clock;
+    this.#streams = traffic.createAgent("streams", UNLIMITED);
+    this.#newConnections = traffic.createAgent("streams", {
+      ...UNLIMITED,
+      pipelining: 0,
+    });
+    this.#control = traffic.createAgent("probes", UNLIMITED);
   }
 
   async stop(): Promise<void> {
--- a/packages/platform/src/host-list.ts
+++ b/packages/platform/src/host-list.ts
@@ -6,9 +6,10 @@
 import type { Clock, Service } from "@zinniahill/kernel";
 import { type Host, HostListReply } from "@zinniahill/schema";
 import type { Result } from "true-myth";
-import { Agent } from "undici";
+import type { Agent } from "undici";
 import type { Fault } from "./fault.ts";
 import { callJson } from "./http.ts";
+import { Traffic } from "./traffic.ts";
 
 /** The platform's list of live and leaving hosts. */
 export interface HostList extends Service {
@@ -22,11 +23,16 @@
 export class HostListClient implements HostList {
   #clock: Clock;
   #address: string;
-  #agent = new Agent();
+  #agent: Agent;
 
-  constructor(clock: Clock, address: string) {
+  constructor(
+    clock: Clock,
+    address: string,
+    traffic: Traffic = new Traffic(),
+  ) {
     this.#clock = clock;
     this.#address = address;
+    this.#agent = traffic.createAgent("host-list");
   }
 
   async stop(): Promise<void> {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -36,3 +36,4 @@
   type WeightStore,
   WeightStoreClient,
 } from "./weight-store.ts";
+export { type Channel, Traffic, type TrafficCount } from "./traffic.ts";
--- a/packages/platform/src/log.ts
+++ b/packages/platform/src/log.ts
@@ -6,9 +6,10 @@
 import type { Clock, Service } from "@zinniahill/kernel";
 import { AppendReply, LogPage } from "@zinniahill/schema";
 import type { Result } from "true-myth";
-import { Agent } from "undici";
+import type { Agent } from "undici";
 import type { Fault } from "./fault.ts";
 import { callJson } from "./http.ts";
+import { Traffic } from "./traffic.ts";
 
 /** Streams that the system keeps in the log. */
 export type Stream = "control" | "calls";
@@ -47,11 +48,16 @@
 export class LogClient implements Log {
   #clock: Clock;
   #options: LogOptions;
-  #agent = new Agent();
+  #agent: Agent;
 
-  constructor(clock: Clock, options: LogOptions) {
+  constructor(
+    clock: Clock,
+    options: LogOptions,
+    traffic: Traffic = new Traffic(),
+  ) {
     this.#clock = clock;
     this.#options = options;
+    this.#agent = traffic.createAgent("log");
   }
 
   async stop(): Promise<void> {
--- a/packages/platform/src/plain-services.ts
+++ b/packages/platform/src/plain-services.ts
@@ -6,7 +6,8 @@
 import { Buffer } from "node:buffer";
 import { type Clock, type Service, withDeadline } from "@zinniahill/kernel";
 import { Result } from "true-myth";
-import { Agent, type Dispatcher, request } from "undici";
+import { type Agent, type Dispatcher, request } from "undici";
+import { Traffic } from "./traffic.ts";
 import { createFault, type Fault } from "./fault.ts";
 
 /** One call to a plain service. */
@@ -60,10 +61,15 @@
  */
 export class PlainServiceClient implements PlainServices {
   #clock: Clock;
-  #agent = new Agent({ bodyTimeout: 0, headersTimeout: 0, pipelining: 0 });
+  #agent: Agent;
 
-  constructor(clock: Clock) {
+  constructor(clock: Clock, traffic: Traffic = new Traffic()) {
     this.#clock = clock;
+    this.#agent = traffic.createAgent("calls", {
+      bodyTimeout: 0,
+      headersTimeout: 0,
+      pipelining: 0,
+    });
   }
 
   async stop(): Promise<void> {
--- a/packages/platform/src/traffic.ts
+++ b/packages/platform/src/traffic.ts
@@ -48,8 +48,9 @@
       ...options,
       connect: (target, callback) => {
         connect(target, (...result) => {
-          const [, socket] = result;
-          if (socket !== null) {
+          const [failure, socket] = result;
+          // The library gives no socket, not even null, with a failure.
+          if (failure === null && socket !== null) {
             this.track(channel, socket);
           }
           callback(...result);
--- a/packages/platform/src/weight-store.ts
+++ b/packages/platform/src/weight-store.ts
@@ -6,9 +6,10 @@
 import type { Clock, Service } from "@zinniahill/kernel";
 import { GrantReply } from "@zinniahill/schema";
 import type { Result } from "true-myth";
-import { Agent } from "undici";
+import type { Agent } from "undici";
 import type { Fault } from "./fault.ts";
 import { callJson } from "./http.ts";
+import { Traffic } from "./traffic.ts";
 
 /** A host that wants to load a model. */
 export interface GrantRequest {
@@ -32,11 +33,16 @@
 export class WeightStoreClient implements WeightStore {
   #clock: Clock;
   #address: string;
-  #agent = new Agent();
+  #agent: Agent;
 
-  constructor(clock: Clock, address: string) {
+  constructor(
+    clock: Clock,
+    address: string,
+    traffic: Traffic = new Traffic(),
+  ) {
     this.#clock = clock;
     this.#address = address;
+    this.#agent = traffic.createAgent("weight-store");
   }
 
   async stop(): Promise<void> {
