--- a/bench/src/deployment.ts
+++ b/bench/src/deployment.ts
@@ -159,6 +159,10 @@
     readonly heapUsedBytes: number;
     readonly externalBytes: number;
   };
+  readonly traffic: Readonly<
+    Record<string, { sentBytes: number; receivedBytes: number }>
+  >;
+  readonly leases: { readonly held: readonly unknown[] };
 }
 
 /** Reads a node's state dump. */
