--- a/stand-ins/src/engine-model.ts
+++ b/stand-ins/src/engine-model.ts
@@ -40,6 +40,15 @@
   readonly at: number;
 }
 
+/** One order that reached the engine, carried out or not, for the proofs. */
+export interface ReceivedOrder extends EngineOrderRun {
+  readonly hosts: readonly string[];
+  /** Group and role of the host when the order came. */
+  readonly groupBefore: string;
+  readonly roleBefore: EngineStatus["role"];
+  readonly refusal: RefusalReason;
+}
+
 /** Receives the events of one stream. */
 export interface EventSink {
   write(event: string): void;
@@ -65,6 +74,9 @@
 export class EngineModel {
   readonly runs: EngineRun[] = [];
   readonly orders: EngineOrderRun[] = [];
+  readonly receivedOrders: ReceivedOrder[] = [];
+  /** When the host lost its memory. */
+  readonly resets: number[] = [];
   readonly batch: EngineBatch;
   readonly options: EngineOptions;
   #clock: Clock;
@@ -109,16 +121,30 @@
 
   /** Carries out an order, or returns why not. */
   carryOut(order: EngineOrder): RefusalReason {
+    const { order: kind, group, fence } = order;
+    const { group: groupBefore, role: roleBefore } = this.#status;
+    const refusal = this.#tryOrder(order);
+    const run = { order: kind, group, fence, at: this.#clock.now() };
+    const hosts = order.hosts.map(({ host }) => host);
+    this.receivedOrders.push({
+      ...run,
+      hosts,
+      groupBefore,
+      roleBefore,
+      refusal,
+    });
+    if (refusal === undefined) {
+      this.orders.push(run);
+    }
+    return refusal;
+  }
+
+  #tryOrder(order: EngineOrder): RefusalReason {
     const isStale = order.fence < this.#status.fence;
     if (isStale && this.options.checksFence) {
       return "stale-fence";
     }
-    const reason = this.#handlers[order.order](order);
-    if (reason === undefined) {
-      const { order: kind, group, fence } = order;
-      this.orders.push({ order: kind, group, fence, at: this.#clock.now() });
-    }
-    return reason;
+    return this.#handlers[order.order](order);
   }
 
   /** Begins a stream, or returns why not. */
@@ -165,6 +191,7 @@
 
   /** Forgets everything, as a host that restarts. */
   reset(): void {
+    this.resets.push(this.#clock.now());
     this.batch.clear();
     this.#status = createIdleStatus(this.options.host, 0);
     this.#members = [];
--- a/stand-ins/src/engine-text.ts
+++ b/stand-ins/src/engine-text.ts
@@ -26,7 +26,9 @@
 ];
 
 /** Returns a number that depends on the messages alone. */
-export function hashMessages(body: GenerateRequest): number {
+export function hashMessages(
+  body: Pick<GenerateRequest, "messages">,
+): number {
   const text = JSON.stringify(body.messages);
   return createHash("sha256").update(text).digest().readUInt32LE(0);
 }
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -14,11 +14,13 @@
   type EngineOrderRun,
   type EngineRun,
   type EventSink,
+  type ReceivedOrder,
 } from "./engine-model.ts";
 export { createToken, hashMessages } from "./engine-text.ts";
 export { EngineStandIn } from "./engine.ts";
 export { HostListStandIn } from "./host-list.ts";
 export {
+  type AppendedEntry,
   type LogFaults,
   LogModel,
   type LogQuery,
@@ -32,8 +34,10 @@
   LOG_END,
   type MemoryClients,
   MemoryPlatform,
+  type PlatformEvent,
   WEIGHT_STORE_END,
 } from "./memory/platform.ts";
+export { MemoryStream, type StreamFaults } from "./memory/stream.ts";
 export { type RecordedWrite, RecordModel } from "./memory/record-model.ts";
 export {
   type RecordedCall,
--- a/stand-ins/src/log-model.ts
+++ b/stand-ins/src/log-model.ts
@@ -16,6 +16,12 @@
   repliesToLose: number;
 }
 
+/** One append that took effect, kept beyond retention for the proofs. */
+export interface AppendedEntry extends LogEntry {
+  readonly stream: string;
+  readonly at: number;
+}
+
 /** How much the log keeps. */
 export interface LogRetention {
   readonly entries: number;
@@ -68,7 +74,11 @@
 /** The log itself, apart from how it is reached. */
 export class LogModel {
   readonly faults: LogFaults = { isDown: false, delayMs: 0, repliesToLose: 0 };
+  /** Every append that took effect, whether or not it is still retained. */
+  readonly history: AppendedEntry[] = [];
   retention: LogRetention;
+  /** Called after an append took effect. */
+  onAppend: (entry: AppendedEntry) => void = () => {};
   #clock: Clock;
   #streams = new Map<string, LogStream>();
 
@@ -79,7 +89,11 @@
 
   /** Appends directly, as another writer would. */
   append(stream: string, records: unknown[]): number {
-    return this.#stream(stream).append(records, this.retention);
+    const offset = this.#stream(stream).append(records, this.retention);
+    const entry = { stream, offset, records, at: this.#clock.now() };
+    this.history.push(entry);
+    this.onAppend(entry);
+    return offset;
   }
 
   /** Appends under the faults that are switched on. */
--- a/stand-ins/src/memory/network.ts
+++ b/stand-ins/src/memory/network.ts
@@ -67,24 +67,47 @@
     if (this.findMode(from, to) === "silent") {
       return this.#wait(deadline, signal);
     }
-    const timedOut = this.#wait(deadline, signal);
-    const reply = await Promise.race([work(), timedOut]);
+    const limit = this.#startLimit(deadline, signal);
+    const reply = await Promise.race([work(), limit.ended]);
+    // The unused timer would stay in the clock until the deadline.
+    limit.cancel();
     await this.#clock.sleep(this.latencyMs, signal);
     const isLost = this.findMode(from, to) !== "pass" ||
       this.findMode(to, from) !== "pass";
-    return isLost ? timedOut : reply;
+    return isLost ? this.#wait(deadline, signal) : reply;
   }
 
-  async #wait(
+  #wait(
     deadline: number,
     signal: AbortSignal | undefined,
   ): Promise<Result<never, Fault>> {
-    const remainingMs = Math.max(0, deadline - this.#clock.now());
-    try {
-      await this.#clock.sleep(remainingMs, signal);
-    } catch {
-      // An aborted wait ends the call in the same way as its deadline.
-    }
-    return Result.err(NO_REPLY);
+    return this.#startLimit(deadline, signal).ended;
+  }
+
+  /** Ends a call without a reply at its deadline, or when it is aborted. */
+  #startLimit(deadline: number, signal: AbortSignal | undefined): Limit {
+    let cancel = () => {};
+    const ended = new Promise<Result<never, Fault>>((resolve) => {
+      const end = () => {
+        cancel();
+        resolve(Result.err(NO_REPLY));
+      };
+      const remainingMs = Math.max(0, deadline - this.#clock.now());
+      const cancelTimer = this.#clock.schedule(remainingMs, end);
+      cancel = () => {
+        cancelTimer();
+        signal?.removeEventListener("abort", end);
+      };
+      signal?.addEventListener("abort", end, { once: true });
+      if (signal?.aborted) {
+        end();
+      }
+    });
+    return { ended, cancel };
   }
 }
+
+interface Limit {
+  readonly ended: Promise<Result<never, Fault>>;
+  readonly cancel: () => void;
+}
--- a/stand-ins/src/memory/platform.ts
+++ b/stand-ins/src/memory/platform.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
-import { type Clock, Condition, TaskGroup } from "@zinniahill/kernel";
+import { type Clock, TaskGroup } from "@zinniahill/kernel";
 import type {
   Engines,
   EngineStream,
@@ -14,12 +13,13 @@
   PlainServices,
   WeightStore,
 } from "@zinniahill/platform";
-import type { GenerateRequest, Host } from "@zinniahill/schema";
+import type { EngineOrder, GenerateRequest, Host } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import { EngineModel, type EngineOptions } from "../engine-model.ts";
 import { LogModel } from "../log-model.ts";
 import { MemoryNetwork } from "./network.ts";
 import { RecordModel } from "./record-model.ts";
+import { MemoryStream, type StreamFaults } from "./stream.ts";
 
 const CALL_TIMEOUT_MS = 2000;
 const MEMBER_INTERVAL_MS = 100;
@@ -47,6 +47,22 @@
   readonly plainServices: PlainServices;
 }
 
+/** A call of a node that has arrived at an upstream. */
+export type PlatformEvent =
+  | {
+    readonly kind: "order";
+    readonly node: string;
+    readonly host: string;
+    readonly order: EngineOrder;
+  }
+  | {
+    readonly kind: "token";
+    readonly node: string;
+    readonly host: string;
+    readonly index: number;
+  }
+  | { readonly kind: "call"; readonly node: string; readonly key: string };
+
 /** Everything outside the nodes; upstreams are ends named by their address. */
 export class MemoryPlatform {
   readonly network: MemoryNetwork;
@@ -54,6 +70,13 @@
   readonly hosts = new Map<string, Host>();
   readonly engines = new Map<string, EngineModel>();
   readonly records = new Map<string, RecordModel>();
+  /** Faults of every stream, open or new. */
+  readonly streamFaults: StreamFaults = { delayMs: 0, repeats: false };
+  /** The list that nodes get instead of the hosts, while it is late. */
+  staleHostList: readonly Host[] | undefined;
+  /** Called when a node's call arrives. */
+  onEvent: (event: PlatformEvent) => void = () => {};
+  #streams = new Set<MemoryStream>();
   #clock: Clock;
   #tasks: TaskGroup;
 
@@ -65,8 +88,12 @@
   }
 
   /** Adds a host with its engine. */
-  addHost(host: Host, options: Omit<EngineOptions, "host">): EngineModel {
-    const engine = new EngineModel(this.#clock, {
+  addHost(
+    host: Host,
+    options: Omit<EngineOptions, "host">,
+    clock: Clock = this.#clock,
+  ): EngineModel {
+    const engine = new EngineModel(clock, {
       ...options,
       host: host.host,
     });
@@ -85,6 +112,13 @@
     return service;
   }
 
+  /** Open streams lose what one end sends; new streams work. */
+  silenceOpenStreams(sender: "engine" | "node"): void {
+    for (const stream of this.#streams) {
+      stream.silence(sender);
+    }
+  }
+
   /** Ends the platform's own tasks. */
   stop(): Promise<void> {
     return this.#tasks.stop();
@@ -100,7 +134,7 @@
             node,
             HOST_LIST_END,
             CALL_TIMEOUT_MS,
-            () => Result.ok([...this.hosts.values()]),
+            () => Result.ok([...this.staleHostList ?? this.hosts.values()]),
             signal,
           ),
       },
@@ -119,9 +153,11 @@
         call: (address, call, timeoutMs, signal) =>
           this.network.call(node, address, timeoutMs, () => {
             const service = this.records.get(address);
+            const key = call.headers["idempotency-key"] ?? "";
+            this.onEvent({ kind: "call", node, key });
             return service === undefined
               ? Result.err(createRefusedFault())
-              : service.handle(call);
+              : service.handle(call, node);
           }, signal),
       },
     };
@@ -163,6 +199,8 @@
         this.network.call(node, address, timeoutMs, () => {
           const engine = this.engines.get(address);
           const reason = engine?.carryOut(order);
+          const host = engine?.options.host ?? "";
+          this.onEvent({ kind: "order", node, host, order });
           return engine === undefined || reason !== undefined
             ? Result.err({ ...createRefusedFault(), reason: reason ?? "gone" })
             : Result.ok(engine.status);
@@ -196,16 +234,25 @@
     address: string,
     body: GenerateRequest,
   ): Result<EngineStream, Fault> {
-    const stream = new MemoryStream(
-      body.request,
-      () => this.network.findMode(address, node) === "pass",
-    );
     const engine = this.engines.get(address);
+    const host = engine?.options.host ?? "";
+    const stream = new MemoryStream(this.#clock, {
+      request: body.request,
+      faults: this.streamFaults,
+      isOpen: () => this.network.findMode(address, node) === "pass",
+      onWrite: (index) => this.onEvent({ kind: "token", node, host, index }),
+    });
     const reason = engine?.generate(body, stream);
     if (engine === undefined || reason !== undefined) {
       return Result.err({ ...createRefusedFault(), reason: reason ?? "gone" });
     }
-    stream.onClose = () => engine.cancel(body.request);
+    this.#streams.add(stream);
+    stream.onClose = () => {
+      this.#streams.delete(stream);
+      if (this.network.findMode(node, address) === "pass") {
+        engine.cancel(body.request);
+      }
+    };
     return Result.ok(stream);
   }
 
@@ -234,68 +281,6 @@
   }
 }
 
-/** A stream of events in memory; events on a link that is not open are lost. */
-class MemoryStream implements EngineStream {
-  readonly request: string;
-  onClose: () => void = () => {};
-  #isOpen: () => boolean;
-  #events: string[] = [];
-  #changed = new Condition();
-  #isEnded = false;
-  #isDropped = false;
-  #closed = new AbortController();
-
-  constructor(request: string, isOpen: () => boolean) {
-    this.request = request;
-    this.#isOpen = isOpen;
-  }
-
-  get chunks(): AsyncIterable<Uint8Array> {
-    return this.#read();
-  }
-
-  write(event: string): void {
-    if (this.#isOpen()) {
-      this.#events.push(event);
-      this.#changed.notify();
-    }
-  }
-
-  end(): void {
-    if (this.#isOpen()) {
-      this.#isEnded = true;
-      this.#changed.notify();
-    }
-  }
-
-  drop(): void {
-    if (this.#isOpen()) {
-      this.#isDropped = true;
-      this.#changed.notify();
-    }
-  }
-
-  close(): void {
-    this.#closed.abort();
-    this.onClose();
-  }
-
-  async *#read(): AsyncGenerator<Uint8Array> {
-    while (true) {
-      const event = this.#events.shift();
-      if (event !== undefined) {
-        yield Buffer.from(event);
-      } else if (this.#isDropped) {
-        throw new Error("the connection was closed by the other side");
-      } else if (this.#isEnded) {
-        return;
-      } else {
-        await this.#changed.wait(this.#closed.signal);
-      }
-    }
-  }
-}
-
 function createRefusedFault(): Fault {
   return { verdict: "not-run", message: "refused" };
 }
--- a/stand-ins/src/memory/record-model.ts
+++ b/stand-ins/src/memory/record-model.ts
@@ -14,6 +14,8 @@
   readonly path: string;
   readonly body: string;
   readonly at: number;
+  /** The node that made the call; empty when it is not known. */
+  readonly from: string;
 }
 
 const CREATED_STATUS = 201;
@@ -38,7 +40,10 @@
   }
 
   /** Carries out a call. */
-  async handle(call: PlainCall): Promise<Result<PlainReply, Fault>> {
+  async handle(
+    call: PlainCall,
+    from = "",
+  ): Promise<Result<PlainReply, Fault>> {
     if (this.refuses) {
       return Result.err({
         verdict: "not-run",
@@ -54,6 +59,7 @@
       path: call.path,
       body: Buffer.from(call.body).toString(),
       at: this.#clock.now(),
+      from,
     });
     const number = this.writes.length;
     if (this.delayMs > 0) {
--- a/stand-ins/src/memory/transport.ts
+++ b/stand-ins/src/memory/transport.ts
@@ -13,6 +13,7 @@
 export class MemoryTransports {
   #network: MemoryNetwork;
   #listeners = new Map<string, Listener>();
+  #connections = new Set<MemoryConnection>();
 
   constructor(network: MemoryNetwork) {
     this.#network = network;
@@ -32,14 +33,27 @@
     };
   }
 
+  /** Open connections of a node lose what it sends; new ones work. */
+  silenceOpenConnections(address: string): void {
+    for (const connection of this.#connections) {
+      if (connection.address === address) {
+        connection.isSilent = true;
+      }
+    }
+  }
+
   #connect(from: string, to: string): PeerConnection {
     const onConnection = this.#listeners.get(to);
     const mode = this.#network.findMode(from, to);
     if (onConnection === undefined || mode === "refuse") {
       throw new Error(`no node listens at ${to}`);
     }
-    const near = new MemoryConnection(() => this.#isOpen(to, from));
-    const far = new MemoryConnection(() => this.#isOpen(from, to));
+    const near = new MemoryConnection(from, () => this.#isOpen(to, from));
+    const far = new MemoryConnection(to, () => this.#isOpen(from, to));
+    for (const connection of [near, far]) {
+      this.#connections.add(connection);
+      connection.onEnd = () => this.#connections.delete(connection);
+    }
     near.other = far;
     far.other = near;
     if (mode === "pass") {
@@ -55,18 +69,25 @@
 
 class MemoryConnection implements PeerConnection {
   readonly queuedBytes = 0;
+  /** Peer address of the node that holds this end. */
+  readonly address: string;
+  isSilent = false;
+  onEnd: () => void = () => {};
   other: MemoryConnection | undefined;
   #canArrive: () => boolean;
   #inbox: Uint8Array[] = [];
   #changed = new Condition();
   #isEnded = false;
 
-  constructor(canArrive: () => boolean) {
+  constructor(address: string, canArrive: () => boolean) {
+    this.address = address;
     this.#canArrive = canArrive;
   }
 
   send(message: Uint8Array): void {
-    this.other?.accept(message);
+    if (!this.isSilent) {
+      this.other?.accept(message);
+    }
   }
 
   accept(message: Uint8Array): void {
@@ -86,7 +107,7 @@
 
   close(): void {
     this.end();
-    if (this.other?.canHear() === true) {
+    if (!this.isSilent && this.other?.canHear() === true) {
       this.other.end();
     }
   }
@@ -97,6 +118,7 @@
 
   end(): void {
     this.#isEnded = true;
+    this.onEnd();
     this.#changed.notify();
   }
 }
