--- a/bench/src/matrix/callers.ts
+++ b/bench/src/matrix/callers.ts
@@ -70,7 +70,8 @@
   await Promise.all(sent);
 }
 
-async function requestStream(
+/** Sends one stream, again at another node where the verdict allows it. */
+export async function requestStream(
   world: World,
   prompt: string,
   rank: Rank,
@@ -138,7 +139,8 @@
   }
 }
 
-async function requestCall(
+/** Makes one non-idempotent call, again at another node until it is answered. */
+export async function requestCall(
   world: World,
   key: string,
   first: number,
--- a/bench/src/matrix/judgements.ts
+++ b/bench/src/matrix/judgements.ts
@@ -244,9 +244,14 @@
     evidence.recordServices
       .reduce((sum, service) => sum + service.countRuns(key), 0) > 1
   );
+  const unknown = evidence.recordServices
+    .flatMap(({ writes }) => writes)
+    .find(({ key }) => !counts.has(key));
   return {
     isExercised: [...counts.values()].some((count) => count > 1),
-    violation: repeated && `${repeated} ran more than once`,
+    violation: repeated !== undefined
+      ? `${repeated} ran more than once`
+      : unknown && `a write came with a key that no caller used`,
   };
 }
 
--- a/packages/node/src/calls/dispatch.ts
+++ b/packages/node/src/calls/dispatch.ts
@@ -14,6 +14,8 @@
   type ServiceReply,
 } from "./service-call.ts";
 
+/** Lets an upstream that knows keys refuse a repeat by itself. */
+const KEY_HEADER = "idempotency-key";
 /** Passes over all upstreams that a retry-safe call may make. */
 const RETRY_SAFE_PASSES = 2;
 
@@ -81,7 +83,7 @@
     const { method, path, headers, body } = call;
     const reply = await this.#plainServices.call(
       address,
-      { method, path, headers, body },
+      { method, path, headers: { ...headers, [KEY_HEADER]: call.key }, body },
       remainingMs,
       signal,
     );
--- a/packages/node/src/serving/service-calls.ts
+++ b/packages/node/src/serving/service-calls.ts
@@ -71,7 +71,7 @@
       service,
       method: request.method ?? "GET",
       path: readPath(request.url ?? ""),
-      headers: { ...selectHeaders(request), [KEY_HEADER]: key },
+      headers: selectHeaders(request),
       key,
       body,
     }, createCloseSignal(response));
