--- a/packages/node/test/groups/fencing.test.ts
+++ b/packages/node/test/groups/fencing.test.ts
@@ -96,8 +96,11 @@
       const { unfencedFrom } = findLease(second)!;
       await fleet.until(
         WAIT_MS,
-        () => fleet.clock.now() >= unfencedFrom - 100,
+        () => fleet.clock.now() >= unfencedFrom - 300,
       );
+      // The order comes after the last probe before the wait ends.
+      second.kernel.find("evidence").noteSuspect(group);
+      await fleet.clock.advance(50);
       const late = createStaleOrder("unload", 1, group);
       expect(fleet.engine("h2").carryOut(late)).toBeUndefined();
       await fleet.until(
--- a/packages/node/test/groups/loss.test.ts
+++ b/packages/node/test/groups/loss.test.ts
@@ -17,9 +17,13 @@
 
   async function startFleet(hosts: string[], rules: string): Promise<void> {
     fleet.addHosts(hosts, "fd-1");
+    await startNode(rules);
+    await fleet.untilServed(node);
+  }
+
+  async function startNode(rules: string): Promise<void> {
     fleet.publish(rules);
     node = await fleet.start("n1");
-    await fleet.untilServed(node);
   }
 
   function findHeld(): string[] {
@@ -109,6 +113,19 @@
     });
   });
 
+  describe("a member that its lead does not hear", () => {
+    it("keeps the group from becoming ready, though both answer the node", async () => {
+      fleet.addHosts(["h1", "h2"], "fd-1");
+      const link = [fleet.address("h1"), fleet.address("h2")] as const;
+      fleet.platform.network.setMode(...link, "silent");
+      await startNode("model chat version=1 hosts=2 replicas=1");
+      await fleet.clock.advance(2 * ABSENCE_MS);
+      expect(fleet.records("group-ready")).toEqual([]);
+      fleet.platform.network.setMode(...link, "pass");
+      await fleet.untilServed(node);
+    });
+  });
+
   describe("a host that restarts", () => {
     it("is loaded again in place, though that takes longer than the limit", async () => {
       const loadMs = 4 * ABSENCE_MS;
