Replace a leaving group from another data centre where needed

Cause: the holder looked for a replacement in its own data centre only, so maintenance of the only fabric domain of a data centre drained the group first although other data centres had free hosts.

Now the plan is computed over all data centres, and the holder of the one with the free hosts forms the replacement.

Ruled out: letting the group's own holder assign hosts of another data centre (its fencing number says nothing there).

--- a/packages/node/src/groups/scope-keeper.ts
+++ b/packages/node/src/groups/scope-keeper.ts
@@ -13,8 +13,9 @@
   listReplicas,
   listSurplus,
   type PlacedGroup,
-  placeGroup,
+  placeReplacement,
   planGroups,
+  type ReplicaInput,
 } from "@zinniahill/policy";
 import type { GroupState, Host, ModelRule, Settings } from "@zinniahill/schema";
 import type { NodeKernel } from "../services.ts";
@@ -105,11 +106,7 @@
   }
 
   async #formGroups(lease: HeldLease, signal: AbortSignal): Promise<void> {
-    const planned = planGroups({
-      models: this.#listModels(),
-      groups: this.#listGroups(),
-      freeHosts: this.#listFreeHosts(),
-    });
+    const planned = planGroups(this.#createInput());
     for (const { model, placed } of planned) {
       if (createScope(placed.dataCentre) === lease.scope) {
         await this.#assign(model, placed, undefined, lease, signal);
@@ -119,9 +116,7 @@
 
   async #replaceGroups(lease: HeldLease, signal: AbortSignal): Promise<void> {
     for (const group of listReplicas(this.#listGroups())) {
-      const departure = group.scope === lease.scope
-        ? this.#findDeparture(group)
-        : undefined;
+      const departure = this.#findDeparture(group);
       if (departure !== undefined) {
         await this.#replace(group, departure, lease, signal);
       }
@@ -167,37 +162,57 @@
     });
   }
 
-  /** Forms the replacement first, and drains the group once it serves. */
+  /**
+   * Forms the replacement first, and drains the group once it serves. If only
+   * another data centre has free hosts, its holder forms the replacement and
+   * the group's own holder waits for it.
+   */
   async #replace(
     group: GroupState,
     departure: Departure,
     lease: HeldLease,
     signal: AbortSignal,
   ): Promise<void> {
+    const isOwn = group.scope === lease.scope;
     const isDue = isDrainDue(departure, this.#clock.wallTime());
-    const replacement = this.#listGroups().find(({ replaces, phase }) =>
-      replaces === group.group && phase !== "draining"
-    );
-    if (replacement !== undefined) {
-      const isServed = this.#evidence.findObstacle(replacement) === undefined;
-      if (isServed || isDue) {
-        await this.#drain(group, lease, signal);
-      }
+    if (isOwn && (isDue || this.#isReplaced(group))) {
+      await this.#drain(group, lease, signal);
+      return;
+    }
+    if (this.#findReplacement(group) !== undefined) {
       return;
     }
     const model = this.#state.rules?.models.get(group.model);
-    const placed = model === undefined ? undefined : this.#place(model, lease);
+    const placed = model === undefined
+      ? undefined
+      : placeReplacement(model, group, this.#createInput());
     if (model !== undefined && placed !== undefined) {
-      await this.#assign(model, placed, group.group, lease, signal);
+      if (createScope(placed.dataCentre) === lease.scope) {
+        await this.#assign(model, placed, group.group, lease, signal);
+      }
       return;
     }
     const mayGoUnreplaced = departure.at === undefined &&
       !this.#isChanging(group);
-    if (isDue || mayGoUnreplaced) {
+    if (isOwn && mayGoUnreplaced) {
       await this.#drain(group, lease, signal);
     }
   }
 
+  #findReplacement({ group }: GroupState): GroupState | undefined {
+    return this.#listGroups().find(({ replaces, phase }) =>
+      replaces === group && phase !== "draining"
+    );
+  }
+
+  /** Whether the replacement serves; one elsewhere is its holder's concern. */
+  #isReplaced(group: GroupState): boolean {
+    const replacement = this.#findReplacement(group);
+    return replacement?.phase === "ready" &&
+      (replacement.scope !== group.scope ||
+        this.#evidence.findObstacle(replacement) === undefined);
+  }
+
   /** Whether another group of the model is changing, so that one goes a time. */
   #isChanging({ group: id, model }: GroupState): boolean {
     return this.#listGroups().some((group) =>
@@ -205,20 +220,6 @@
     );
   }
 
-  #place(model: ModelRule, lease: HeldLease): PlacedGroup | undefined {
-    const free = this.#listFreeHosts().filter(({ dataCentre }) =>
-      createScope(dataCentre) === lease.scope
-    );
-    const sizes = this.#listModels().map(({ hosts }) => hosts);
-    const replicas = new Map<string, number>();
-    for (const { fabricDomain, model: name } of this.#listGroups()) {
-      if (name === model.name) {
-        replicas.set(fabricDomain, (replicas.get(fabricDomain) ?? 0) + 1);
-      }
-    }
-    return placeGroup(model, free, { sizes, replicas });
-  }
-
   async #assign(
     model: ModelRule,
     placed: PlacedGroup,
@@ -256,6 +257,14 @@
     }
   }
 
+  #createInput(): ReplicaInput {
+    return {
+      models: this.#listModels(),
+      groups: this.#listGroups(),
+      freeHosts: this.#listFreeHosts(),
+    };
+  }
+
   #listModels(): ModelRule[] {
     return [...this.#state.rules?.models.values() ?? []];
   }
--- a/packages/node/test/groups/leave.test.ts
+++ b/packages/node/test/groups/leave.test.ts
@@ -94,6 +94,23 @@
     });
   });
 
+  describe("with free hosts in another data centre only", () => {
+    it("serves without a break when the operator drains a host", async () => {
+      fleet.addHosts(["g1", "g2"], "fd-2", "dc-2");
+      const remote = await fleet.start("n2", "dc-2");
+      await fleet.untilServed(remote);
+      await fleet.clock.advance(5000);
+      fleet.setDrained("h2", true);
+      const end = fleet.clock.now() + LEAVE_LIMIT_MS;
+      while (!isGone() && fleet.clock.now() < end) {
+        await fleet.clock.advance(50);
+        expect(listServable(remote).length).toBeGreaterThan(0);
+      }
+      expect(isGone()).toBe(true);
+      expect(listServable(remote)[0]!.dataCentre).toBe("dc-2");
+    });
+  });
+
   describe("without free hosts", () => {
     it("serves until shortly before the date and is empty in time", async () => {
       fleet.publish(MODEL, createMaintenance(fleet, "fd-1", 5));
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -24,6 +24,7 @@
 export {
   listReplicas,
   listSurplus,
+  placeReplacement,
   planGroups,
   type PlannedGroup,
   type ReplicaInput,
--- a/packages/policy/src/replicas.ts
+++ b/packages/policy/src/replicas.ts
@@ -58,6 +58,21 @@
   return planned;
 }
 
+/** Chooses hosts for a replacement, in the group's own data centre first. */
+export function placeReplacement(
+  model: ModelRule,
+  group: GroupState,
+  input: ReplicaInput,
+): PlacedGroup | undefined {
+  const places = input.groups.filter(({ model: name }) => name === model.name);
+  const sizes = input.models.map(({ hosts }) => hosts);
+  const near = input.freeHosts.filter(({ dataCentre }) =>
+    dataCentre === group.dataCentre
+  );
+  return placeReplica(model, places, near, sizes) ??
+    placeReplica(model, places, input.freeHosts, sizes);
+}
+
 /** Groups beyond the replicas that the rules ask for, to be drained. */
 export function listSurplus(
   models: readonly ModelRule[],
