Drain for a missing host list entry only after the absence limit

Cause: one incomplete answer of the host list made every group on the missing hosts leave at once.

Ruled out: ignoring an empty list (a partial one does the same harm).

--- a/packages/node/src/groups/hosts.ts
+++ b/packages/node/src/groups/hosts.ts
@@ -23,6 +23,8 @@
   #tasks: TaskGroup;
   #hosts = new Map<string, Host>();
   #addresses = new Map<string, string>();
+  #unlistedSince = new Map<string, number>();
+  #firstReadAt: number | undefined;
   #readAt: number | undefined;
 
   constructor(kernel: NodeKernel) {
@@ -50,6 +52,16 @@
     return this.#addresses.get(host);
   }
 
+  /**
+   * Since when a host has been absent from the list; undefined while it is
+   * listed, or while no list was read.
+   */
+  findUnlistedSince(host: string): number | undefined {
+    return this.#hosts.has(host)
+      ? undefined
+      : this.#unlistedSince.get(host) ?? this.#firstReadAt;
+  }
+
   start(): void {
     this.#tasks.repeat("read_hosts", this.#intervalMs, async (signal) => {
       const hosts = await this.#hostList.list(signal);
@@ -73,6 +85,18 @@
       this.#addresses.set(host, address);
     }
     this.#readAt = this.#clock.now();
+    this.#firstReadAt ??= this.#readAt;
+    this.#noteUnlisted(this.#readAt);
     this.changed.notify();
   }
+
+  #noteUnlisted(now: number): void {
+    for (const host of this.#addresses.keys()) {
+      if (this.#hosts.has(host)) {
+        this.#unlistedSince.delete(host);
+      } else if (!this.#unlistedSince.has(host)) {
+        this.#unlistedSince.set(host, now);
+      }
+    }
+  }
 }
--- a/packages/node/src/groups/scope-keeper.ts
+++ b/packages/node/src/groups/scope-keeper.ts
@@ -153,7 +153,7 @@
   #findHostDeparture(name: string): Departure | undefined {
     const host = this.#hosts.all.get(name);
     if (host === undefined) {
-      return { at: undefined };
+      return this.#isUnlistedForLong(name) ? { at: undefined } : undefined;
     }
     return findDeparture(host, {
       maintenance: this.#state.rules?.maintenance ?? new Map(),
@@ -162,6 +162,13 @@
     });
   }
 
+  /** One incomplete answer of the host list must not drain groups. */
+  #isUnlistedForLong(host: string): boolean {
+    const since = this.#hosts.findUnlistedSince(host);
+    const absenceMs = this.#settings.timing["host-absence"];
+    return since !== undefined && this.#clock.now() - since >= absenceMs;
+  }
+
   /**
    * Forms the replacement first, and drains the group once it serves. If only
    * another data centre has free hosts, its holder forms the replacement and
--- a/packages/node/test/groups/loss.test.ts
+++ b/packages/node/test/groups/loss.test.ts
@@ -126,6 +126,28 @@
     });
   });
 
+  describe("a host list that is incomplete", () => {
+    beforeEach(() =>
+      startFleet(["h1", "h2"], "model chat version=1 hosts=2 replicas=1")
+    );
+
+    it("drains nothing when it is complete again before the limit", async () => {
+      const listed = new Map(fleet.platform.hosts);
+      fleet.platform.hosts.clear();
+      await fleet.clock.advance(ABSENCE_MS - 2000);
+      listed.forEach((host, name) => fleet.platform.hosts.set(name, host));
+      await fleet.clock.advance(3000);
+      expect(listServable(node)).toHaveLength(1);
+      expect(fleet.records("group-draining")).toEqual([]);
+    });
+
+    it("drains the group of a host that stays away, though it answers", async () => {
+      fleet.platform.hosts.delete("h2");
+      await fleet.until(REPLACE_LIMIT_MS, () => listGroups(node).length === 0);
+      expect(fleet.engine("h2").status.role).toBe("idle");
+    });
+  });
+
   describe("a host that restarts", () => {
     it("is loaded again in place, though that takes longer than the limit", async () => {
       const loadMs = 4 * ABSENCE_MS;
