--- a/packages/node/test/groups/loss.test.ts
+++ b/packages/node/test/groups/loss.test.ts
@@ -17,9 +17,13 @@
 
   async function startFleet(hosts: string[], rules: string): Promise<void> {
     fleet.addHosts(hosts, "fd-1");
+    await startNode(rules);
+    await fleet.untilServed(node);
+  }
+
+  async function startNode(rules: string): Promise<void> {
     fleet.publish(rules);
     node = await fleet.start("n1");
-    await fleet.untilServed(node);
   }
 
   function findHeld(): string[] {
@@ -101,12 +105,64 @@
       await fleet.until(REPLACE_LIMIT_MS, () => findHeld().length > 0);
       expect(findHeld()).toContain("h1");
       expect(lead.orders.map(({ order }) => order)).not.toContain("unload");
+      await fleet.clock.advance(5000);
+      expect(lead.refusedOrders).toEqual([]);
       lead.cancel("r1");
       await fleet.untilServed(node);
       expect(listServable(node)[0]!.hosts).not.toContain("h2");
     });
   });
 
+  describe("a member that its lead does not hear", () => {
+    it("keeps the group from becoming ready, though both answer the node", async () => {
+      fleet.addHosts(["h1", "h2"], "fd-1");
+      const link = [fleet.address("h1"), fleet.address("h2")] as const;
+      fleet.platform.network.setMode(...link, "silent");
+      await startNode("model chat version=1 hosts=2 replicas=1");
+      await fleet.clock.advance(2 * ABSENCE_MS);
+      expect(fleet.records("group-ready")).toEqual([]);
+      fleet.platform.network.setMode(...link, "pass");
+      await fleet.untilServed(node);
+    });
+  });
+
+  describe("a host list that is incomplete", () => {
+    beforeEach(() =>
+      startFleet(["h1", "h2"], "model chat version=1 hosts=2 replicas=1")
+    );
+
+    it("drains nothing when it is complete again before the limit", async () => {
+      const listed = new Map(fleet.platform.hosts);
+      fleet.platform.hosts.clear();
+      await fleet.clock.advance(ABSENCE_MS - 2000);
+      listed.forEach((host, name) => fleet.platform.hosts.set(name, host));
+      await fleet.clock.advance(3000);
+      expect(listServable(node)).toHaveLength(1);
+      expect(fleet.records("group-draining")).toEqual([]);
+    });
+
+    it("drains the group of a host that stays away, though it answers", async () => {
+      fleet.platform.hosts.delete("h2");
+      await fleet.until(REPLACE_LIMIT_MS, () => listGroups(node).length === 0);
+      expect(fleet.engine("h2").status.role).toBe("idle");
+    });
+  });
+
+  describe("a host that restarts", () => {
+    it("is loaded again in place, though that takes longer than the limit", async () => {
+      const loadMs = 4 * ABSENCE_MS;
+      fleet.addHosts(["s1", "s2"], "fd-0", "dc-1", { loadMs });
+      await startFleet([], "model chat version=1 hosts=2 replicas=1");
+      const [group] = listServable(node);
+      fleet.engine("s2").reset();
+      await fleet.clock.advance(ABSENCE_MS);
+      expect(listServable(node)).toEqual([]);
+      await fleet.untilServed(node);
+      expect(listServable(node)[0]!.group).toBe(group!.group);
+      expect(fleet.engine("s1").orders).toHaveLength(1);
+    });
+  });
+
   describe("a host that never settles", () => {
     it("is replaced in the end, as its group would never serve again", async () => {
       await startFleet(
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -47,6 +47,7 @@
 export {
   listReplicas,
   listSurplus,
+  placeReplacement,
   planGroups,
   type PlannedGroup,
   type ReplicaInput,
--- a/stand-ins/src/engine-model.ts
+++ b/stand-ins/src/engine-model.ts
@@ -119,6 +119,11 @@
     }
   }
 
+  /** Orders that the engine has refused. */
+  get refusedOrders(): readonly ReceivedOrder[] {
+    return this.receivedOrders.filter(({ refusal }) => refusal !== undefined);
+  }
+
   /** Carries out an order, or returns why not. */
   carryOut(order: EngineOrder): RefusalReason {
     const { order: kind, group, fence } = order;
