Keep one live connection for each peer and a bounded number in all

Cause: a peer that lost a connection without its end being heard was refused as a duplicate until the other side's deadline of 4 s, and both sides logged connects and disconnects in between (seen in a test with 2 nodes). A connection that was not heard for 1.5 heartbeats now gives way to a new one.

Ruled out: the newer connection always wins, which drops both connections when two nodes dial at the same time over links of unequal latency; slots that avoid peers of other slots, which gained 1 connection in 12 nodes (sum of connections 66 against 64 with half of 24 nodes gone).

--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -62,8 +62,12 @@
     this.#transport = kernel.find("peerTransport");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
     this.#instance = kernel.find("random").id();
-    const { node, limits } = this.#settings;
-    this.#registry = new PeerRegistry(this.#logger, node.name, this.#instance);
+    const { node, limits, timing } = this.#settings;
+    this.#registry = new PeerRegistry(this.#clock, this.#logger, {
+      name: node.name,
+      instance: this.#instance,
+      heartbeatMs: timing["heartbeat-interval"],
+    });
     this.#relay = new Relay(node.name, this.#instance);
     const plan = planPeerSlots(
       node["peer-address"],
--- a/packages/node/src/peers/registry.ts
+++ b/packages/node/src/peers/registry.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { Condition, type Logger } from "@zinniahill/kernel";
+import { type Clock, Condition, type Logger } from "@zinniahill/kernel";
 import { type PeerMessageOf, PROTOCOL_VERSION } from "@zinniahill/schema";
 import type { Conversation, Peer, PeerFault } from "./conversation.ts";
 
@@ -26,20 +26,35 @@
   "wrong-protocol": true,
 };
 
+/** Heartbeats without a message after which a new connection may be better. */
+const LATE_HEARTBEATS = 1.5;
+
+/** The node that owns a registry. */
+export interface OwnNode {
+  readonly name: string;
+  /** Id of the process. */
+  readonly instance: string;
+  readonly heartbeatMs: number;
+}
+
 /** Admits at most one connection for each node. */
 export class PeerRegistry {
   /** Notified whenever a peer connects or disconnects, or is heard first. */
   readonly changed = new Condition();
+  #clock: Clock;
   #logger: Logger;
   #node: string;
   #instance: string;
+  #lateMs: number;
   #live = new Map<string, Conversation>();
   #faults = new Map<PeerFault, number>();
 
-  constructor(logger: Logger, node: string, instance: string) {
+  constructor(clock: Clock, logger: Logger, own: OwnNode) {
+    this.#clock = clock;
     this.#logger = logger;
-    this.#node = node;
-    this.#instance = instance;
+    this.#node = own.name;
+    this.#instance = own.instance;
+    this.#lateMs = LATE_HEARTBEATS * own.heartbeatMs;
   }
 
   /** Connections by node name. */
@@ -122,16 +137,18 @@
   }
 
   /**
-   * Both nodes must keep the same one of two connections: the one that the
-   * node with the lower name has dialled, or the newer one if a node has
-   * dialled both, as it does that only after it has lost the older one.
+   * Both nodes must keep the same one of two connections that they dial at
+   * the same time: the one that the node with the lower name has dialled. A
+   * node that dials again, or that is late, has lost the older connection.
    */
   #isPreferred(
     conversation: Conversation,
     current: Conversation,
     peer: string,
   ): boolean {
-    return conversation.isDialled === current.isDialled ||
+    const heardAt = current.peer?.heardAt ?? 0;
+    return this.#clock.now() - heardAt > this.#lateMs ||
+      conversation.isDialled === current.isDialled ||
       conversation.isDialled === this.#node < peer;
   }
 }
--- a/packages/node/src/peers/slots.ts
+++ b/packages/node/src/peers/slots.ts
@@ -55,9 +55,6 @@
   /** Connects to the first peer that can be reached and keeps it. */
   async #keep(slot: PeerSlot, signal: AbortSignal): Promise<void> {
     for (const [index, address] of slot.entries()) {
-      if (!this.#isCandidate(slot, index, address)) {
-        continue;
-      }
       const isConnected = this.#owner.isConnected(address) ||
         await this.#owner.dial(address, signal);
       if (isConnected) {
@@ -71,15 +68,6 @@
     this.#assign(slot, undefined);
   }
 
-  /**
-   * The first slot holds the ring together, so it keeps its next reachable
-   * peer whoever else is connected to it. The others look for new peers.
-   */
-  #isCandidate(slot: PeerSlot, index: number, address: string): boolean {
-    return index === 0 || slot === this.#slots[0] ||
-      this.#kept.get(slot) === address || !this.#owner.isConnected(address);
-  }
-
   #assign(slot: PeerSlot, address: string | undefined): void {
     const previous = this.#kept.get(slot);
     if (address === undefined) {
