--- /dev/null
+++ b/packages/node/test/peers/transport.test.ts
@@ -0,0 +1,70 @@
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { PeerConnection } from "@zinniahill/node";
+import { MAX_PEER_MESSAGE_BYTES } from "@zinniahill/schema";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { WebSocketTransport } from "../../src/peers/transport.ts";
+
+const TOKEN = "0123456789abcdef";
+
+/** Returns an address of this host that nothing listens on. */
+async function findAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return `127.0.0.1:${port}`;
+}
+
+describe("WebSocketTransport", () => {
+  let address: string;
+  let listener: WebSocketTransport;
+  let accepted: Promise<PeerConnection>;
+  const { signal } = new AbortController();
+
+  beforeEach(async () => {
+    address = await findAddress();
+    listener = new WebSocketTransport(TOKEN);
+    accepted = new Promise((resolve) => {
+      void listener.listen(address, resolve);
+    });
+  });
+  afterEach(() => listener.stop());
+
+  async function connect(token = TOKEN): Promise<PeerConnection> {
+    return await new WebSocketTransport(token).connect(address, signal);
+  }
+
+  describe("connections", () => {
+    it("carry messages in both directions", async () => {
+      const near = await connect();
+      const far = await accepted;
+      near.send(new Uint8Array([1, 2]));
+      far.send(new Uint8Array([3]));
+      expect([...(await far.receive(signal))!]).toEqual([1, 2]);
+      expect([...(await near.receive(signal))!]).toEqual([3]);
+      near.close();
+      expect(await far.receive(signal)).toBeUndefined();
+    });
+
+    it("are refused to a node that does not know the token", async () => {
+      await expect(connect("another-token-000")).rejects.toThrow("401");
+    });
+
+    it("are refused where nothing listens", async () => {
+      const other = await findAddress();
+      await expect(new WebSocketTransport(TOKEN).connect(other, signal))
+        .rejects.toThrow();
+    });
+  });
+
+  describe("limits", () => {
+    it("end a connection whose message is too large, with the reason", async () => {
+      const near = await connect();
+      const far = await accepted;
+      near.send(new Uint8Array(MAX_PEER_MESSAGE_BYTES + 1));
+      expect(await far.receive(signal)).toBeUndefined();
+      expect(far.failure).toContain("Max payload size exceeded");
+    });
+  });
+});
