Drop the rule for two connections dialled by one node

Cause: since a late connection gives way to a new one, no test told whether a second connection dialled by the same node replaces the first (mutation survived).

--- a/packages/node/src/peers/registry.ts
+++ b/packages/node/src/peers/registry.ts
@@ -139,7 +139,7 @@
   /**
    * Both nodes must keep the same one of two connections that they dial at
    * the same time: the one that the node with the lower name has dialled. A
-   * node that dials again, or that is late, has lost the older connection.
+   * peer that is late may have lost the older connection.
    */
   #isPreferred(
     conversation: Conversation,
@@ -148,7 +148,6 @@
   ): boolean {
     const heardAt = current.peer?.heardAt ?? 0;
     return this.#clock.now() - heardAt > this.#lateMs ||
-      conversation.isDialled === current.isDialled ||
       conversation.isDialled === this.#node < peer;
   }
 }
