--- a/packages/node/src/serving/http.ts
+++ b/packages/node/src/serving/http.ts
@@ -80,9 +80,11 @@
 
   #refuseRoute(request: RoutedRequest, response: ServerResponse): void {
     const path = request.path;
-    const allowed = METHODS.filter((method) =>
-      this.#app.find(method, path).handlers.length > 0
-    );
+    const allowed = METHODS.filter((method) => {
+      // The router returns `false` for no route, unlike its declared type.
+      const found: { handlers?: unknown } = this.#app.find(method, path);
+      return found.handlers !== undefined;
+    });
     if (allowed.length === 0) {
       const message = "there is no such path";
       sendRefusal(response, new Refusal("not-found", "not-run", message));
@@ -129,7 +131,7 @@
 ): Promise<Buffer> {
   const announced = Number(request.headers["content-length"] ?? 0);
   if (announced > limitBytes) {
-    throw refuseBody(request, limitBytes);
+    throw refuseBody(limitBytes);
   }
   const chunks: Buffer[] = [];
   let size = 0;
@@ -138,21 +140,31 @@
   for await (const chunk of request.iterator({ destroyOnReturn: false })) {
     size += (chunk as Buffer).length;
     if (size > limitBytes) {
-      throw refuseBody(request, limitBytes);
+      throw refuseBody(limitBytes);
     }
     chunks.push(chunk as Buffer);
   }
   return Buffer.concat(chunks);
 }
 
-function refuseBody(request: IncomingMessage, limitBytes: number): Refusal {
-  const { socket } = request;
-  request.pause();
-  socket.setTimeout(UNREAD_LINGER_MS, () => socket.destroy());
+function refuseBody(limitBytes: number): Refusal {
   const message = `the body is larger than ${limitBytes} bytes`;
   return new Refusal("too-large", "not-run", message);
 }
 
+/**
+ * Ends a connection whose body was not read, but not at once: bytes that are
+ * still unread would reset it before the caller has read the reply.
+ */
+function closeUnread(response: ServerResponse): void {
+  const { socket } = response;
+  response.once("finish", () => {
+    socket?.pause();
+    socket?.end();
+    socket?.setTimeout(UNREAD_LINGER_MS, () => socket.destroy());
+  });
+}
+
 /** Reads a request's body as JSON of a schema. */
 export async function readJson<Value>(
   request: IncomingMessage,
@@ -197,6 +209,9 @@
     response.end(`data: ${JSON.stringify(refusal.toBody())}\n\n`);
     return;
   }
+  if (refusal.code === "too-large") {
+    closeUnread(response);
+  }
   if (refusal.retryAfterMs !== undefined) {
     const seconds = Math.ceil(refusal.retryAfterMs / MS_PER_SECOND);
     response.setHeader("retry-after", String(seconds));
