Watch the progress of a stream with one timer

Cause: each chunk of a stream had a timer, an abort signal and a race of its own. Ruled out: a race against one long-lived promise, which keeps a reaction for each chunk until the stream ends.

--- a/packages/node/src/serving/chat-reply.ts
+++ b/packages/node/src/serving/chat-reply.ts
@@ -102,7 +102,7 @@
   #response: ServerResponse;
   #header: ReplyHeader;
 
-  constructor(_clock: Clock, response: ServerResponse, header: ReplyHeader) {
+  constructor(response: ServerResponse, header: ReplyHeader) {
     this.#response = response;
     this.#header = header;
   }
--- a/packages/node/src/serving/chat.ts
+++ b/packages/node/src/serving/chat.ts
@@ -16,7 +16,7 @@
 import type { Metrics } from "../metrics.ts";
 import type { NodeKernel } from "../services.ts";
 import type { Caller } from "./authentication.ts";
-import { StreamedReply, WholeReply } from "./chat-reply.ts";
+import { type ChatReply, StreamedReply, WholeReply } from "./chat-reply.ts";
 import type { Gate } from "./gate.ts";
 import { createCloseSignal, readJson, type RoutedRequest } from "./http.ts";
 import type { Streams } from "./streams.ts";
@@ -28,6 +28,17 @@
  */
 const REQUEST_DEADLINE_MS = 40 * 60 * 1000;
 
+/** A request that holds a place. */
+interface AdmittedChat {
+  readonly id: string;
+  readonly account: string;
+  readonly rank: Rank;
+  /** When the request came, on the node's clock. */
+  readonly startedAt: number;
+  readonly maxTokens: number;
+  readonly body: ChatRequest;
+}
+
 /** Serves chat completions. */
 export class Chat {
   #clock: Clock;
@@ -63,10 +74,10 @@
         `there is no model ${JSON.stringify(body.model)}`,
       );
     }
-    const startedAt = this.#clock.now();
-    const signal = createCloseSignal(response);
     const maxTokens = body.max_completion_tokens ?? body.max_tokens ??
       DEFAULT_MAX_TOKENS;
+    const startedAt = this.#clock.now();
+    const signal = createCloseSignal(response);
     const permit = await this.#gate.admit(
       { account: account.name, rank, tokens: maxTokens },
       signal,
@@ -74,46 +85,75 @@
     if (permit.isErr) {
       throw permit.error;
     }
-    const createReply = body.stream ? StreamedReply : WholeReply;
-    const reply = new createReply(this.#clock, response, {
-      request: id,
-      model: body.model,
-      created: Math.floor(this.#clock.wallTime() / MS_PER_SECOND),
-      includesUsage: body.stream_options?.include_usage ?? false,
-    });
+    const work = {
+      id,
+      account: account.name,
+      rank,
+      startedAt,
+      maxTokens,
+      body,
+    };
     let tokens = 0;
     try {
-      const end = await this.#streams.run({
-        request: id,
-        model: body.model,
-        messages: body.messages,
-        maxTokens,
-        rank,
-        deadline: startedAt + REQUEST_DEADLINE_MS,
-        sink: {
-          write: (events, count) => {
-            tokens += count;
-            return reply.write(events);
-          },
-        },
-      }, signal);
-      if (end.isErr) {
-        throw end.error;
-      }
-      reply.end(end.value.progress);
-      this.#logger.info("request_served", {
-        request: id,
-        account: account.name,
-        rank,
-        tokens,
-        attempts: end.value.attempts,
-        duration_ms: Math.round(this.#clock.now() - startedAt),
-      });
-      this.#metrics.count("requests", 1, { rank });
+      const onTokens = (count: number) => tokens += count;
+      await this.#stream(work, response, signal, onTokens);
     } finally {
       permit.value.release(tokens);
     }
   }
+
+  async #stream(
+    { id, account, rank, startedAt, maxTokens, body }: AdmittedChat,
+    response: ServerResponse,
+    signal: AbortSignal,
+    onTokens: (count: number) => void,
+  ): Promise<void> {
+    const reply = this.#createReply(id, body, response);
+    const end = await this.#streams.run({
+      request: id,
+      model: body.model,
+      messages: body.messages,
+      maxTokens,
+      rank,
+      deadline: startedAt + REQUEST_DEADLINE_MS,
+      sink: {
+        write: (events, count) => {
+          onTokens(count);
+          return reply.write(events, count);
+        },
+      },
+    }, signal);
+    if (end.isErr) {
+      throw end.error;
+    }
+    const { attempts, progress } = end.value;
+    reply.end(progress);
+    this.#logger.info("request_served", {
+      request: id,
+      account,
+      rank,
+      tokens: progress.next,
+      attempts,
+      duration_ms: Math.round(this.#clock.now() - startedAt),
+    });
+    this.#metrics.count("requests", 1, { rank });
+  }
+
+  #createReply(
+    id: string,
+    body: ChatRequest,
+    response: ServerResponse,
+  ): ChatReply {
+    const header = {
+      request: id,
+      model: body.model,
+      created: Math.floor(this.#clock.wallTime() / MS_PER_SECOND),
+      includesUsage: body.stream_options?.include_usage ?? false,
+    };
+    return body.stream
+      ? new StreamedReply(this.#clock, response, header)
+      : new WholeReply(response, header);
+  }
 }
 
 function readRank(request: RoutedRequest, account: AccountRule): Rank {
--- a/packages/node/src/serving/stream-attempt.ts
+++ b/packages/node/src/serving/stream-attempt.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { type Clock, describeError, withDeadline } from "@zinniahill/kernel";
+import { type Clock, describeError } from "@zinniahill/kernel";
 import {
   type Engines,
   type EngineStream,
@@ -13,6 +13,7 @@
 } from "@zinniahill/platform";
 import type { GenerateRequest } from "@zinniahill/schema";
 import { DeliveredText, readFinishReason } from "./delivered-text.ts";
+import { ProgressWatch } from "./progress-watch.ts";
 import { findForeignEvent, selectRun, type TokenRun } from "./token-run.ts";
 
 /** Takes the events of an answer, each token once and in order. */
@@ -77,20 +78,23 @@
   if (startedAt >= attempt.deadline) {
     return { verdict: "not-run", message: "the deadline has passed" };
   }
+  const until = Math.min(startedAt + attempt.firstTokenMs, attempt.deadline);
   const stream = await engines.generate(address, body, {
-    timeoutMs: limitWait(clock, attempt, startedAt + attempt.firstTokenMs),
+    timeoutMs: until - startedAt,
     newConnection,
     signal,
   });
   if (stream.isErr) {
     return stream.error;
   }
+  const watch = new ProgressWatch(clock, signal, until);
   try {
-    await forward(clock, stream.value, attempt, startedAt);
+    await forward(clock, stream.value, attempt, watch);
     return { verdict: "may-have-run", message: "the stream ended" };
   } catch (failure) {
     return { verdict: "may-have-run", message: describeError(failure) };
   } finally {
+    watch.end();
     stream.value.close();
   }
 }
@@ -99,25 +103,17 @@
   clock: Clock,
   stream: EngineStream,
   attempt: Attempt,
-  startedAt: number,
+  watch: ProgressWatch,
 ): Promise<void> {
-  const { body, progress, sink, signal } = attempt;
+  const { body, progress, sink } = attempt;
   if (stream.request !== body.request) {
     throw new Error("the stream belongs to another request");
   }
   const mark = Buffer.from(`${CHUNK_ID_PREFIX}${body.request}"`);
   const splitter = new TokenSplitter();
   const chunks = stream.chunks[Symbol.asyncIterator]();
-  // Only new tokens move the deadline, so a connection that repeats old ones
-  // stalls like a silent one.
-  let progressBy = startedAt + attempt.firstTokenMs;
   while (true) {
-    const chunk = await withDeadline(
-      clock,
-      limitWait(clock, attempt, progressBy),
-      signal,
-      () => chunks.next(),
-    );
+    const chunk = await watch.wait(chunks.next());
     if (chunk.done) {
       return;
     }
@@ -131,7 +127,10 @@
     progress.note(run);
     if (tokens > 0) {
       await sink.write(run.bytes, tokens);
-      progressBy = clock.now() + attempt.tokenGapMs;
+      // Only new tokens move the deadline, so a connection that repeats old
+      // ones stalls like a silent one.
+      const until = clock.now() + attempt.tokenGapMs;
+      watch.moveTo(Math.min(until, attempt.deadline));
     }
     if (run.hasGap) {
       throw new Error(`token ${progress.next} is missing`);
@@ -141,7 +140,3 @@
     }
   }
 }
-
-function limitWait(clock: Clock, attempt: Attempt, until: number): number {
-  return Math.max(0, Math.min(until, attempt.deadline) - clock.now());
-}
--- a/packages/node/src/serving/streams.ts
+++ b/packages/node/src/serving/streams.ts
@@ -26,6 +26,7 @@
 import type { Hosts } from "../groups/hosts.ts";
 import type { NodeKernel } from "../services.ts";
 import type { Router } from "./router.ts";
+import { watchFirstToken } from "./first-token-watch.ts";
 import { Progress, runAttempt, type TokenSink } from "./stream-attempt.ts";
 
 /** A request for a stream of tokens. */
@@ -69,8 +70,6 @@
 const MAX_FRUITLESS_ATTEMPTS = 8;
 const NO_GROUP_WAIT_MS = 10_000;
 const RETRY_AFTER_MS = 1000;
-/** How often a stream without a first token looks at its group's evidence. */
-const WATCH_INTERVAL_MS = 500;
 const BASE_PAUSE_MS = 50;
 const MAX_PAUSE_MS = 1000;
 
@@ -270,7 +269,12 @@
     const factor = run.resumable === group.group
       ? RESUME_FACTOR
       : FIRST_TOKEN_FACTORS[request.rank];
-    const waiting = this.#watchGroup(group, progress, signal);
+    const waiting = watchFirstToken(
+      this.#clock,
+      progress,
+      () => this.#hasMoved(group),
+      signal,
+    );
     const fault = await runAttempt(this.#clock, this.#engines, {
       address,
       body: {
@@ -300,34 +304,6 @@
     return fault;
   }
 
-  /**
-   * A signal that aborts with the caller's, and when the group cannot be served
-   * while its engine has sent nothing yet and another group is servable.
-   */
-  #watchGroup(
-    group: GroupState,
-    progress: Progress,
-    signal: AbortSignal,
-  ): { readonly signal: AbortSignal; end(): void } {
-    const before = progress.next;
-    const watch = new AbortController();
-    const ended = new AbortController();
-    const run = async () => {
-      while (progress.next === before) {
-        await this.#clock.sleep(WATCH_INTERVAL_MS, ended.signal);
-        if (progress.next === before && this.#hasMoved(group)) {
-          watch.abort(new Error("the group is not served any more"));
-          return;
-        }
-      }
-    };
-    run().catch(() => {});
-    return {
-      signal: AbortSignal.any([signal, watch.signal]),
-      end: () => ended.abort(),
-    };
-  }
-
   #hasMoved(group: GroupState): boolean {
     return this.#evidence.findObstacle(group) !== undefined &&
       this.#evidence.listServable(group.model).length > 0;
--- a/packages/node/test/serving/streams.test.ts
+++ b/packages/node/test/serving/streams.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { Streams } from "../../src/serving/streams.ts";
 import { createWholeText, StreamWorld, type Tamper } from "./fixture.ts";
 
 const TOKENS = 50;
@@ -195,6 +196,24 @@
       expect(received.tokens).toBe(5);
     });
 
+    it("makes no further attempt when the retry budget forbids it", async () => {
+      const streams = new Streams(world.node, () => false);
+      world.tamper = stallAfter(5);
+      let outcome: unknown;
+      streams.run({
+        request: "req2",
+        model: "chat",
+        messages: [],
+        maxTokens: TOKENS,
+        rank: "normal",
+        deadline: world.clock.now() + 60_000,
+        sink: { write: () => {} },
+      }, new AbortController().signal).then((end) => outcome = end);
+      await world.clock.advance(20_000);
+      expect(outcome).toMatchObject({ error: { verdict: "ran" } });
+      expect(world.asked).toHaveLength(1);
+    });
+
     it("makes the engine's stream wait for a slow caller", async () => {
       let release = () => {};
       let writes = 0;
