Probe a group at once when one of its streams breaks; refuse while closing

Cause: a broken stream is evidence, but streams did not tell; a node that closes still took requests on open connections until its bound cut them; the bound (60 s) was shorter than the longest request; a signal during the start killed the node; two of the demo's nodes could get the same free port (EADDRINUSE, seen once).

--- a/bench/src/deployment.ts
+++ b/bench/src/deployment.ts
@@ -6,9 +6,9 @@
 import { createHash } from "node:crypto";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import process from "node:process";
 import { request } from "undici";
 import {
   runCommand,
@@ -69,6 +69,8 @@
   replicas: 2,
 };
 
+/** Keeps the ports of two deployments that start together apart. */
+const PORT_STRIDE = 97;
 const ADMIN_TOKEN = "demo-admin-token-0001";
 const PEER_TOKEN = "demo-peer-token-00001";
 /** Short, so that a planned stop of the demo's nodes is quick. */
@@ -323,12 +325,30 @@
   ].join("\n");
 }
 
-function findFreeAddress(): Promise<string> {
+/**
+ * Ports below the system's range for outgoing connections, so that none of
+ * those takes a port between its choice here and its use by a node.
+ */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 10_000;
+let nextPort = FIRST_PORT + process.pid * PORT_STRIDE % PORT_COUNT;
+
+async function findFreeAddress(): Promise<string> {
+  for (;;) {
+    const port = nextPort;
+    nextPort = FIRST_PORT + (port + 1 - FIRST_PORT) % PORT_COUNT;
+    if (await isFree(port)) {
+      return `127.0.0.1:${port}`;
+    }
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(`127.0.0.1:${port}`));
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => {
+      server.close(() => resolve(true));
     });
   });
 }
--- a/packages/node/src/groups/evidence.ts
+++ b/packages/node/src/groups/evidence.ts
@@ -145,6 +145,12 @@
     }
   }
 
+  /** Whether a suspicion was noted and no probe has answered it yet. */
+  isSuspect(group: string): boolean {
+    const watch = this.#watches.get(group);
+    return watch !== undefined && watch.suspicions !== watch.cleared;
+  }
+
   /** Why a group is not served; undefined when it is. */
   findObstacle(group: GroupState): string | undefined {
     if (group.phase !== "ready") {
@@ -154,7 +160,7 @@
     if (watch === undefined) {
       return "this node does not probe the group";
     }
-    if (watch.suspicions !== watch.cleared) {
+    if (this.isSuspect(group.group)) {
       return "the group is suspect until it is probed again";
     }
     return group.hosts
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -27,6 +27,10 @@
 }
 
 const node = createNode(settings.value);
+// A signal during the start begins the planned stop once the node serves.
+const stopRequested = new AbortController();
+process.on("SIGTERM", () => stopRequested.abort());
+process.on("SIGINT", () => stopRequested.abort());
 try {
   await node.start();
 } catch (failure) {
@@ -38,9 +42,12 @@
 });
 
 const lifecycle = node.find("lifecycle");
-process.on("SIGTERM", () => lifecycle.drain());
-process.on("SIGINT", () => lifecycle.drain());
-await stopAsPlanned(node);
+const stopped = stopAsPlanned(node);
+stopRequested.signal.addEventListener("abort", () => lifecycle.drain());
+if (stopRequested.signal.aborted) {
+  lifecycle.drain();
+}
+await stopped;
 process.exit(0);
 
 function readSettings(path: string): string {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -61,6 +61,7 @@
     [
       ...base,
       "metrics",
+      "lifecycle",
       "state",
       "admission",
       "streams",
--- a/packages/node/src/serving/front.ts
+++ b/packages/node/src/serving/front.ts
@@ -5,7 +5,8 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Logger, Random, Service } from "@zinniahill/kernel";
-import type { Settings } from "@zinniahill/schema";
+import { Refusal, type Settings } from "@zinniahill/schema";
+import type { Lifecycle } from "../lifecycle.ts";
 import type { NodeKernel } from "../services.ts";
 import { Authentication, type Caller } from "./authentication.ts";
 import { Chat } from "./chat.ts";
@@ -34,6 +35,7 @@
   #random: Random;
   #logger: Logger;
   #settings: Settings;
+  #lifecycle: Lifecycle;
   #authentication: Authentication;
   #lookup: Lookup;
   #chat: Chat;
@@ -45,6 +47,7 @@
     this.#random = kernel.find("random");
     this.#logger = kernel.find("logger");
     this.#settings = kernel.find("settings");
+    this.#lifecycle = kernel.find("lifecycle");
     this.#authentication = new Authentication(kernel.find("state"));
     this.#lookup = kernel.find("lookup");
     this.#chat = new Chat(kernel);
@@ -99,6 +102,7 @@
       let caller: Caller | undefined;
       this.#inFlight++;
       try {
+        this.#refuseWhenClosing(response);
         caller = this.#authentication.authenticate(request);
         await task(id, caller, request, response);
       } catch (failure) {
@@ -110,6 +114,14 @@
     });
   }
 
+  /** Callers no longer know this node, but a connection may be kept open. */
+  #refuseWhenClosing(response: ServerResponse): void {
+    if (this.#lifecycle.isClosing) {
+      response.setHeader("connection", "close");
+      throw new Refusal("stopping", "not-run", "the node stops", 0);
+    }
+  }
+
   #logRefusal(id: string, caller: Caller | undefined, failure: unknown): void {
     const { code, verdict } = createRefusal(failure);
     const fields = { request: id, account: caller?.account.name };
--- a/packages/node/src/serving/http.ts
+++ b/packages/node/src/serving/http.ts
@@ -37,6 +37,8 @@
 const MS_PER_SECOND = 1000;
 /** How long a caller whose body was not read may take to read the reply. */
 const UNREAD_LINGER_MS = 1000;
+/** How long a reply that was written may take to reach its caller. */
+const CLOSE_LINGER_MS = 1000;
 const METHODS = ["GET", "POST"] as const;
 
 /** An HTTP server whose requests are tasks. */
@@ -112,11 +114,21 @@
     });
   }
 
-  /** Stops listening and ends connections that are idle or left over. */
+  /**
+   * Stops listening and ends idle connections at once. Others may still be
+   * read by their caller and are ended a moment later.
+   */
   close(): Promise<void> {
     return new Promise((resolve) => {
-      this.#server.close(() => resolve());
-      this.#server.closeAllConnections();
+      const linger = setTimeout(
+        () => this.#server.closeAllConnections(),
+        CLOSE_LINGER_MS,
+      );
+      this.#server.close(() => {
+        clearTimeout(linger);
+        resolve();
+      });
+      this.#server.closeIdleConnections();
     });
   }
 }
--- a/packages/node/src/serving/streams.ts
+++ b/packages/node/src/serving/streams.ts
@@ -70,6 +70,8 @@
 const MAX_FRUITLESS_ATTEMPTS = 8;
 const NO_GROUP_WAIT_MS = 10_000;
 const RETRY_AFTER_MS = 1000;
+/** A present host answers a probe sooner; a missing one costs this wait. */
+const PROBE_ANSWER_MS = 250;
 const BASE_PAUSE_MS = 50;
 const MAX_PAUSE_MS = 1000;
 
@@ -160,6 +162,9 @@
         return Result.ok({ attempts: run.attempts, progress });
       }
       this.#noteFault(run, group, fault);
+      if (!signal.aborted && fault.verdict !== "not-run") {
+        await this.#suspect(run, group);
+      }
       if (signal.aborted || !this.#mayRetry(request.rank)) {
         break;
       }
@@ -189,6 +194,27 @@
     });
   }
 
+  /**
+   * Has the group probed. A group that brought tokens holds the prefix, so the
+   * stream waits a moment for the answer before it goes elsewhere.
+   */
+  async #suspect(run: Run, { group }: GroupState): Promise<void> {
+    this.#evidence.noteSuspect(group);
+    if (run.resumable !== group) {
+      return;
+    }
+    await withDeadline(
+      this.#clock,
+      PROBE_ANSWER_MS,
+      run.signal,
+      (signal) =>
+        this.#evidence.changed.until(
+          () => !this.#evidence.isSuspect(group),
+          signal,
+        ),
+    ).catch(() => {});
+  }
+
   /** Waits with full jitter after attempts that brought nothing. */
   async #pause(run: Run): Promise<void> {
     if (run.fruitless === 0) {
@@ -239,7 +265,7 @@
 
   async #attempt(run: Run, group: GroupState): Promise<Fault> {
     const { progress } = run;
-    const address = this.#hosts.all.get(group.hosts[0]!)?.address;
+    const address = this.#hosts.findAddress(group.hosts[0]!);
     run.attempts++;
     const before = progress.next;
     this.#router.begin(group.group);
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -42,7 +42,8 @@
     "lookup-validity": Duration.default(5000),
     "stream-progress": Duration.default(2000),
     "call-deadline": Duration.default(10_000),
-    "stop-bound": Duration.default(60_000),
+    // Longer than the longest request, so that a planned stop cuts none.
+    "stop-bound": Duration.default(2_700_000),
     "checkpoint-interval": Duration.default(60_000),
   }).prefault({}),
   limits: z.strictObject({
