--- a/bench/src/bench.ts
+++ b/bench/src/bench.ts
@@ -3,12 +3,23 @@
  *
  * @module
  */
+import { measureAffinity } from "./policy/affinity.ts";
+import { measureCost } from "./policy/cost.ts";
+import { measureFairness } from "./policy/fairness.ts";
+import { measureRetries, measureStragglers } from "./policy/faults.ts";
+import { measureLimits } from "./policy/limits.ts";
 import { measureRanks } from "./policy/ranks.ts";
 
 type Measurement = () => Promise<void> | void;
 
 const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
   ranks: measureRanks,
+  fairness: measureFairness,
+  limits: measureLimits,
+  affinity: measureAffinity,
+  stragglers: measureStragglers,
+  retries: measureRetries,
+  cost: measureCost,
 };
 
 const wanted = process.argv.slice(2);
--- /dev/null
+++ b/bench/src/policy/faults.ts
@@ -0,0 +1,117 @@
+/**
+ * Stragglers, stalled groups and retries.
+ *
+ * @module
+ */
+import { Fleet, FULL, GROUPS, type Variant } from "./fleet.ts";
+import { emit } from "./output.ts";
+import { createRules } from "./rules.ts";
+import {
+  GROUP_RATE,
+  MEAN_TOKENS,
+  type Recorder,
+  runTraffic,
+} from "./traffic.ts";
+
+const SEED = 41;
+const SLOWNESS = 5;
+const STRAGGLERS = 2;
+const STALL_FROM_MS = 5000;
+const STALL_UNTIL_MS = 15_000;
+const AFTER_MS = 5000;
+
+/** Measures ejection of stragglers beside routing without it. */
+export async function measureStragglers(): Promise<void> {
+  const ejecting = await runStragglers(FULL);
+  const plain = await runStragglers({ ...FULL, ejection: false });
+  const figures = {
+    "first-token-p95": (recorder: Recorder) =>
+      recorder.ranks.normal.firstToken.at(95),
+    "token-gap-p95": (recorder: Recorder) => recorder.ranks.normal.gap.at(95),
+    "token-gap-p99": (recorder: Recorder) => recorder.ranks.normal.gap.at(99),
+  };
+  for (const [figure, count] of Object.entries(figures)) {
+    emit({
+      name: `stragglers/${figure}`,
+      value: count(ejecting),
+      unit: "ms",
+      baseline: count(plain),
+      seed: SEED,
+    });
+  }
+}
+
+function runStragglers(variant: Variant): Promise<Recorder> {
+  const rules = createRules();
+  const fleet = new Fleet({ seed: SEED, rules, variant, clientMs: 1 });
+  for (const engine of [...fleet.engines.values()].slice(0, STRAGGLERS)) {
+    engine.slowness = SLOWNESS;
+  }
+  const flow = {
+    account: "account",
+    rank: "normal" as const,
+    perSecond: 0.6 * GROUPS * GROUP_RATE,
+  };
+  return runTraffic(fleet, [flow], rules, {
+    seed: SEED,
+    warmUpMs: 10_000,
+    durationMs: 10_000,
+  });
+}
+
+interface StallRun {
+  readonly recorder: Recorder;
+  readonly attemptsPerRequest: number;
+}
+
+/** Measures retries while half of the groups stall, and after. */
+export async function measureRetries(): Promise<void> {
+  const budget = await runStall(FULL);
+  const none = await runStall({ ...FULL, budget: false });
+  emit({
+    name: "retries/attempts-per-request",
+    value: budget.attemptsPerRequest,
+    unit: "1",
+    baseline: none.attemptsPerRequest,
+    seed: SEED,
+  });
+  const capacity = GROUPS * GROUP_RATE * MEAN_TOKENS * AFTER_MS / 1000;
+  emit({
+    name: "retries/goodput-after",
+    value: budget.recorder.tokens / capacity,
+    unit: "share of capacity",
+    baseline: none.recorder.tokens / capacity,
+    seed: SEED,
+  });
+  emit({
+    name: "retries/worth-on-time-after",
+    value: budget.recorder.worthOnTime,
+    unit: "share",
+    baseline: none.recorder.worthOnTime,
+    seed: SEED,
+  });
+}
+
+async function runStall(variant: Variant): Promise<StallRun> {
+  const rules = createRules();
+  const fleet = new Fleet({ seed: SEED, rules, variant, clientMs: 1 });
+  const stalled = [...fleet.engines.values()].slice(0, GROUPS / 2);
+  const setStalled = (isStalled: boolean) => () =>
+    stalled.forEach((engine) => engine.isStalled = isStalled);
+  fleet.clock.schedule(STALL_FROM_MS, setStalled(true));
+  fleet.clock.schedule(STALL_UNTIL_MS, setStalled(false));
+  const flows = (["urgent", "normal"] as const).map((rank) => ({
+    account: "account",
+    rank,
+    perSecond: 0.45 * GROUPS * GROUP_RATE,
+  }));
+  const recorder = await runTraffic(fleet, flows, rules, {
+    seed: SEED,
+    warmUpMs: STALL_UNTIL_MS,
+    durationMs: AFTER_MS,
+  });
+  return {
+    recorder,
+    attemptsPerRequest: fleet.attempts / Math.max(1, fleet.admitted),
+  };
+}
--- a/bench/src/policy/fleet.ts
+++ b/bench/src/policy/fleet.ts
@@ -76,6 +76,8 @@
   readonly nodes: Node[];
   /** Attempts that reached an engine. */
   attempts = 0;
+  /** Requests that were admitted, and so had a first attempt. */
+  admitted = 0;
   /** Batch requests that gave their place to urgent work. */
   yields = 0;
   #options: FleetOptions;
@@ -129,6 +131,7 @@
       return;
     }
     let permit: Permit = admitted.value;
+    this.admitted++;
     node.budget.noteFirst(request.rank);
     let served = 0;
     let lastAt = startedAt;
@@ -198,7 +201,8 @@
         permit.yielded.removeEventListener("abort", onYield);
         const gaps = Math.max(1, seen - 1);
         const gap = (this.clock.now() - (firstAt ?? startedAt)) / gaps;
-        const isMeasured = seen > 1 || end === "failed";
+        const isMeasured = this.#options.variant.ejection &&
+          (seen > 1 || end === "failed");
         node.routing.end(group, isMeasured ? { tokenGapMs: gap } : undefined);
         resolve(end);
       };
