Let virtual time follow the lowest tag

Cause: virtual time only rose, while corrections at release lower the tags of large accounts; a small account then started behind all of them.

--- a/packages/policy/src/fair-queue.ts
+++ b/packages/policy/src/fair-queue.ts
@@ -87,7 +87,9 @@
       return undefined;
     }
     const [item] = flow.waiting;
-    this.#virtualTime = Math.max(this.#virtualTime, flow.tag);
+    // Corrections may move the lowest tag back. Virtual time follows it, or an
+    // account that starts now would stand behind all corrected ones.
+    this.#virtualTime = flow.tag;
     flow.tag += item!.cost / flow.weight;
     flow.inFlight++;
     this.#inFlight++;
