Measure the service rate at releases; divide free streams among their users

Cause: the rate counted dispatches while requests waited. With every request refused nothing waits, so a rate that was once too low stayed. It is now counted at releases while all places are taken. Streams of an account: with no report yet each node took the whole limit, and a node alone with an account was kept to a quarter of what was free.

--- a/bench/src/policy/limits.ts
+++ b/bench/src/policy/limits.ts
@@ -13,7 +13,8 @@
 const EXCHANGE_MS = 250;
 const DELAY_MS = 5;
 const DURATION_MS = 20_000;
-const STREAM_MS = 500;
+const STREAM_MS = 100;
+const LONG_STREAM_MS = 1000;
 const TOKENS = 100;
 const RULE =
   `account north key=sha256:${"0".repeat(64)} requests=50/s tokens=20000/s ` +
@@ -23,6 +24,10 @@
   /** Nodes that callers use. */
   readonly callers: readonly number[];
   readonly perSecond: number;
+  /** How long one request runs. */
+  readonly streamMs?: number;
+  /** Whether no node knows of the others, as the baseline. */
+  readonly isAlone?: boolean;
   /** Whether a report from one node reaches another at a time. */
   reaches(from: number, to: number, now: number): boolean;
   /** Whether a node runs at a time. */
@@ -36,9 +41,24 @@
 const CASES: Readonly<Record<string, Case>> = {
   "all-nodes": { callers: ALL, perSecond: 400, reaches: ALWAYS, runs: ALWAYS },
   "one-node": { callers: [0], perSecond: 400, reaches: ALWAYS, runs: ALWAYS },
+  "streams-all-nodes": {
+    callers: ALL,
+    perSecond: 100,
+    streamMs: LONG_STREAM_MS,
+    reaches: ALWAYS,
+    runs: ALWAYS,
+  },
+  "streams-one-node": {
+    callers: [0],
+    perSecond: 100,
+    streamMs: LONG_STREAM_MS,
+    reaches: ALWAYS,
+    runs: ALWAYS,
+  },
   "under-the-limit": {
     callers: [0],
     perSecond: 20,
+    streamMs: 300,
     reaches: ALWAYS,
     runs: ALWAYS,
   },
@@ -61,7 +81,7 @@
 export async function measureLimits(): Promise<void> {
   for (const [name, one] of Object.entries(CASES)) {
     const shared = await run(one);
-    const alone = await run({ ...one, reaches: () => false });
+    const alone = await run({ ...one, reaches: () => false, isAlone: true });
     const figures = {
       "requests": { value: shared.requests, baseline: alone.requests },
       "requests-first-half": {
@@ -92,7 +112,8 @@
   const clock = new ManualClock();
   const rules = createRules({ accounts: [RULE] }).accounts;
   const rule = rules.get("north")!;
-  const nodes = ALL.map(() => new AccountLimits(clock));
+  const nodeCount = one.isAlone ? 1 : ALL.length;
+  const nodes = ALL.map(() => new AccountLimits(clock, () => nodeCount));
   const count = { requests: 0, firstHalf: 0, streams: 0, peak: 0 };
   nodes.forEach((limits, from) => {
     exchange(clock, limits, rules, (report, sequence) => {
@@ -111,7 +132,13 @@
   const random = new SeededRandom(SEED);
   arrive(clock, one, random, (node) => {
     const isBegun = one.runs(node, clock.now()) &&
-      begin(clock, nodes[node]!, rule, () => count.streams--);
+      begin(
+        clock,
+        nodes[node]!,
+        rule,
+        one.streamMs ?? STREAM_MS,
+        () => count.streams--,
+      );
     if (isBegun) {
       count.requests++;
       count.firstHalf += clock.now() < HALF_MS ? 1 : 0;
@@ -163,13 +190,14 @@
   clock: ManualClock,
   limits: AccountLimits,
   rule: AccountRule,
+  streamMs: number,
   onEnd: () => void,
 ): boolean {
   const begun = limits.begin(rule, TOKENS);
   if (begun.isErr) {
     return false;
   }
-  clock.schedule(STREAM_MS, () => {
+  clock.schedule(streamMs, () => {
     limits.end(rule.name, TOKENS, TOKENS);
     onEnd();
   });
--- a/packages/policy/src/account-limits.ts
+++ b/packages/policy/src/account-limits.ts
@@ -37,6 +37,8 @@
 
 /** Requests and tokens may be saved up for this long. */
 const BURST_MS = 1000;
+/** Parts that free streams are divided into when other nodes live. */
+const MIN_PARTS = 2;
 /** A peer without a report for this long counts as lost. */
 const PEER_VALIDITY_MS = 4000;
 
@@ -45,17 +47,22 @@
  * charged with the use of this node at once and of peers when they report it.
  * Buckets may go below zero, so excess is paid back: over any time t, n nodes
  * together use at most rate * t + n * rate * (burst + report interval + delay).
- * New streams between two reports are limited to this node's part of what is
- * free, so n nodes exceed the limit by at most n - 1 in rounding. Sides of a
- * partition each apply the whole limit once their peers count as lost.
+ * New streams between two reports are limited to a part of what is free: among
+ * the nodes that have streams of the account, and at least two parts. So n nodes
+ * that all start at the same moment reach at most n / 2 times the limit, until
+ * the next report. Sides of a partition each apply the whole limit once their
+ * peers count as lost.
  */
 export class AccountLimits {
   #clock: Clock;
+  #countNodes: () => number;
   #usage = new Map<string, Usage>();
   #peers = new Map<string, PeerUsage>();
 
-  constructor(clock: Clock) {
+  /** `countNodes` tells how many nodes live, this one included. */
+  constructor(clock: Clock, countNodes: () => number) {
     this.#clock = clock;
+    this.#countNodes = countNodes;
   }
 
   /** The number of accounts that are remembered. */
@@ -167,18 +174,22 @@
 
   #hasStream(rule: AccountRule, usage: Usage): boolean {
     let remote = 0;
-    let nodes = 1;
+    let users = 1;
     const now = this.#clock.now();
     for (const [node, peer] of this.#peers) {
       if (now - peer.receivedAt > PEER_VALIDITY_MS) {
         this.#peers.delete(node);
         continue;
       }
-      nodes++;
-      remote += peer.streams.get(rule.name) ?? 0;
+      const count = peer.streams.get(rule.name) ?? 0;
+      users += count > 0 ? 1 : 0;
+      remote += count;
     }
     const free = rule.streams - remote - usage.reportedStreams;
-    const growth = Math.ceil(Math.max(0, free) / nodes);
+    // A peer without streams of the account may start some at the same time,
+    // so a node never takes all that is free unless it is alone.
+    const parts = Math.max(users, Math.min(MIN_PARTS, this.#countNodes()));
+    const growth = Math.ceil(Math.max(0, free) / parts);
     const allowed = usage.reportedStreams + growth;
     return usage.streams < allowed;
   }
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -207,7 +207,7 @@
       }
       this.#start(this.#queues[rank].take()!);
     }
-    this.#rates.setFull(RANKS.some((rank) => this.#queues[rank].size > 0));
+    this.#rates.setFull(this.inFlight >= limit);
     this.#scheduleExpiry();
   }
 
@@ -247,7 +247,7 @@
     const { rank } = waiter;
     this.#waiting[rank].delete(waiter);
     this.#inFlight[rank]++;
-    this.#rates.note(rank, waiter.cost);
+    this.#rates.noteDispatch(rank, waiter.cost);
     const place: Place = {
       waiter,
       admittedAt: this.#options.clock.now(),
@@ -273,6 +273,7 @@
       },
       release: (tokens) => {
         if (place.isHeld) {
+          this.#rates.noteRelease(waiter.cost);
           this.#end(place);
           this.#admitWaiting();
         }
--- a/packages/policy/src/service-rates.ts
+++ b/packages/policy/src/service-rates.ts
@@ -8,7 +8,7 @@
 
 /** Older dispatches count less, by a factor of e in this time. */
 const MEMORY_MS = 2000;
-/** The rate is unknown until requests have waited for this long. */
+/** The rate is unknown until all places were taken for this long. */
 const MIN_FULL_MS = 200;
 
 /** Tokens over time, with older ones counted less. */
@@ -36,7 +36,8 @@
 }
 
 /**
- * Measures the rate of all dispatches while requests wait, and of each rank.
+ * Measures the rate of all releases while every place is taken, which goes on
+ * when requests are refused, and the dispatches of each rank.
  * The rate that a rank can reach follows from the order of ranks: what its own
  * dispatches were says nothing when few of them were asked for.
  */
@@ -56,16 +57,21 @@
     this.#updatedAt = clock.now();
   }
 
-  /** Counts a dispatch. */
-  note(rank: Rank, tokens: number): void {
+  /** Counts a request that gets a place. */
+  noteDispatch(rank: Rank, tokens: number): void {
     this.#advance();
     this.#ranks[rank].note(tokens);
+  }
+
+  /** Counts a request that gives its place back. */
+  noteRelease(tokens: number): void {
+    this.#advance();
     if (this.#isFull) {
       this.#total.note(tokens);
     }
   }
 
-  /** Says whether requests of any rank wait now. */
+  /** Says whether all places are taken now. */
   setFull(isFull: boolean): void {
     this.#advance();
     this.#isFull = isFull;
