Prefer a group only up to one request above the mean load

Cause: with a bound of 1.25 times the mean and 2 more, groups with popular prompts had queues while others had free slots.

--- a/bench/src/policy/faults.ts
+++ b/bench/src/policy/faults.ts
@@ -67,9 +67,18 @@
 /** Measures retries while half of the groups stall, and after. */
 export async function measureRetries(): Promise<void> {
   const budget = await runStall(FULL);
-  const none = await runStall({ ...FULL, budget: false });
+  const baselines: Record<string, Variant> = {
+    "no-budget": { ...FULL, budget: false },
+    "fifo-no-budget": { ...FULL, admission: "fifo", budget: false },
+  };
+  for (const [name, variant] of Object.entries(baselines)) {
+    emitRetries(`retries/against-${name}`, budget, await runStall(variant));
+  }
+}
+
+function emitRetries(name: string, budget: StallRun, none: StallRun): void {
   emit({
-    name: "retries/attempts-per-request",
+    name: `${name}/attempts-per-request`,
     value: budget.attemptsPerRequest,
     unit: "1",
     baseline: none.attemptsPerRequest,
@@ -77,14 +86,14 @@
   });
   const capacity = GROUPS * GROUP_RATE * MEAN_TOKENS * AFTER_MS / 1000;
   emit({
-    name: "retries/goodput-after",
+    name: `${name}/goodput-after`,
     value: budget.recorder.tokens / capacity,
     unit: "share of capacity",
     baseline: none.recorder.tokens / capacity,
     seed: SEED,
   });
   emit({
-    name: "retries/worth-on-time-after",
+    name: `${name}/worth-on-time-after`,
     value: budget.recorder.worthOnTime,
     unit: "share",
     baseline: none.recorder.worthOnTime,
--- a/packages/policy/src/group-speeds.ts
+++ b/packages/policy/src/group-speeds.ts
@@ -51,6 +51,11 @@
     speed.samples++;
   }
 
+  /** When the group's last ejection ends or ended. */
+  getReturnedAt(group: string): number {
+    return this.#speeds.get(group)?.ejectedUntil ?? -Infinity;
+  }
+
   /** Forgets a group. */
   forget(group: string): void {
     this.#speeds.delete(group);
--- a/packages/policy/src/routing.ts
+++ b/packages/policy/src/routing.ts
@@ -35,9 +35,9 @@
 /** A report loses half of its weight in this time. */
 const REPORT_HALF_LIFE_MS = 1000;
 /** A preferred group may have this much more load than the mean. */
-const PREFERENCE_LOAD_FACTOR = 1.25;
+const PREFERENCE_LOAD_FACTOR = 1;
 /** Load that a preference may add when groups are almost idle. */
-const PREFERENCE_SLACK = 2;
+const PREFERENCE_SLACK = 1;
 /** A new group gets its full part after this time. */
 const SLOW_START_MS = 10_000;
 const SLOW_START_SHARE = 0.1;
@@ -198,7 +198,13 @@
       this.#firstSeenAt.set(group, now);
       return SLOW_START_SHARE;
     }
-    const share = (now - firstSeenAt) / SLOW_START_MS;
+    // A group that returns from ejection starts slowly too: its new samples
+    // come late, because its requests are slow.
+    const startedAt = Math.max(
+      firstSeenAt,
+      this.#speeds.getReturnedAt(group),
+    );
+    const share = (now - startedAt) / SLOW_START_MS;
     return Math.min(1, Math.max(SLOW_START_SHARE, share));
   }
 }
