Measure the time between tokens while a stream runs

Cause: a straggler was measured at the end of its slow streams, so it was ejected late and came back before new samples.

--- a/bench/src/policy/faults.ts
+++ b/bench/src/policy/faults.ts
@@ -62,6 +62,8 @@
 interface StallRun {
   readonly recorder: Recorder;
   readonly attemptsPerRequest: number;
+  /** The same, from the end of the fault. */
+  readonly attemptsAfter: number;
 }
 
 /** Measures retries while half of the groups stall, and after. */
@@ -84,6 +86,13 @@
     baseline: none.attemptsPerRequest,
     seed: SEED,
   });
+  emit({
+    name: `${name}/attempts-per-request-after`,
+    value: budget.attemptsAfter,
+    unit: "1",
+    baseline: none.attemptsAfter,
+    seed: SEED,
+  });
   const capacity = GROUPS * GROUP_RATE * MEAN_TOKENS * AFTER_MS / 1000;
   emit({
     name: `${name}/goodput-after`,
@@ -109,6 +118,11 @@
     stalled.forEach((engine) => engine.isStalled = isStalled);
   fleet.clock.schedule(STALL_FROM_MS, setStalled(true));
   fleet.clock.schedule(STALL_UNTIL_MS, setStalled(false));
+  const before = { attempts: 0, admitted: 0 };
+  fleet.clock.schedule(STALL_UNTIL_MS, () => {
+    before.attempts = fleet.attempts;
+    before.admitted = fleet.admitted;
+  });
   const flows = (["urgent", "normal"] as const).map((rank) => ({
     account: "account",
     rank,
@@ -121,6 +135,8 @@
   });
   return {
     recorder,
-    attemptsPerRequest: fleet.attempts / Math.max(1, fleet.admitted),
+    attemptsPerRequest: before.attempts / before.admitted,
+    attemptsAfter: (fleet.attempts - before.attempts) /
+      (fleet.admitted - before.admitted),
   };
 }
--- a/bench/src/policy/fleet.ts
+++ b/bench/src/policy/fleet.ts
@@ -67,6 +67,8 @@
 const CACHE_EVENT_LOSS = 0.1;
 const PROGRESS_DEADLINE_MS = 2000;
 const MAX_ATTEMPTS = 8;
+/** Tokens over which the time between tokens is measured. */
+const MEASURED_TOKENS = 8;
 const DEFAULT_CACHE_BLOCKS = 4096;
 
 /** Runs requests from the caller to the engine and back. */
@@ -192,18 +194,23 @@
     this.attempts++;
     node.routing.begin(group);
     return new Promise((resolve) => {
-      const startedAt = this.clock.now();
-      let firstAt: number | undefined;
       let seen = 0;
+      let hasEnded = false;
+      let measuredAt = this.clock.now();
+      const noteGap = (ms: number) => {
+        if (this.#options.variant.ejection) {
+          node.routing.noteTokenGap(group, ms);
+        }
+      };
       let cancelDeadline = () => {};
       const finish = (end: "done" | "yielded" | "failed") => {
+        hasEnded = true;
         cancelDeadline();
         permit.yielded.removeEventListener("abort", onYield);
-        const gaps = Math.max(1, seen - 1);
-        const gap = (this.clock.now() - (firstAt ?? startedAt)) / gaps;
-        const isMeasured = this.#options.variant.ejection &&
-          (seen > 1 || end === "failed");
-        node.routing.end(group, isMeasured ? { tokenGapMs: gap } : undefined);
+        if (end === "failed") {
+          noteGap(this.clock.now() - measuredAt);
+        }
+        node.routing.end(group);
         resolve(end);
       };
       const onYield = () => {
@@ -230,7 +237,12 @@
         prefix: request.prefix,
         tokensLeft: tokens,
         onToken: () => {
-          firstAt ??= this.clock.now() + crossMs;
+          if (seen % MEASURED_TOKENS === 0) {
+            if (seen > 0) {
+              noteGap((this.clock.now() - measuredAt) / MEASURED_TOKENS);
+            }
+            measuredAt = this.clock.now();
+          }
           seen++;
           expectProgress(PROGRESS_DEADLINE_MS);
           onToken();
@@ -240,7 +252,11 @@
       permit.yielded.addEventListener("abort", onYield, { once: true });
       const target = this.#options.rules.ranks[request.rank]["first-token"];
       expectProgress(Math.max(PROGRESS_DEADLINE_MS, target));
-      engine.submit(job);
+      this.clock.schedule(crossMs, () => {
+        if (!hasEnded) {
+          engine.submit(job);
+        }
+      });
     });
   }
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -17,9 +17,4 @@
 export { type PlacedGroup, placeGroup } from "./placement.ts";
 export { PrefixIndex } from "./prefix-index.ts";
 export { RetryBudget } from "./retry-budget.ts";
-export {
-  type AttemptMeasure,
-  type RouteCandidate,
-  type RouteRequest,
-  Routing,
-} from "./routing.ts";
+export { type RouteCandidate, type RouteRequest, Routing } from "./routing.ts";
--- a/packages/policy/src/routing.ts
+++ b/packages/policy/src/routing.ts
@@ -26,12 +26,6 @@
   readonly prefix?: readonly string[];
 }
 
-/** What was measured on one attempt. */
-export interface AttemptMeasure {
-  /** Mean time between two tokens. */
-  readonly tokenGapMs: number;
-}
-
 /** A report loses half of its weight in this time. */
 const REPORT_HALF_LIFE_MS = 1000;
 /** A preferred group may have this much more load than the mean. */
@@ -89,16 +83,18 @@
   }
 
   /** Counts a request that ends on a group. */
-  end(group: string, measure?: AttemptMeasure): void {
+  end(group: string): void {
     const count = this.countOutstanding(group) - 1;
     if (count > 0) {
       this.#outstanding.set(group, count);
     } else {
       this.#outstanding.delete(group);
     }
-    if (measure !== undefined) {
-      this.#speeds.note(group, measure.tokenGapMs);
-    }
+  }
+
+  /** Takes the mean time between tokens over a part of a stream. */
+  noteTokenGap(group: string, ms: number): void {
+    this.#speeds.note(group, ms);
   }
 
   /** Forgets groups that exist no longer. */
