--- a/bench/src/policy/fleet.ts
+++ b/bench/src/policy/fleet.ts
@@ -136,6 +136,7 @@
     this.admitted++;
     node.budget.noteFirst(request.rank);
     let served = 0;
+    let servedBefore = 0;
     let lastAt = startedAt;
     const excluded = new Set<string>();
     const onToken = () => {
@@ -163,19 +164,20 @@
       if (end === "yielded") {
         this.yields++;
         const again = await permit.resume(signal);
-        permit.release(served);
+        permit.release(served - servedBefore);
+        servedBefore = served;
         if (again.isErr) {
           recorder.onBroken(request);
           return;
         }
         permit = again.value;
       } else if (end === "failed" && !this.#mayRetry(node, request, attempt)) {
-        permit.release(served);
+        permit.release(served - servedBefore);
         recorder.onBroken(request);
         return;
       }
     }
-    permit.release(served);
+    permit.release(served - servedBefore);
     recorder.onServed(request, clock.now() - startedAt);
   }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -164,7 +164,11 @@
     (services) => new Keeper(services),
   );
 
-  provide("admission", [...base, "state"], (services) => new Gate(services));
+  provide(
+    "admission",
+    [...base, "state", "evidence", "peers"],
+    (services) => new Gate(services),
+  );
   provide(
     "router",
     [...base, "evidence"],
--- a/packages/node/src/serving/front.ts
+++ b/packages/node/src/serving/front.ts
@@ -170,6 +170,7 @@
         rank,
         onEvent: (bytes) => {
           tokens++;
+          permit.value.noteFirstToken();
           reply.push(bytes);
         },
       }, signal);
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -22,14 +22,15 @@
 export interface Permit {
   /**
    * Aborts when a batch request is to give its place to urgent work. The
-   * holder cancels it on the engine, then calls `resume`.
+   * holder cancels it on the engine, then calls `resume` and releases this
+   * permit. A holder that never reads the signal is not asked to yield.
    */
   readonly yielded: AbortSignal;
   /** Waits for a place again after a yield, ahead of nobody else's turn. */
   resume(signal: AbortSignal): Promise<Result<Permit, Refusal>>;
   /** Says that the first token of an attempt has come. */
   noteFirstToken(): void;
-  /** Gives the place back and says how many tokens were served. */
+  /** Gives the place back; `tokens` were served under this permit. */
   release(tokens: number): void;
 }
 
@@ -57,6 +58,8 @@
   readonly admittedAt: number;
   readonly yielding: AbortController;
   isHeld: boolean;
+  canYield: boolean;
+  isReleased: boolean;
   isFirstTokenSeen: boolean;
 }
 
@@ -232,8 +235,8 @@
     if (rank !== "urgent" || this.#inFlight.batch <= kept) {
       return false;
     }
-    const place = [...this.#running].findLast(({ waiter }) =>
-      waiter.rank === "batch" && waiter.yields < MAX_YIELDS
+    const place = [...this.#running].findLast(({ waiter, canYield }) =>
+      canYield && waiter.rank === "batch" && waiter.yields < MAX_YIELDS
     );
     if (place === undefined) {
       return false;
@@ -253,6 +256,8 @@
       admittedAt: this.#options.clock.now(),
       yielding: new AbortController(),
       isHeld: true,
+      canYield: false,
+      isReleased: false,
       isFirstTokenSeen: false,
     };
     this.#running.add(place);
@@ -262,7 +267,10 @@
   #createPermit(place: Place): Permit {
     const { waiter } = place;
     return {
-      yielded: place.yielding.signal,
+      get yielded() {
+        place.canYield = true;
+        return place.yielding.signal;
+      },
       resume: (signal) => this.#resume(place, signal),
       noteFirstToken: () => {
         if (place.isHeld && !place.isFirstTokenSeen) {
@@ -277,7 +285,10 @@
           this.#end(place);
           this.#admitWaiting();
         }
-        this.#queues[waiter.rank].end(waiter, tokens);
+        if (!place.isReleased) {
+          place.isReleased = true;
+          this.#queues[waiter.rank].end(waiter, tokens);
+        }
       },
     };
   }
--- a/packages/policy/src/first-token-control.ts
+++ b/packages/policy/src/first-token-control.ts
@@ -7,8 +7,8 @@
 
 /** Weight of a new sample in the mean and in the deviation. */
 const SMOOTHING = 0.1;
-/** Deviations above the mean that cover about 95 in 100 samples. */
-const DEVIATIONS = 2;
+/** Deviations above the mean that cover about 99 in 100 samples. */
+const DEVIATIONS = 3;
 
 interface Typical {
   meanMs: number;
