--- /dev/null
+++ b/packages/policy/test/admission.test.ts
@@ -0,0 +1,171 @@
+import { ManualClock } from "@zinniahill/kernel";
+import { parseRules, type Rank, type Rules } from "@zinniahill/schema";
+import { describe, expect, it } from "vitest";
+import { Admission, type Permit } from "../src/index.ts";
+
+const RULES = [
+  "rank urgent first-token=750ms floor=20% worth=10 # test",
+  "rank normal first-token=3s floor=20% worth=3 # test",
+  "rank batch first-token=10s token-gap=1s floor=10% worth=1 # test",
+].join("\n");
+
+function createRules(): Rules {
+  return parseRules(RULES).unwrapOr(undefined as never);
+}
+
+function createAdmission(capacity: number) {
+  const clock = new ManualClock();
+  const rules = createRules();
+  const admission = new Admission({
+    clock,
+    rules: () => rules,
+    capacity: () => capacity,
+  });
+  const admit = (rank: Rank, account = "a", signal = createSignal()) =>
+    admission.admit({ account, rank, tokens: 100 }, signal);
+  const hold = async (rank: Rank, account = "a"): Promise<Permit> => {
+    const permit = await admit(rank, account);
+    if (permit.isErr) {
+      throw permit.error;
+    }
+    return permit.value;
+  };
+  return { clock, admission, admit, hold };
+}
+
+function createSignal(): AbortSignal {
+  return new AbortController().signal;
+}
+
+describe("Admission", () => {
+  describe("ranks", () => {
+    it("does not let a flood of batch delay urgent work", async () => {
+      const { admit, hold } = createAdmission(10);
+      const held = await Promise.all(
+        Array.from({ length: 10 }, () => hold("batch")),
+      );
+      const order: Rank[] = [];
+      void admit("batch").then(() => order.push("batch"));
+      const urgent = admit("urgent").then(() => order.push("urgent"));
+      held[0]!.release(100);
+      await urgent;
+      expect(order).toEqual(["urgent"]);
+    });
+
+    it("does not let a flood of urgent take batch below its floor", async () => {
+      const { admission, admit, hold } = createAdmission(10);
+      const held = await Promise.all(
+        Array.from({ length: 10 }, () => hold("urgent")),
+      );
+      void admit("urgent");
+      const batch = admit("batch");
+      held[0]!.release(100);
+      expect((await batch).isOk).toBe(true);
+      expect(admission.countWaiting("urgent")).toBe(1);
+    });
+  });
+
+  describe("refusals", () => {
+    it("leaves no request in a queue beyond its rank's target", async () => {
+      const { clock, admit, hold } = createAdmission(1);
+      await hold("urgent");
+      const waiting = admit("urgent");
+      await clock.advance(750);
+      const refused = await waiting;
+      expect(refused.isErr && refused.error).toMatchObject({
+        code: "overloaded",
+        verdict: "not-run",
+      });
+    });
+
+    it("refuses at once when the expected wait is past the target", async () => {
+      const { clock, admission, admit, hold } = createAdmission(1);
+      for (let served = 0; served < 5; served++) {
+        const permit = await hold("urgent");
+        await clock.advance(1000);
+        permit.release(100);
+      }
+      await hold("urgent");
+      const refused = await admit("urgent");
+      expect(refused.isErr && refused.error.verdict).toBe("not-run");
+      expect(refused.isErr && refused.error.retryAfterMs).toBeGreaterThan(0);
+      expect(admission.countWaiting("urgent")).toBe(0);
+    });
+
+    it("admits again after a time in which every request was refused", async () => {
+      const { clock, admit, hold } = createAdmission(1);
+      let permit = await hold("urgent");
+      await clock.advance(20_000);
+      expect((await admit("urgent")).isErr).toBe(true);
+      permit.release(100);
+      for (let served = 0; served < 20; served++) {
+        permit = await hold("urgent");
+        await clock.advance(100);
+        permit.release(100);
+      }
+      await hold("urgent");
+      const waiting = admit("urgent");
+      await clock.advance(1);
+      const state = await Promise.race([waiting, Promise.resolve("waiting")]);
+      expect(state).toBe("waiting");
+    });
+
+    it("frees the queue when a caller goes away", async () => {
+      const { admission, admit, hold } = createAdmission(1);
+      await hold("normal");
+      const controller = new AbortController();
+      const waiting = admit("normal", "a", controller.signal);
+      controller.abort();
+      expect((await waiting).isErr).toBe(true);
+      expect(admission.countWaiting("normal")).toBe(0);
+    });
+  });
+
+  describe("yields", () => {
+    it("takes the place of the youngest batch request for urgent work", async () => {
+      const { admission, admit, hold } = createAdmission(4);
+      const batch = [];
+      for (let index = 0; index < 4; index++) {
+        batch.push(await hold("batch"));
+      }
+      const signals = batch.map(({ yielded }) => yielded);
+      expect((await admit("urgent")).isOk).toBe(true);
+      expect(signals.map(({ aborted }) => aborted))
+        .toEqual([false, false, false, true]);
+      expect(admission.inFlight).toBe(4);
+    });
+
+    it("gives a place back to yielded work, and counts it once", async () => {
+      const { admission, hold } = createAdmission(2);
+      await hold("batch");
+      const batch = await hold("batch");
+      expect(batch.yielded.aborted).toBe(false);
+      const urgent = await hold("urgent");
+      const resumed = batch.resume(createSignal());
+      batch.release(10);
+      urgent.release(100);
+      expect((await resumed).isOk).toBe(true);
+      expect(admission.inFlight).toBe(2);
+    });
+
+    it("keeps the place of a holder that cannot yield", async () => {
+      const { admission, admit, hold } = createAdmission(2);
+      await hold("batch");
+      await hold("batch");
+      void admit("urgent");
+      expect(admission.countWaiting("urgent")).toBe(1);
+    });
+
+    it("does not claim that a resumed request was not run", async () => {
+      const { clock, hold } = createAdmission(2);
+      await hold("batch");
+      const batch = await hold("batch");
+      expect(batch.yielded.aborted).toBe(false);
+      await hold("urgent");
+      const resumed = batch.resume(createSignal());
+      await clock.advance(10_000);
+      const refused = await resumed;
+      expect(refused.isErr && refused.error.verdict).toBe("may-have-run");
+    });
+  });
+});
--- /dev/null
+++ b/packages/policy/test/routing.test.ts
@@ -0,0 +1,211 @@
+import { ManualClock, SeededRandom } from "@zinniahill/kernel";
+import { describe, expect, it } from "vitest";
+import {
+  createPromptHasher,
+  PrefixIndex,
+  type RouteCandidate,
+  Routing,
+} from "../src/index.ts";
+
+const SEED = 5;
+const DRAWS = 400;
+
+function createRouting() {
+  const clock = new ManualClock();
+  const routing = new Routing(clock, new SeededRandom(SEED));
+  return { clock, routing };
+}
+
+function createCandidates(
+  count: number,
+  dataCentre = (_index: number) => "dc-1",
+): RouteCandidate[] {
+  return Array.from({ length: count }, (_, index) => ({
+    group: `g${index}`,
+    dataCentre: dataCentre(index),
+    reportedLoad: 0,
+    reportedAt: 0,
+  }));
+}
+
+function countChoices(
+  routing: Routing,
+  candidates: readonly RouteCandidate[],
+): Map<string, number> {
+  const counts = new Map<string, number>();
+  const request = { dataCentre: "dc-1", excluded: new Set<string>() };
+  for (let draw = 0; draw < DRAWS; draw++) {
+    const { group } = routing.choose(request, candidates)!;
+    counts.set(group, (counts.get(group) ?? 0) + 1);
+  }
+  return counts;
+}
+
+describe("Routing", () => {
+  describe("data centres", () => {
+    const candidates = createCandidates(
+      4,
+      (index) => index < 2 ? "dc-1" : "dc-2",
+    );
+
+    it("does not leave the data centre without need", () => {
+      const { routing } = createRouting();
+      const counts = countChoices(routing, candidates);
+      expect([...counts.keys()].sort()).toEqual(["g0", "g1"]);
+    });
+
+    it("leaves it when its groups have far more work than others", () => {
+      const { routing } = createRouting();
+      for (let index = 0; index < 20; index++) {
+        routing.begin("g0");
+        routing.begin("g1");
+      }
+      const counts = countChoices(routing, candidates);
+      expect(counts.get("g2")! + counts.get("g3")!).toBeGreaterThan(DRAWS / 2);
+    });
+
+    it("does not choose a group that failed the request", () => {
+      const { routing } = createRouting();
+      const excluded = new Set(["g0", "g1", "g2"]);
+      const chosen = routing.choose(
+        { dataCentre: "dc-1", excluded },
+        candidates,
+      );
+      expect(chosen?.group).toBe("g3");
+    });
+  });
+
+  describe("load", () => {
+    it("counts work sent after a report, and does not send a burst on", () => {
+      const { routing } = createRouting();
+      const candidates = createCandidates(2)
+        .map((one, index) => ({ ...one, reportedLoad: index === 0 ? 5 : 6 }));
+      const request = { dataCentre: "dc-1", excluded: new Set<string>() };
+      for (let index = 0; index < 20; index++) {
+        routing.begin(routing.choose(request, candidates)!.group);
+      }
+      expect(routing.countOutstanding("g1")).toBeGreaterThan(7);
+    });
+
+    it("gives a new group little work at first", async () => {
+      const { clock, routing } = createRouting();
+      const old = createCandidates(3);
+      countChoices(routing, old);
+      await clock.advance(10_000);
+      const all = createCandidates(4);
+      const early = countChoices(routing, all).get("g3") ?? 0;
+      await clock.advance(10_000);
+      const late = countChoices(routing, all).get("g3") ?? 0;
+      expect(early).toBeLessThan(late / 4);
+    });
+  });
+
+  describe("stragglers", () => {
+    function noteGaps(routing: Routing, slow: number, count = 10): void {
+      for (let group = 0; group < count; group++) {
+        for (let sample = 0; sample < 5; sample++) {
+          routing.noteTokenGap(`g${group}`, group < slow ? 200 : 30);
+        }
+      }
+    }
+
+    it("ejects a group that is much slower than the others", () => {
+      const { routing } = createRouting();
+      noteGaps(routing, 1);
+      const counts = countChoices(routing, createCandidates(10));
+      expect(counts.has("g0")).toBe(false);
+    });
+
+    it("takes it back once it is no longer slow", async () => {
+      const { clock, routing } = createRouting();
+      const candidates = createCandidates(10);
+      countChoices(routing, candidates);
+      noteGaps(routing, 1);
+      await clock.advance(1000);
+      expect(countChoices(routing, candidates).has("g0")).toBe(false);
+      await clock.advance(20_000);
+      expect(countChoices(routing, candidates).has("g0")).toBe(true);
+    });
+
+    it("never ejects so many that capacity falls below the floor", () => {
+      const { routing } = createRouting();
+      noteGaps(routing, 4);
+      const counts = countChoices(routing, createCandidates(10));
+      expect(counts.size).toBeGreaterThanOrEqual(7);
+    });
+
+    it("ejects no group when all are slow", () => {
+      const { routing } = createRouting();
+      noteGaps(routing, 10);
+      expect(countChoices(routing, createCandidates(10)).size).toBe(10);
+    });
+  });
+
+  describe("prefixes", () => {
+    const prefix = ["a", "b"];
+    const request = { dataCentre: "dc-1", excluded: new Set<string>(), prefix };
+
+    it("sends a known prefix to the same group", () => {
+      const { routing } = createRouting();
+      const candidates = createCandidates(8);
+      const first = routing.choose(request, candidates)!.group;
+      const again = Array.from(
+        { length: 20 },
+        () => routing.choose(request, candidates)!.group,
+      );
+      expect(new Set(again)).toEqual(new Set([first]));
+    });
+
+    it("does not overload a group for the sake of a prefix", () => {
+      const { routing } = createRouting();
+      const candidates = createCandidates(8);
+      const first = routing.choose(request, candidates)!.group;
+      for (let index = 0; index < 10; index++) {
+        routing.begin(first);
+      }
+      expect(routing.choose(request, candidates)!.group).not.toBe(first);
+    });
+  });
+});
+
+describe("PrefixIndex", () => {
+  describe("size", () => {
+    it("keeps no more than its capacity, the recent ones", () => {
+      const index = new PrefixIndex(4);
+      index.note("g", ["a", "b"]);
+      index.note("g", ["c", "d"]);
+      index.note("g", ["a", "b"]);
+      index.note("g", ["e", "f"]);
+      expect(index.match("g", ["c", "d"])).toBe(0);
+      expect(index.match("g", ["a", "b"])).toBe(2);
+    });
+  });
+
+  describe("cache events", () => {
+    it("drops what the engine has removed", () => {
+      const index = new PrefixIndex();
+      index.note("g", ["a", "b"]);
+      index.correct("g", { removed: ["b"] });
+      expect(index.match("g", ["a", "b"])).toBe(1);
+    });
+
+    it("survives an event of something it does not know", () => {
+      const index = new PrefixIndex();
+      index.correct("g", { removed: ["x"], stored: ["a"] });
+      expect(index.match("g", ["a"])).toBe(1);
+    });
+  });
+});
+
+describe("prompt hashes", () => {
+  describe("prefixes", () => {
+    it("agree up to the first message that differs", async () => {
+      const hash = await createPromptHasher();
+      const system = { role: "system", content: "s" };
+      const one = hash([system, { role: "user", content: "1" }]);
+      const two = hash([system, { role: "user", content: "2" }]);
+      expect(one[0]).toBe(two[0]);
+      expect(one[1]).not.toBe(two[1]);
+    });
+  });
+});
