Compare ways to evict prefixes; measure gaps only after the first token

Cause: a request that failed in the queue of an engine counted as a gap of seconds, and in a flood of urgent groups without a fault were ejected.

--- a/bench/src/bench.ts
+++ b/bench/src/bench.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { measureAffinity } from "./policy/affinity.ts";
+import { measureAffinity, measureEviction } from "./policy/affinity.ts";
 import { measureCost } from "./policy/cost.ts";
 import { measureFairness } from "./policy/fairness.ts";
 import { measureRetries, measureStragglers } from "./policy/faults.ts";
@@ -17,6 +17,7 @@
   fairness: measureFairness,
   limits: measureLimits,
   affinity: measureAffinity,
+  eviction: measureEviction,
   stragglers: measureStragglers,
   retries: measureRetries,
   cost: measureCost,
--- a/bench/src/policy/affinity.ts
+++ b/bench/src/policy/affinity.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import type { Random } from "@zinniahill/kernel";
+import { type PrefixStore, RecencyStore } from "@zinniahill/policy";
+import { EVICTIONS } from "./eviction.ts";
 import { Fleet, FULL, GROUPS, type Variant } from "./fleet.ts";
 import { emit } from "./output.ts";
 import { createRules } from "./rules.ts";
@@ -14,6 +16,8 @@
 const SHARED_BLOCKS = 6;
 /** Blocks that one engine can hold: a tenth of all shared prompts. */
 const CACHE_BLOCKS = 400;
+/** Prefixes of one group in the index when ways of eviction are compared. */
+const INDEX_SIZE = 200;
 const LOADS = [0.5, 0.8, 2];
 
 interface Run {
@@ -54,7 +58,35 @@
   }
 }
 
-async function run(load: number, variant: Variant): Promise<Run> {
+/** Measures ways to drop prefixes from an index of limited size. */
+export async function measureEviction(): Promise<void> {
+  for (const load of [0.8, 2]) {
+    const recency = await run(load, FULL, () => new RecencyStore(INDEX_SIZE));
+    for (const [name, createStore] of Object.entries(EVICTIONS)) {
+      const other = await run(load, FULL, () => createStore(INDEX_SIZE));
+      emit({
+        name: `eviction/load-${load}x/${name}/cache-hits`,
+        value: other.hits,
+        unit: "share",
+        baseline: recency.hits,
+        seed: SEED,
+      });
+      emit({
+        name: `eviction/load-${load}x/${name}/tokens-per-second`,
+        value: other.recorder.tokens / 10,
+        unit: "tokens/s",
+        baseline: recency.recorder.tokens / 10,
+        seed: SEED,
+      });
+    }
+  }
+}
+
+async function run(
+  load: number,
+  variant: Variant,
+  createPrefixStore = () => new RecencyStore() as PrefixStore,
+): Promise<Run> {
   const rules = createRules();
   const fleet = new Fleet({
     seed: SEED,
@@ -62,6 +94,7 @@
     variant,
     clientMs: 1,
     cacheBlocks: CACHE_BLOCKS,
+    createPrefixStore,
   });
   const flow = {
     account: "account",
--- a/bench/src/policy/fleet.ts
+++ b/bench/src/policy/fleet.ts
@@ -8,6 +8,8 @@
   Admission,
   Capacity,
   type Permit,
+  PrefixIndex,
+  type PrefixStore,
   RetryBudget,
   type RouteCandidate,
   Routing,
@@ -46,6 +48,7 @@
   readonly nodes?: number;
   readonly groups?: number;
   readonly cacheBlocks?: number;
+  readonly createPrefixStore?: () => PrefixStore;
 }
 
 interface Node {
@@ -209,7 +212,9 @@
         hasEnded = true;
         cancelDeadline();
         permit.yielded.removeEventListener("abort", onYield);
-        if (end === "failed") {
+        // Without a first token the time was spent in the queue of the engine,
+        // which says nothing of its speed.
+        if (end === "failed" && seen > 0) {
           noteGap(this.clock.now() - measuredAt);
         }
         node.routing.end(group);
@@ -305,7 +310,11 @@
     return {
       gate,
       capacity,
-      routing: new Routing(this.clock, this.#random),
+      routing: new Routing(
+        this.clock,
+        this.#random,
+        new PrefixIndex(this.#options.createPrefixStore),
+      ),
       budget: new RetryBudget((rank) => rules.ranks[rank], this.#random),
       dataCentre: `dc-${index % DATA_CENTRES}`,
       candidates: [],
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,7 +15,7 @@
 export { ControlReducer, type Decision } from "./control-reducer.ts";
 export { FairQueue, type QueuedItem } from "./fair-queue.ts";
 export { type PlacedGroup, placeGroup } from "./placement.ts";
-export { PrefixIndex } from "./prefix-index.ts";
+export { PrefixIndex, type PrefixStore, RecencyStore } from "./prefix-index.ts";
 export { createPromptHasher, type PromptHasher } from "./prompt-hasher.ts";
 export { RetryBudget } from "./retry-budget.ts";
 export { type RouteCandidate, type RouteRequest, Routing } from "./routing.ts";
--- a/packages/policy/src/prefix-index.ts
+++ b/packages/policy/src/prefix-index.ts
@@ -7,19 +7,59 @@
 /** Prefixes remembered for one group. */
 const DEFAULT_CAPACITY = 4096;
 
-/**
- * An index kept from what the node has sent, with the least recently used
- * prefix dropped first. Cache events correct it; they come late and with gaps,
- * so the index is a hint.
- */
-export class PrefixIndex {
+/** The prefixes of one group, and what is dropped when there are too many. */
+export interface PrefixStore {
+  has(hash: string): boolean;
+  /** Notes the use of a prompt's prefixes, the shortest first. */
+  note(prefix: readonly string[]): void;
+  remove(hash: string): void;
+}
+
+/** Drops the least recently used prefix first. */
+export class RecencyStore implements PrefixStore {
   #capacity: number;
-  #groups = new Map<string, Map<string, true>>();
+  #held = new Set<string>();
 
   constructor(capacity = DEFAULT_CAPACITY) {
     this.#capacity = capacity;
   }
 
+  has(hash: string): boolean {
+    return this.#held.has(hash);
+  }
+
+  note(prefix: readonly string[]): void {
+    // The shortest prefix becomes the most recent one, because the longer ones
+    // are of no use without it.
+    for (const hash of prefix.toReversed()) {
+      this.#held.delete(hash);
+      this.#held.add(hash);
+    }
+    for (const hash of this.#held) {
+      if (this.#held.size <= this.#capacity) {
+        break;
+      }
+      this.#held.delete(hash);
+    }
+  }
+
+  remove(hash: string): void {
+    this.#held.delete(hash);
+  }
+}
+
+/**
+ * An index kept from what the node has sent. Cache events correct it; they come
+ * late and with gaps, so the index is a hint.
+ */
+export class PrefixIndex {
+  #createStore: () => PrefixStore;
+  #groups = new Map<string, PrefixStore>();
+
+  constructor(createStore: () => PrefixStore = () => new RecencyStore()) {
+    this.#createStore = createStore;
+  }
+
   /** How many of the prefixes, from the shortest, a group holds. */
   match(group: string, prefix: readonly string[]): number {
     const held = this.#groups.get(group);
@@ -35,20 +75,12 @@
 
   /** Notes a prompt that was sent to a group. */
   note(group: string, prefix: readonly string[]): void {
-    const held = this.#groups.get(group) ?? new Map<string, true>();
-    this.#groups.set(group, held);
-    // The shortest prefix becomes the most recent one, because the longer ones
-    // are of no use without it.
-    for (const hash of prefix.toReversed()) {
-      held.delete(hash);
-      held.set(hash, true);
-    }
-    for (const hash of held.keys()) {
-      if (held.size <= this.#capacity) {
-        break;
-      }
-      held.delete(hash);
+    let held = this.#groups.get(group);
+    if (held === undefined) {
+      held = this.#createStore();
+      this.#groups.set(group, held);
     }
+    held.note(prefix);
   }
 
   /** Corrects the index by an event of a group's cache. */
@@ -64,7 +96,7 @@
     }
     const held = this.#groups.get(group);
     for (const hash of event.removed ?? []) {
-      held?.delete(hash);
+      held?.remove(hash);
     }
   }
 
--- a/packages/policy/src/routing.ts
+++ b/packages/policy/src/routing.ts
@@ -39,7 +39,7 @@
 /** Chooses groups and counts the work that this node has given them. */
 export class Routing {
   /** Prefixes that groups are thought to hold in their caches. */
-  readonly prefixes = new PrefixIndex();
+  readonly prefixes: PrefixIndex;
   #clock: Clock;
   #random: Random;
   #speeds: GroupSpeeds;
@@ -47,7 +47,8 @@
   #firstSeenAt = new Map<string, number>();
   #reports = new Map<string, { reportedAt: number; others: number }>();
 
-  constructor(clock: Clock, random: Random) {
+  constructor(clock: Clock, random: Random, prefixes = new PrefixIndex()) {
+    this.prefixes = prefixes;
     this.#clock = clock;
     this.#random = random;
     this.#speeds = new GroupSpeeds(clock);
--- a/packages/policy/test/routing.test.ts
+++ b/packages/policy/test/routing.test.ts
@@ -3,6 +3,7 @@
 import {
   createPromptHasher,
   PrefixIndex,
+  RecencyStore,
   type RouteCandidate,
   Routing,
 } from "../src/index.ts";
@@ -171,7 +172,7 @@
 describe("PrefixIndex", () => {
   describe("size", () => {
     it("keeps no more than its capacity, the recent ones", () => {
-      const index = new PrefixIndex(4);
+      const index = new PrefixIndex(() => new RecencyStore(4));
       index.note("g", ["a", "b"]);
       index.note("g", ["c", "d"]);
       index.note("g", ["a", "b"]);
