--- a/bench/src/policy/fairness.ts
+++ b/bench/src/policy/fairness.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
-import { Fleet, FULL, GROUPS } from "./fleet.ts";
+import { Fleet, GROUPS } from "./fleet.ts";
 import { emit } from "./output.ts";
 import { createRules } from "./rules.ts";
 import { type Flow, GROUP_RATE, type Recorder, runTraffic } from "./traffic.ts";
+import { FULL } from "./variant.ts";
 
 const SEED = 21;
 const SMALL_ACCOUNTS = 7;
--- a/bench/src/policy/faults.ts
+++ b/bench/src/policy/faults.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { Fleet, FULL, GROUPS, type Variant } from "./fleet.ts";
+import { Fleet, GROUPS } from "./fleet.ts";
 import { emit } from "./output.ts";
 import { createRules } from "./rules.ts";
 import {
@@ -12,6 +12,7 @@
   type Recorder,
   runTraffic,
 } from "./traffic.ts";
+import { FULL, type Variant } from "./variant.ts";
 
 const SEED = 41;
 const SLOWNESS = 5;
--- a/bench/src/policy/fifo-gate.ts
+++ b/bench/src/policy/fifo-gate.ts
@@ -51,6 +51,7 @@
 
   #createPermit(): Permit {
     return {
+      priority: 0,
       yielded: new AbortController().signal,
       resume: () =>
         Promise.resolve(
--- a/bench/src/policy/ranks.ts
+++ b/bench/src/policy/ranks.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Rank, RANKS } from "@zinniahill/schema";
-import { Fleet, FULL, GROUPS, type Variant } from "./fleet.ts";
+import { Fleet, GROUPS } from "./fleet.ts";
 import { emit } from "./output.ts";
 import { createRules } from "./rules.ts";
 import {
@@ -15,6 +15,7 @@
   runTraffic,
   type Seen,
 } from "./traffic.ts";
+import { FULL, type Variant } from "./variant.ts";
 
 const SEED = 11;
 const WARM_UP_MS = 10_000;
--- a/packages/node/src/serving/gate.ts
+++ b/packages/node/src/serving/gate.ts
@@ -147,6 +147,7 @@
     const wrap = (permit: Permit): Permit => {
       let isResumed = false;
       return {
+        priority: permit.priority,
         get yielded() {
           return permit.yielded;
         },
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -7,33 +7,10 @@
 import { type Rank, RANKS, Refusal, type Rules } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import { FairQueue } from "./fair-queue.ts";
-import { FirstTokenControl } from "./first-token-control.ts";
+import { FirstTokenTimes } from "./first-token-times.ts";
+import type { AdmissionRequest, Permit } from "./permit.ts";
 import { ServiceRates } from "./service-rates.ts";
 
-/** What admission needs to know of a request. */
-export interface AdmissionRequest {
-  readonly account: string;
-  readonly rank: Rank;
-  /** Tokens that the answer may have. */
-  readonly tokens: number;
-}
-
-/** A place that a request holds until it ends. */
-export interface Permit {
-  /**
-   * Aborts when a batch request is to give its place to urgent work. The
-   * holder cancels it on the engine, then calls `resume` and releases this
-   * permit. A holder that never reads the signal is not asked to yield.
-   */
-  readonly yielded: AbortSignal;
-  /** Waits for a place again after a yield, ahead of nobody else's turn. */
-  resume(signal: AbortSignal): Promise<Result<Permit, Refusal>>;
-  /** Says that the first token of an attempt has come. */
-  noteFirstToken(): void;
-  /** Gives the place back; `tokens` were served under this permit. */
-  release(tokens: number): void;
-}
-
 /** What admission depends on. */
 export interface AdmissionOptions {
   readonly clock: Clock;
@@ -56,6 +33,7 @@
 interface Place {
   readonly waiter: Waiter;
   readonly admittedAt: number;
+  readonly priority: number;
   readonly yielding: AbortController;
   isHeld: boolean;
   canYield: boolean;
@@ -63,6 +41,11 @@
   isFirstTokenSeen: boolean;
 }
 
+/**
+ * Work never spreads quite evenly over the groups. With every slot in use, some
+ * groups have queues, and the first tokens there are late.
+ */
+const USED_SHARE = 0.95;
 /**
  * Part of the target that is always left for waiting. Without it, slow first
  * tokens refuse every request, and no new sample can ever correct them.
@@ -81,7 +64,7 @@
   #rates: ServiceRates;
   #inFlight = createTable(() => 0);
   #running = new Set<Place>();
-  #control = new FirstTokenControl();
+  #firstTokens = new FirstTokenTimes();
   #cancelExpiry: (() => void) | undefined;
 
   constructor(options: AdmissionOptions) {
@@ -98,7 +81,7 @@
   get limit(): number {
     return Math.max(
       1,
-      Math.floor(this.#options.capacity() * this.#control.factor),
+      Math.ceil(this.#options.capacity() * USED_SHARE),
     );
   }
 
@@ -122,7 +105,7 @@
     const target = rules.ranks[request.rank]["first-token"];
     const budget = Math.max(
       target * MIN_WAIT_SHARE,
-      target - this.#control.getTypicalMs(request.rank),
+      target - this.#firstTokens.getTypicalMs(request.rank),
     );
     const expected = this.#estimateWaitMs(request, weight, rules);
     if (expected > budget) {
@@ -201,25 +184,23 @@
     }
     const limit = this.limit;
     for (;;) {
-      const rank = this.#findNextRank(rules, limit);
+      const rank = this.#findNextRank(rules);
       if (rank === undefined) {
         break;
       }
       if (this.inFlight >= limit && !this.#yieldPlace(rank, rules, limit)) {
         break;
       }
-      this.#start(this.#queues[rank].take()!);
+      this.#start(this.#queues[rank].take()!, this.#isBelowFloor(rank, rules));
     }
     this.#rates.setFull(this.inFlight >= limit);
     this.#scheduleExpiry();
   }
 
   /** A rank below its floor goes first; then the rank of the highest worth. */
-  #findNextRank(rules: Rules, limit: number): Rank | undefined {
+  #findNextRank(rules: Rules): Rank | undefined {
     const waiting = RANKS.filter((rank) => this.#queues[rank].size > 0);
-    const isBelowFloor = (rank: Rank) =>
-      this.#inFlight[rank] < Math.ceil(rules.ranks[rank].floor * limit);
-    const below = waiting.find(isBelowFloor);
+    const below = waiting.find((rank) => this.#isBelowFloor(rank, rules));
     return below ?? waiting.reduce<Rank | undefined>(
       (best, rank) =>
         best === undefined || rules.ranks[rank].worth > rules.ranks[best].worth
@@ -246,7 +227,12 @@
     return true;
   }
 
-  #start(waiter: Waiter): void {
+  #isBelowFloor(rank: Rank, rules: Rules): boolean {
+    const floor = Math.ceil(rules.ranks[rank].floor * this.limit);
+    return this.#inFlight[rank] < floor;
+  }
+
+  #start(waiter: Waiter, isBelowFloor: boolean): void {
     const { rank } = waiter;
     this.#waiting[rank].delete(waiter);
     this.#inFlight[rank]++;
@@ -254,6 +240,7 @@
     const place: Place = {
       waiter,
       admittedAt: this.#options.clock.now(),
+      priority: isBelowFloor ? 0 : RANKS.indexOf(rank),
       yielding: new AbortController(),
       isHeld: true,
       canYield: false,
@@ -267,6 +254,7 @@
   #createPermit(place: Place): Permit {
     const { waiter } = place;
     return {
+      priority: place.priority,
       get yielded() {
         place.canYield = true;
         return place.yielding.signal;
@@ -276,7 +264,7 @@
         if (place.isHeld && !place.isFirstTokenSeen) {
           place.isFirstTokenSeen = true;
           const waited = this.#options.clock.now() - place.admittedAt;
-          this.#control.note(waiter.rank, waited);
+          this.#firstTokens.note(waiter.rank, waited);
         }
       },
       release: (tokens) => {
--- a/packages/policy/src/first-token-control.ts
+++ b/packages/policy/src/first-token-times.ts
@@ -1,5 +1,5 @@
 /**
- * Adapts the number of requests in flight to measured first-token times.
+ * How long first tokens take after dispatch.
  *
  * @module
  */
@@ -16,14 +16,9 @@
 }
 
 /** Time between dispatch and first token, by rank. */
-export class FirstTokenControl {
+export class FirstTokenTimes {
   #typical = new Map<Rank, Typical>();
 
-  /** Multiplies the capacity of the node. */
-  get factor(): number {
-    return 1;
-  }
-
   /** The time from dispatch to first token that few requests exceed. */
   getTypicalMs(rank: Rank): number {
     const typical = this.#typical.get(rank);
--- a/packages/policy/src/prefix-index.ts
+++ b/packages/policy/src/prefix-index.ts
@@ -3,50 +3,7 @@
  *
  * @module
  */
-
-/** Prefixes remembered for one group. */
-const DEFAULT_CAPACITY = 4096;
-
-/** The prefixes of one group, and what is dropped when there are too many. */
-export interface PrefixStore {
-  has(hash: string): boolean;
-  /** Notes the use of a prompt's prefixes, the shortest first. */
-  note(prefix: readonly string[]): void;
-  remove(hash: string): void;
-}
-
-/** Drops the least recently used prefix first. */
-export class RecencyStore implements PrefixStore {
-  #capacity: number;
-  #held = new Set<string>();
-
-  constructor(capacity = DEFAULT_CAPACITY) {
-    this.#capacity = capacity;
-  }
-
-  has(hash: string): boolean {
-    return this.#held.has(hash);
-  }
-
-  note(prefix: readonly string[]): void {
-    // The shortest prefix becomes the most recent one, because the longer ones
-    // are of no use without it.
-    for (const hash of prefix.toReversed()) {
-      this.#held.delete(hash);
-      this.#held.add(hash);
-    }
-    for (const hash of this.#held) {
-      if (this.#held.size <= this.#capacity) {
-        break;
-      }
-      this.#held.delete(hash);
-    }
-  }
-
-  remove(hash: string): void {
-    this.#held.delete(hash);
-  }
-}
+import { type PrefixStore, TailStore } from "./prefix-store.ts";
 
 /**
  * An index kept from what the node has sent. Cache events correct it; they come
@@ -56,7 +13,7 @@
   #createStore: () => PrefixStore;
   #groups = new Map<string, PrefixStore>();
 
-  constructor(createStore: () => PrefixStore = () => new RecencyStore()) {
+  constructor(createStore: () => PrefixStore = () => new TailStore()) {
     this.#createStore = createStore;
   }
 
