--- a/packages/node/src/serving/chat.ts
+++ b/packages/node/src/serving/chat.ts
@@ -95,7 +95,12 @@
     };
     let tokens = 0;
     try {
-      const onTokens = (count: number) => tokens += count;
+      const onTokens = (count: number) => {
+        if (tokens === 0) {
+          permit.value.noteFirstToken();
+        }
+        tokens += count;
+      };
       await this.#stream(work, response, signal, onTokens);
     } finally {
       permit.value.release(tokens);
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -7,32 +7,10 @@
 import { type Rank, RANKS, Refusal, type Rules } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import { FairQueue } from "./fair-queue.ts";
-import { FirstTokenControl } from "./first-token-control.ts";
+import { FirstTokenTimes } from "./first-token-times.ts";
+import type { AdmissionRequest, Permit } from "./permit.ts";
 import { ServiceRates } from "./service-rates.ts";
 
-/** What admission needs to know of a request. */
-export interface AdmissionRequest {
-  readonly account: string;
-  readonly rank: Rank;
-  /** Tokens that the answer may have. */
-  readonly tokens: number;
-}
-
-/** A place that a request holds until it ends. */
-export interface Permit {
-  /**
-   * Aborts when a batch request is to give its place to urgent work. The
-   * holder cancels it on the engine, then calls `resume`.
-   */
-  readonly yielded: AbortSignal;
-  /** Waits for a place again after a yield, ahead of nobody else's turn. */
-  resume(signal: AbortSignal): Promise<Result<Permit, Refusal>>;
-  /** Says that the first token of an attempt has come. */
-  noteFirstToken(): void;
-  /** Gives the place back and says how many tokens were served. */
-  release(tokens: number): void;
-}
-
 /** What admission depends on. */
 export interface AdmissionOptions {
   readonly clock: Clock;
@@ -55,11 +33,19 @@
 interface Place {
   readonly waiter: Waiter;
   readonly admittedAt: number;
+  readonly priority: number;
   readonly yielding: AbortController;
   isHeld: boolean;
+  canYield: boolean;
+  isReleased: boolean;
   isFirstTokenSeen: boolean;
 }
 
+/**
+ * Work never spreads quite evenly over the groups. With every slot in use, some
+ * groups have queues, and the first tokens there are late.
+ */
+const USED_SHARE = 0.95;
 /**
  * Part of the target that is always left for waiting. Without it, slow first
  * tokens refuse every request, and no new sample can ever correct them.
@@ -78,7 +64,7 @@
   #rates: ServiceRates;
   #inFlight = createTable(() => 0);
   #running = new Set<Place>();
-  #control = new FirstTokenControl();
+  #firstTokens = new FirstTokenTimes();
   #cancelExpiry: (() => void) | undefined;
 
   constructor(options: AdmissionOptions) {
@@ -95,7 +81,7 @@
   get limit(): number {
     return Math.max(
       1,
-      Math.floor(this.#options.capacity() * this.#control.factor),
+      Math.ceil(this.#options.capacity() * USED_SHARE),
     );
   }
 
@@ -119,7 +105,7 @@
     const target = rules.ranks[request.rank]["first-token"];
     const budget = Math.max(
       target * MIN_WAIT_SHARE,
-      target - this.#control.getTypicalMs(request.rank),
+      target - this.#firstTokens.getTypicalMs(request.rank),
     );
     const expected = this.#estimateWaitMs(request, weight, rules);
     if (expected > budget) {
@@ -198,25 +184,23 @@
     }
     const limit = this.limit;
     for (;;) {
-      const rank = this.#findNextRank(rules, limit);
+      const rank = this.#findNextRank(rules);
       if (rank === undefined) {
         break;
       }
       if (this.inFlight >= limit && !this.#yieldPlace(rank, rules, limit)) {
         break;
       }
-      this.#start(this.#queues[rank].take()!);
+      this.#start(this.#queues[rank].take()!, this.#isBelowFloor(rank, rules));
     }
-    this.#rates.setFull(RANKS.some((rank) => this.#queues[rank].size > 0));
+    this.#rates.setFull(this.inFlight >= limit);
     this.#scheduleExpiry();
   }
 
   /** A rank below its floor goes first; then the rank of the highest worth. */
-  #findNextRank(rules: Rules, limit: number): Rank | undefined {
+  #findNextRank(rules: Rules): Rank | undefined {
     const waiting = RANKS.filter((rank) => this.#queues[rank].size > 0);
-    const isBelowFloor = (rank: Rank) =>
-      this.#inFlight[rank] < Math.ceil(rules.ranks[rank].floor * limit);
-    const below = waiting.find(isBelowFloor);
+    const below = waiting.find((rank) => this.#isBelowFloor(rank, rules));
     return below ?? waiting.reduce<Rank | undefined>(
       (best, rank) =>
         best === undefined || rules.ranks[rank].worth > rules.ranks[best].worth
@@ -232,8 +216,8 @@
     if (rank !== "urgent" || this.#inFlight.batch <= kept) {
       return false;
     }
-    const place = [...this.#running].findLast(({ waiter }) =>
-      waiter.rank === "batch" && waiter.yields < MAX_YIELDS
+    const place = [...this.#running].findLast(({ waiter, canYield }) =>
+      canYield && waiter.rank === "batch" && waiter.yields < MAX_YIELDS
     );
     if (place === undefined) {
       return false;
@@ -243,16 +227,24 @@
     return true;
   }
 
-  #start(waiter: Waiter): void {
+  #isBelowFloor(rank: Rank, rules: Rules): boolean {
+    const floor = Math.ceil(rules.ranks[rank].floor * this.limit);
+    return this.#inFlight[rank] < floor;
+  }
+
+  #start(waiter: Waiter, isBelowFloor: boolean): void {
     const { rank } = waiter;
     this.#waiting[rank].delete(waiter);
     this.#inFlight[rank]++;
-    this.#rates.note(rank, waiter.cost);
+    this.#rates.noteDispatch(rank, waiter.cost);
     const place: Place = {
       waiter,
       admittedAt: this.#options.clock.now(),
+      priority: isBelowFloor ? 0 : RANKS.indexOf(rank),
       yielding: new AbortController(),
       isHeld: true,
+      canYield: false,
+      isReleased: false,
       isFirstTokenSeen: false,
     };
     this.#running.add(place);
@@ -262,21 +254,29 @@
   #createPermit(place: Place): Permit {
     const { waiter } = place;
     return {
-      yielded: place.yielding.signal,
+      priority: place.priority,
+      get yielded() {
+        place.canYield = true;
+        return place.yielding.signal;
+      },
       resume: (signal) => this.#resume(place, signal),
       noteFirstToken: () => {
         if (place.isHeld && !place.isFirstTokenSeen) {
           place.isFirstTokenSeen = true;
           const waited = this.#options.clock.now() - place.admittedAt;
-          this.#control.note(waiter.rank, waited);
+          this.#firstTokens.note(waiter.rank, waited);
         }
       },
       release: (tokens) => {
         if (place.isHeld) {
+          this.#rates.noteRelease(waiter.cost);
           this.#end(place);
           this.#admitWaiting();
         }
-        this.#queues[waiter.rank].end(waiter, tokens);
+        if (!place.isReleased) {
+          place.isReleased = true;
+          this.#queues[waiter.rank].end(waiter, tokens);
+        }
       },
     };
   }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -4,12 +4,7 @@
  * @module
  */
 export { AccountLimits, type AccountUsage } from "./account-limits.ts";
-export {
-  Admission,
-  type AdmissionOptions,
-  type AdmissionRequest,
-  type Permit,
-} from "./admission.ts";
+export { Admission, type AdmissionOptions } from "./admission.ts";
 export { CallReducer, type RememberedCall } from "./call-reducer.ts";
 export { Capacity, type GroupReport } from "./capacity.ts";
 export {
@@ -36,6 +31,7 @@
 export { chooseEntry, type EntryCandidate } from "./entry-choice.ts";
 export { FairQueue, type QueuedItem } from "./fair-queue.ts";
 export { type NameHash, type PeerSlot, planPeerSlots } from "./peer-choice.ts";
+export { type AdmissionRequest, type Permit } from "./permit.ts";
 export {
   compareText,
   countStranded,
@@ -44,6 +40,8 @@
   type PlacementContext,
 } from "./placement.ts";
 export { PrefixIndex } from "./prefix-index.ts";
+export { type PrefixStore, TailStore } from "./prefix-store.ts";
+export { createPromptHasher, type PromptHasher } from "./prompt-hasher.ts";
 export {
   listReplicas,
   listSurplus,
@@ -53,10 +51,5 @@
   type ReplicaInput,
 } from "./replicas.ts";
 export { RetryBudget } from "./retry-budget.ts";
-export {
-  type AttemptMeasure,
-  type RouteCandidate,
-  type RouteRequest,
-  Routing,
-} from "./routing.ts";
+export { type RouteCandidate, type RouteRequest, Routing } from "./routing.ts";
 export { createSubset, Subset } from "./subset.ts";
