Send gauges of a node's state and count refusals

Cause: only one counter was sent, so an operator could not see from metrics that the log is out of reach, that no group is served, or why requests are refused. Ruled out: a gauge in each service; eight readings in one table are easier to document and cost one task. Before: 1 metric.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -25,6 +25,7 @@
 import { Keeper } from "./groups/keeper.ts";
 import { Leases } from "./groups/leases.ts";
 import { Lifecycle } from "./lifecycle.ts";
+import { Gauges } from "./gauges.ts";
 import { Metrics } from "./metrics.ts";
 import { Peers } from "./peers/peers.ts";
 import { WebSocketTransport } from "./peers/transport.ts";
@@ -56,6 +57,11 @@
     [...base, "state", "evidence", "peers", "lifecycle"],
     (services) => new Administration(services),
   );
+  kernel.provide(
+    "gauges",
+    [...base, "metrics", "state", "evidence", "leases", "peers", "admission"],
+    (services) => new Gauges(services),
+  );
   kernel.provide(
     "front",
     [
--- a/packages/node/src/services.ts
+++ b/packages/node/src/services.ts
@@ -19,6 +19,7 @@
 import type { Hosts } from "./groups/hosts.ts";
 import type { Keeper } from "./groups/keeper.ts";
 import type { Leases } from "./groups/leases.ts";
+import type { Gauges } from "./gauges.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Peers } from "./peers/peers.ts";
 import type { PeerTransport } from "./peers/transport.ts";
@@ -64,6 +65,7 @@
   lookup: Lookup;
   front: Front;
   administration: Administration;
+  gauges: Gauges;
 }
 
 /** The kernel of a node. */
--- a/packages/node/src/serving/front.ts
+++ b/packages/node/src/serving/front.ts
@@ -7,6 +7,7 @@
 import type { Logger, Random, Service } from "@zinniahill/kernel";
 import { Refusal, type Settings } from "@zinniahill/schema";
 import type { Lifecycle } from "../lifecycle.ts";
+import type { Metrics } from "../metrics.ts";
 import type { NodeKernel } from "../services.ts";
 import { Authentication, type Caller } from "./authentication.ts";
 import { Chat } from "./chat.ts";
@@ -34,6 +35,7 @@
 export class Front implements Service {
   #random: Random;
   #logger: Logger;
+  #metrics: Metrics;
   #settings: Settings;
   #lifecycle: Lifecycle;
   #authentication: Authentication;
@@ -46,6 +48,7 @@
   constructor(kernel: NodeKernel) {
     this.#random = kernel.find("random");
     this.#logger = kernel.find("logger");
+    this.#metrics = kernel.find("metrics");
     this.#settings = kernel.find("settings");
     this.#lifecycle = kernel.find("lifecycle");
     this.#authentication = new Authentication(kernel.find("state"));
@@ -126,6 +129,7 @@
     const { code, verdict } = createRefusal(failure);
     const fields = { request: id, account: caller?.account.name };
     this.#logger.info("request_refused", { ...fields, code, verdict });
+    this.#metrics.count("refusals", 1, { code, verdict });
     if (code === "internal") {
       const error = failure instanceof Error ? failure.stack : String(failure);
       this.#logger.error("request_failed", { ...fields, error });
