Read the host list again only when it has changed

Cause: idle nodes of 8 hosts spent 1285 bytes a second on the host list, which is 160 bytes a host each second, or 96 KB a second at 600 hosts against a bound of 5 KB a second for all control. Ruled out: a longer interval; 30 s would still cost 3.2 KB a second and make a host that leaves known too late. A platform whose list has no ETag still sends it whole.

--- a/packages/platform/src/host-list.ts
+++ b/packages/platform/src/host-list.ts
@@ -7,8 +7,9 @@
 import { type Host, HostListReply } from "@zinniahill/schema";
 import type { Result } from "true-myth";
 import type { Agent } from "undici";
+import type { z } from "zod";
 import type { Fault } from "./fault.ts";
-import { callJson } from "./http.ts";
+import { callJson, type ReplyCache } from "./http.ts";
 import { Traffic } from "./traffic.ts";
 
 /** The platform's list of live and leaving hosts. */
@@ -24,6 +25,8 @@
   #clock: Clock;
   #address: string;
   #agent: Agent;
+  /** The list is long and changes seldom, so it is read again only then. */
+  #cache: ReplyCache<z.infer<typeof HostListReply>> = {};
 
   constructor(
     clock: Clock,
@@ -47,6 +50,7 @@
       timeoutMs: TIMEOUT_MS,
       schema: HostListReply,
       signal,
+      cache: this.#cache,
     });
     return reply.map(({ hosts }) => hosts);
   }
--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -18,9 +18,17 @@
   readonly timeoutMs: number;
   readonly schema: z.ZodType<Reply>;
   readonly signal?: AbortSignal | undefined;
+  /** Keeps the last reply, so that one that did not change is not sent again. */
+  readonly cache?: ReplyCache<Reply>;
+}
+
+/** The last reply to a call, with the tag that the other side gave it. */
+export interface ReplyCache<Reply> {
+  last?: { readonly tag: string; readonly value: Reply };
 }
 
 const OK_STATUS = 200;
+const NOT_MODIFIED_STATUS = 304;
 /** Statuses by which the platform and the engines refuse before they act. */
 const REFUSAL_STATUSES = new Set([400, 404, 405, 409, 413]);
 const JSON_HEADERS = { "content-type": "application/json" };
@@ -51,20 +59,37 @@
   const reply = await request(`http://${call.address}${call.path}`, {
     dispatcher,
     method: call.method,
-    headers: JSON_HEADERS,
+    headers: createHeaders(call.cache?.last?.tag),
     body: call.body === undefined ? null : JSON.stringify(call.body),
     signal,
   });
+  if (reply.statusCode === NOT_MODIFIED_STATUS && call.cache?.last) {
+    await reply.body.dump();
+    return Result.ok(call.cache.last.value);
+  }
   const value: unknown = await reply.body.json();
   if (reply.statusCode !== OK_STATUS) {
     return Result.err(createReplyFault(reply.statusCode, value));
   }
   const parsed = call.schema.safeParse(value);
-  return parsed.success ? Result.ok(parsed.data) : Result.err({
-    verdict: "ran",
-    message: "the reply does not match its schema",
-    status: reply.statusCode,
-  });
+  if (!parsed.success) {
+    return Result.err({
+      verdict: "ran",
+      message: "the reply does not match its schema",
+      status: reply.statusCode,
+    });
+  }
+  const tag = reply.headers["etag"];
+  if (call.cache !== undefined && typeof tag === "string") {
+    call.cache.last = { tag, value: parsed.data };
+  }
+  return Result.ok(parsed.data);
+}
+
+function createHeaders(tag: string | undefined): Record<string, string> {
+  return tag === undefined
+    ? JSON_HEADERS
+    : { ...JSON_HEADERS, "if-none-match": tag };
 }
 
 /** After any other status the call may have taken effect. */
--- a/stand-ins/src/host-list.ts
+++ b/stand-ins/src/host-list.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createHash } from "node:crypto";
 import { Host } from "@zinniahill/schema";
 import { z } from "zod";
 import { readJson, StandInServer } from "./server.ts";
@@ -15,14 +16,20 @@
   #server = new StandInServer();
 
   constructor() {
-    this.#server.on(
-      "GET",
-      "/hosts",
-      () =>
-        this.isDown
-          ? { status: 503, body: { error: "unavailable" } }
-          : { status: 200, body: { hosts: [...this.#hosts.values()] } },
-    );
+    this.#server.on("GET", "/hosts", (request, response) => {
+      if (this.isDown) {
+        return { status: 503, body: { error: "unavailable" } };
+      }
+      const body = { hosts: [...this.#hosts.values()] };
+      const tag = createTag(JSON.stringify(body));
+      response.setHeader("etag", tag);
+      if (request.headers["if-none-match"] !== tag) {
+        return { status: 200, body };
+      }
+      response.writeHead(304);
+      response.end();
+      return undefined;
+    });
     this.#server.on("POST", "/hosts", async (request) => {
       const hosts = z.array(Host).parse(await readJson(request));
       for (const host of hosts) {
@@ -56,3 +63,8 @@
     return this.#server.close();
   }
 }
+
+function createTag(text: string): string {
+  const digest = createHash("sha256").update(text).digest("base64url");
+  return `"${digest}"`;
+}
