End new work for leaving hosts on every node

Cause: only the lease holder drained groups with a leaving host.

Departures notes when a host without a date was first known to be leaving, and counts it as an obstacle after a grace of 3 s; a dated departure counts once its drain is due. A departure that is learned more than 2 s late counts from when the source was last current. Evidence and the scope keeper share the class.

Ruled out: a grace from the time of learning alone, as a node that was paused or started later would exceed the bound.

--- a/packages/node/src/groups/evidence.ts
+++ b/packages/node/src/groups/evidence.ts
@@ -20,6 +20,7 @@
 import type { Peers } from "../peers/peers.ts";
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
+import type { Departures } from "./departures.ts";
 import { EvidenceReports } from "./evidence-reports.ts";
 import { GroupProbe, type ProbeRound } from "./group-probe.ts";
 import { type HostEvidence, HostEvidenceTable } from "./host-evidence.ts";
@@ -53,6 +54,7 @@
   #peers: Peers;
   #state: ControlState;
   #hosts: Hosts;
+  #departures: Departures;
   #settings: Settings;
   #tasks: TaskGroup;
   #probe: GroupProbe;
@@ -70,6 +72,7 @@
     this.#reports = new EvidenceReports(this.#peers);
     this.#state = kernel.find("state");
     this.#hosts = kernel.find("hosts");
+    this.#departures = kernel.find("departures");
     this.#choice = new ProbeChoice(kernel, (group) => this.#isMissing(group));
     this.#settings = kernel.find("settings");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
@@ -182,6 +185,9 @@
     if (!this.#hosts.all.has(host)) {
       return `host ${host} is not in the host list`;
     }
+    if (this.#departures.endsNewWork(host)) {
+      return `host ${host} is leaving`;
+    }
     const { missingSince, returnedAt, heardIn } = this.find(host);
     if (missingSince !== undefined) {
       return `host ${host} is missing`;
--- a/packages/node/src/groups/scope-keeper.ts
+++ b/packages/node/src/groups/scope-keeper.ts
@@ -8,7 +8,6 @@
 import type { Engines } from "@zinniahill/platform";
 import {
   type Departure,
-  findDeparture,
   isDrainDue,
   listReplicas,
   listSurplus,
@@ -20,6 +19,7 @@
 import type { GroupState, Host, ModelRule, Settings } from "@zinniahill/schema";
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
+import type { Departures } from "./departures.ts";
 import type { Evidence } from "./evidence.ts";
 import { createGoneGroup } from "./group-steps.ts";
 import type { Hosts } from "./hosts.ts";
@@ -34,6 +34,7 @@
   #engines: Engines;
   #state: ControlState;
   #hosts: Hosts;
+  #departures: Departures;
   #evidence: Evidence;
   #orders: Orders;
 
@@ -44,6 +45,7 @@
     this.#engines = kernel.find("engines");
     this.#state = kernel.find("state");
     this.#hosts = kernel.find("hosts");
+    this.#departures = kernel.find("departures");
     this.#evidence = kernel.find("evidence");
     this.#orders = orders;
   }
@@ -139,7 +141,7 @@
   /** Why and by when a group has to be replaced; undefined while it stays. */
   #findDeparture(group: GroupState): Departure | undefined {
     const departures = group.hosts
-      .map((host) => this.#findHostDeparture(host))
+      .map((host) => this.#departures.find(host))
       .filter((departure) => departure !== undefined);
     const version = this.#state.rules?.models.get(group.model)?.version;
     if (departures.length === 0) {
@@ -150,25 +152,6 @@
     return { at: dates.length === 0 ? undefined : Math.min(...dates) };
   }
 
-  #findHostDeparture(name: string): Departure | undefined {
-    const host = this.#hosts.all.get(name);
-    if (host === undefined) {
-      return this.#isUnlistedForLong(name) ? { at: undefined } : undefined;
-    }
-    return findDeparture(host, {
-      maintenance: this.#state.rules?.maintenance ?? new Map(),
-      drainedHosts: this.#state.control.drainedHosts,
-      wallTime: this.#clock.wallTime(),
-    });
-  }
-
-  /** One incomplete answer of the host list must not drain groups. */
-  #isUnlistedForLong(host: string): boolean {
-    const since = this.#hosts.findUnlistedSince(host);
-    const absenceMs = this.#settings.timing["host-absence"];
-    return since !== undefined && this.#clock.now() - since >= absenceMs;
-  }
-
   /**
    * Forms the replacement first, and drains the group once it serves. If only
    * another data centre has free hosts, its holder forms the replacement and
@@ -283,7 +266,7 @@
   #listFreeHosts(): Host[] {
     return [...this.#hosts.all.values()].filter(({ host, state }) =>
       state === "live" && this.#state.control.isFree(host) &&
-      this.#findHostDeparture(host) === undefined
+      this.#departures.find(host) === undefined
     );
   }
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -20,6 +20,7 @@
 import type { Settings } from "@zinniahill/schema";
 import { Administration } from "./administration/administration.ts";
 import { Calls } from "./calls/calls.ts";
+import { Departures } from "./groups/departures.ts";
 import { Evidence } from "./groups/evidence.ts";
 import { Hosts } from "./groups/hosts.ts";
 import { Keeper } from "./groups/keeper.ts";
@@ -176,9 +177,14 @@
     (services) => new Recovery(services),
   );
   provide("hosts", [...base, "hostList"], (services) => new Hosts(services));
+  provide(
+    "departures",
+    [...base, "state", "hosts"],
+    (services) => new Departures(services),
+  );
   provide(
     "evidence",
-    [...base, "engines", "peers", "state", "hosts", "leases"],
+    [...base, "engines", "peers", "state", "hosts", "departures", "leases"],
     (services) => new Evidence(services),
   );
   provide(
@@ -188,7 +194,7 @@
   );
   provide(
     "keeper",
-    [...base, "engines", "weightStore", "evidence", "leases"],
+    [...base, "engines", "weightStore", "departures", "evidence", "leases"],
     (services) => new Keeper(services),
   );
 
--- a/packages/node/src/services.ts
+++ b/packages/node/src/services.ts
@@ -15,6 +15,7 @@
 import type { Settings } from "@zinniahill/schema";
 import type { Administration } from "./administration/administration.ts";
 import type { Calls } from "./calls/calls.ts";
+import type { Departures } from "./groups/departures.ts";
 import type { Evidence } from "./groups/evidence.ts";
 import type { Hosts } from "./groups/hosts.ts";
 import type { Keeper } from "./groups/keeper.ts";
@@ -54,6 +55,7 @@
   checkpoints: Checkpoints;
   recovery: Recovery;
   hosts: Hosts;
+  departures: Departures;
   evidence: Evidence;
   leases: Leases;
   keeper: Keeper;
--- a/packages/node/src/state/control-state.ts
+++ b/packages/node/src/state/control-state.ts
@@ -25,6 +25,7 @@
 import type { Result } from "true-myth";
 import type { NodeKernel } from "../services.ts";
 import { PAGE_ENTRIES, searchCheckpoint } from "./checkpoint-search.ts";
+import { CurrentTimes } from "./current-times.ts";
 import { Proposals } from "./proposals.ts";
 import { OBSTACLES, type Reading } from "./reading.ts";
 
@@ -45,6 +46,8 @@
 export class ControlState implements Service {
   /** Notified whenever the state or the log's health changes. */
   readonly changed = new Condition();
+  /** When reads reached the end of the stream. */
+  readonly currentTimes: CurrentTimes;
   #clock: Clock;
   #logger: Logger;
   #log: Log;
@@ -67,6 +70,7 @@
     this.#log = kernel.find("log");
     this.#settings = kernel.find("settings");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
+    this.currentTimes = new CurrentTimes(this.#clock, this.#settings);
     this.#proposals = new Proposals(
       this.#clock,
       this.#log,
@@ -184,6 +188,7 @@
         await this.#clock.sleep(SEARCH_PAUSE_MS, signal);
         return;
       }
+      const sentAt = this.#clock.now();
       const page = await this.#log.read("control", {
         from: this.#reducer.asOf + 1,
         max: PAGE_ENTRIES,
@@ -193,6 +198,9 @@
       if (page.isErr || !this.#applyPage(page.value)) {
         return;
       }
+      if (this.isCaughtUp) {
+        this.currentTimes.note(sentAt);
+      }
     }
   }
 
