Send the use of client accounts as totals along a tree of nodes

Cause: beyond limits.peer-connections every report of use was passed on by every node, so the bytes of a node grew with the number of nodes.

A spanning tree now carries totals: a message holds one entry for each active account. AccountUsage has the optional field users, because a report can stand for many nodes.

Ruled out, without a run: push-sum, rendezvous hashing of accounts, and relaying less often (docs/decisions/peers.md).

--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -6,7 +6,7 @@
 import { createHash } from "node:crypto";
 import {
   type Clock,
-  type Condition,
+  Condition,
   describeError,
   type Logger,
   type Service,
@@ -30,6 +30,7 @@
 import { isRelayable, Relay } from "./relay.ts";
 import { PeerSlots } from "./slots.ts";
 import type { PeerConnection, PeerTransport } from "./transport.ts";
+import { UsageExchange } from "./usage-exchange.ts";
 
 export { type Peer } from "./conversation.ts";
 
@@ -48,6 +49,9 @@
   #registry: PeerRegistry;
   #relay: Relay;
   #slots: PeerSlots;
+  #usage: UsageExchange;
+  /** Notified when the next heartbeats should not be put off. */
+  #news = new Condition();
   #isPartial: boolean;
   #startedAt = 0;
   #listeners = new Map<PeerMessage["kind"], PeerListener[]>();
@@ -77,6 +81,7 @@
     );
     this.#isPartial = plan.some(({ length }) => length > 1);
     this.#slots = this.#createSlots(plan);
+    this.#usage = this.#createUsageExchange();
   }
 
   async start(): Promise<void> {
@@ -86,6 +91,12 @@
       this.#converse(connection, false);
     });
     this.#slots.start(this.#tasks);
+    this.#watch(this.#lifecycle.changed);
+    if (this.#isPartial) {
+      this.#tasks.run("keep_place", (signal) => this.#usage.keepPlace(signal));
+      this.#tasks.run("pass_usage", (signal) => this.#usage.passTotals(signal));
+      this.#watch(this.#usage.moved);
+    }
   }
 
   stop(): Promise<void> {
@@ -123,6 +134,11 @@
     this.#readLoad = readLoad;
   }
 
+  /** Connections over which one report of usage is sent at once. */
+  get usageReceivers(): number {
+    return this.#isPartial ? 0 : this.#registry.live.size;
+  }
+
   /** Peers that are connected. */
   list(): Peer[] {
     return this.#registry.list();
@@ -142,9 +158,14 @@
 
   /**
    * Sends a message to every peer that is connected. Where a node has no
-   * connection to some others, peers pass evidence and usage on to them.
+   * connection to some others, peers pass evidence on to them, and usage
+   * reaches them in totals.
    */
   broadcast(message: PeerMessage): void {
+    if (this.#isPartial && message.kind === "usage") {
+      this.#usage.noteOwn(message.accounts);
+      return;
+    }
     const isRelayed = this.#isPartial && isRelayable(message);
     this.#sendToAll(isRelayed ? this.#relay.wrap(message) : message);
   }
@@ -178,6 +199,27 @@
     }, plan);
   }
 
+  #watch(changed: Condition): void {
+    this.#tasks.run("watch_news", async (signal) => {
+      while (!signal.aborted) {
+        await changed.wait(signal);
+        this.#news.notify();
+      }
+    });
+  }
+
+  #createUsageExchange(): UsageExchange {
+    const { node, timing } = this.#settings;
+    return new UsageExchange(this.#clock, {
+      node: node.name,
+      deadlineMs: timing["peer-deadline"],
+      heartbeatMs: timing["heartbeat-interval"],
+      listConnected: () => new Set(this.#registry.live.keys()),
+      send: (peer, bytes) => this.#registry.live.get(peer)?.send(bytes),
+      report: (message) => this.#notify("", message),
+    });
+  }
+
   /** Connects and waits until the peer was admitted and has sent a heartbeat. */
   async #dial(address: string, signal: AbortSignal): Promise<boolean> {
     const limitMs = this.#settings.timing["peer-deadline"];
@@ -213,7 +255,7 @@
         heartbeatMs: timing["heartbeat-interval"],
         createHello: () => this.#createHello(),
         createHeartbeat: (sequence) => this.#createHeartbeat(sequence),
-        waitForNews: (signal) => this.#lifecycle.changed.wait(signal),
+        waitForNews: (signal) => this.#news.wait(signal),
         admit: (source, hello) => this.#registry.admit(source, hello),
         deliver: (source, message) => this.#deliver(source, message),
         onEnd: (source, fault) => this.#registry.remove(source, fault),
@@ -230,7 +272,12 @@
     if (node === undefined) {
       return;
     }
-    if (message.kind !== "relayed") {
+    if (message.kind === "heartbeat" && message.tree !== undefined) {
+      this.#usage.notePlace(node, message.tree);
+    }
+    if (message.kind === "usage-total") {
+      this.#usage.noteTotal(node, message);
+    } else if (message.kind !== "relayed") {
       this.#notify(node, message);
     } else if (this.#relay.accept(message)) {
       this.#sendToAll(message, source);
@@ -277,6 +324,7 @@
       logReachable: this.#state.isLogReachable,
       load: this.#readLoad(),
       stopping: this.#lifecycle.isStopping,
+      ...(this.#isPartial ? { tree: this.#usage.place } : {}),
     };
   }
 }
--- a/packages/node/src/serving/gate.ts
+++ b/packages/node/src/serving/gate.ts
@@ -205,7 +205,7 @@
       }
       hadUsage = accounts.length > 0;
       const bytes = accounts.length * USAGE_ACCOUNT_BYTES *
-        (this.#countNodes() - 1);
+        this.#peers.usageReceivers;
       const pauseMs = bytes * 1000 / USAGE_BYTES_PER_SECOND;
       await this.#clock.sleep(Math.max(USAGE_INTERVAL_MS, pauseMs), signal);
     }
--- a/packages/node/test/state/cluster.ts
+++ b/packages/node/test/state/cluster.ts
@@ -144,7 +144,7 @@
   readonly clock = new ManualClock();
   readonly platform = new MemoryPlatform(this.clock);
   readonly nodes: NodeKernel[] = [];
-  #transports = new MemoryTransports(this.platform.network);
+  readonly transports = new MemoryTransports(this.platform.network);
   #addresses: string[];
   #changes: (index: number) => SettingsChange;
   #starts = 0;
@@ -190,7 +190,7 @@
 
   /** Creates the transport of the node at an index. */
   createTransport(index: number): PeerTransport {
-    return this.#transports.create(createPeerAddress(index));
+    return this.transports.create(createPeerAddress(index));
   }
 
   /** Stops a node, as the end of its process does. */
--- a/packages/policy/src/account-limits.ts
+++ b/packages/policy/src/account-limits.ts
@@ -14,6 +14,8 @@
   readonly tokens: number;
   /** Streams that run at the time of the report. */
   readonly streams: number;
+  /** Nodes that have these streams; one if it is missing. */
+  readonly users?: number | undefined;
 }
 
 interface Usage {
@@ -29,10 +31,15 @@
   reportedStreams: number;
 }
 
+interface PeerStreams {
+  readonly count: number;
+  readonly users: number;
+}
+
 interface PeerUsage {
   readonly sequence: number;
   readonly receivedAt: number;
-  readonly streams: ReadonlyMap<string, number>;
+  readonly streams: ReadonlyMap<string, PeerStreams>;
 }
 
 /** Requests and tokens may be saved up for this long. */
@@ -132,14 +139,16 @@
     if (known !== undefined && known.sequence >= sequence) {
       return;
     }
-    const streams = new Map<string, number>();
-    for (const { account, requests, tokens, streams: count } of report) {
+    const streams = new Map<string, PeerStreams>();
+    for (const { account, requests, tokens, ...running } of report) {
       const rule = rules.get(account);
       if (rule !== undefined) {
         const usage = this.#findUsage(rule);
         usage.requests -= requests;
         usage.tokens -= tokens;
-        streams.set(account, count);
+        const count = running.streams;
+        const users = running.users ?? Math.min(1, count);
+        streams.set(account, { count, users });
       }
     }
     const receivedAt = this.#clock.now();
@@ -181,9 +190,9 @@
         this.#peers.delete(node);
         continue;
       }
-      const count = peer.streams.get(rule.name) ?? 0;
-      users += count > 0 ? 1 : 0;
-      remote += count;
+      const running = peer.streams.get(rule.name);
+      users += running?.users ?? 0;
+      remote += running?.count ?? 0;
     }
     const free = rule.streams - remote - usage.reportedStreams;
     // A peer without streams of the account may start some at the same time,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -31,6 +31,7 @@
 export { chooseEntry, type EntryCandidate } from "./entry-choice.ts";
 export { FairQueue, type QueuedItem } from "./fair-queue.ts";
 export { type NameHash, type PeerSlot, planPeerSlots } from "./peer-choice.ts";
+export { PeerTree, type TreePlace } from "./peer-tree.ts";
 export { type AdmissionRequest, type Permit } from "./permit.ts";
 export {
   compareText,
@@ -53,3 +54,4 @@
 export { RetryBudget } from "./retry-budget.ts";
 export { type RouteCandidate, type RouteRequest, Routing } from "./routing.ts";
 export { createSubset, Subset } from "./subset.ts";
+export { UsageTotals } from "./usage-totals.ts";
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -24,7 +24,9 @@
   RelayedMessage,
   SnapshotMessage,
   SnapshotRequestMessage,
+  TreePlaceTuple,
   UsageMessage,
+  UsageTotalMessage,
 } from "./peer.ts";
 export {
   CallRecord,
--- a/packages/schema/src/peer.ts
+++ b/packages/schema/src/peer.ts
@@ -25,6 +25,18 @@
   peerAddress: z.string(),
 });
 
+/** A node's place in the tree along which totals travel; see `PeerTree`. */
+export const TreePlaceTuple = z.tuple([
+  /** Root. */
+  z.string(),
+  /** Wave of the root. */
+  z.number().int(),
+  /** Depth. */
+  z.number().int(),
+  /** Parent; empty at the root. */
+  z.string(),
+]);
+
 /** Sent at a fixed interval in both directions. */
 export const HeartbeatMessage = z.object({
   kind: z.literal("heartbeat"),
@@ -36,6 +48,8 @@
   /** Requests in flight as a share of the node's capacity. */
   load: z.number(),
   stopping: z.boolean(),
+  /** Present when not every node is connected to every other one. */
+  tree: TreePlaceTuple.optional(),
 });
 /** Sent at a fixed interval in both directions. */
 export type HeartbeatMessage = z.infer<typeof HeartbeatMessage>;
@@ -60,9 +74,31 @@
     requests: z.number(),
     tokens: z.number(),
     streams: z.number().int(),
+    /** Nodes that have these streams; one if it is missing. */
+    users: z.number().int().optional(),
   })),
 });
 
+/**
+ * What client accounts used on the sender's side of a connection since its last
+ * message. Tuples halve the size of an account against named fields.
+ */
+export const UsageTotalMessage = z.object({
+  kind: z.literal("usage-total"),
+  accounts: z.array(z.tuple([
+    /** Account. */
+    z.string(),
+    /** Requests. */
+    z.number(),
+    /** Tokens. */
+    z.number(),
+    /** Streams that run now. */
+    z.number().int(),
+    /** Nodes that have these streams. */
+    z.number().int(),
+  ])),
+});
+
 /** Asks for a peer's control state. */
 export const SnapshotRequestMessage = z.object({
   kind: z.literal("snapshot-request"),
@@ -85,7 +121,7 @@
   instance: z.string(),
   /** Rises by one with each message of the origin's process. */
   sequence: z.number().int().min(1),
-  message: z.discriminatedUnion("kind", [EvidenceMessage, UsageMessage]),
+  message: EvidenceMessage,
 });
 
 /** A message between nodes. */
@@ -94,6 +130,7 @@
   HeartbeatMessage,
   EvidenceMessage,
   UsageMessage,
+  UsageTotalMessage,
   SnapshotRequestMessage,
   SnapshotMessage,
   RelayedMessage,
--- a/stand-ins/src/memory/transport.ts
+++ b/stand-ins/src/memory/transport.ts
@@ -14,6 +14,8 @@
   #network: MemoryNetwork;
   #listeners = new Map<string, Listener>();
   #connections = new Set<MemoryConnection>();
+  /** Called for each message that a node sends, with its peer address. */
+  onSend: (address: string, message: Uint8Array) => void = () => {};
 
   constructor(network: MemoryNetwork) {
     this.#network = network;
@@ -53,6 +55,7 @@
     for (const connection of [near, far]) {
       this.#connections.add(connection);
       connection.onEnd = () => this.#connections.delete(connection);
+      connection.onSend = (bytes) => this.onSend(connection.address, bytes);
     }
     near.other = far;
     far.other = near;
@@ -73,6 +76,7 @@
   readonly address: string;
   isSilent = false;
   onEnd: () => void = () => {};
+  onSend: (message: Uint8Array) => void = () => {};
   other: MemoryConnection | undefined;
   #canArrive: () => boolean;
   #inbox: Uint8Array[] = [];
@@ -85,6 +89,7 @@
   }
 
   send(message: Uint8Array): void {
+    this.onSend(message);
     if (!this.isSilent) {
       this.other?.accept(message);
     }
