Use 92% of the batch slots, so that urgent work meets its target

Places were taken up to 95% of the slots, and two choices do not spread that evenly.

Ruled out in trials on a scratch copy: a report half-life of 2 s and 4 s, the least loaded group in place of two choices (worse: nodes with old reports choose the same group), no preference slack, shares of 0.94 and 0.93.

Floors are kept.

400 tests and `npm run check` pass.

--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -42,10 +42,11 @@
 }
 
 /**
- * Work never spreads quite evenly over the groups. With every slot in use, some
- * groups have queues, and the first tokens there are late.
+ * Work never spreads quite evenly over the groups, and first tokens are late on
+ * those with queues. At 0.95, `bench -- ranks` misses the urgent target in 10 of
+ * 30 runs of the heaviest overloads; at 0.92 in none.
  */
-const USED_SHARE = 0.95;
+const USED_SHARE = 0.92;
 /**
  * Part of the target that is always left for waiting. Without it, slow first
  * tokens refuse every request, and no new sample can ever correct them.
--- a/packages/policy/test/admission.test.ts
+++ b/packages/policy/test/admission.test.ts
@@ -65,6 +65,16 @@
     });
   });
 
+  describe("capacity", () => {
+    it("leaves slots free, so that uneven groups have no queues", async () => {
+      const { admission, admit, hold } = createAdmission(100);
+      await Promise.all(Array.from({ length: 92 }, () => hold("urgent")));
+      void admit("urgent");
+      expect(admission.inFlight).toBe(92);
+      expect(admission.countWaiting("urgent")).toBe(1);
+    });
+  });
+
   describe("refusals", () => {
     it("leaves no request in a queue beyond its rank's target", async () => {
       const { clock, admit, hold } = createAdmission(1);
