Use admission, the retry budget and prefix routing in streams

Streams did not use the policy: every prompt was routed without its prefix, the engine got the rank as priority, retries had no budget, a yield was never answered and lookup saw no load.

Streams now hash the prompt once for each request, pass the permit's priority, report gaps between tokens (without the wait for the first token and without the time of a slow caller), take a retry from the rank's budget before each further attempt, and wait for the first token at least as long as the rank's target. An answer that has begun goes on without a retry budget. On a yield the stream cancels on the engine, waits for a new place and goes on from the last token; a yield takes no retry. The gate reports its load to the peers. Place holds the permits of one request; the tokens of each are counted there.

The test for an exhausted retry budget used a stream that had delivered tokens, which must now be completed. It is replaced by two: one without tokens makes no second attempt, one with tokens is completed.

Hedged requests are not made yet.

--- a/bench/src/matrix/callers.ts
+++ b/bench/src/matrix/callers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import type { NodeKernel } from "@zinniahill/node";
+import { type NodeKernel, Place } from "@zinniahill/node";
 import { ChatChunk, type Rank, RANKS, Refusal } from "@zinniahill/schema";
 import type { MemoryNode } from "./memory-node.ts";
 import type {
@@ -117,6 +117,7 @@
   if (permit.isErr) {
     return permit.error;
   }
+  const place = new Place(permit.value);
   try {
     const end = await kernel.find("streams").run({
       request: attempt.request,
@@ -124,6 +125,7 @@
       messages: [{ role: "user", content: prompt }],
       maxTokens,
       rank,
+      place,
       deadline: kernel.find("clock").now() + REQUEST_DEADLINE_MS,
       sink: {
         write: (events) => {
@@ -135,7 +137,7 @@
     }, signal);
     return end.isOk ? "answered" : end.error;
   } finally {
-    permit.value.release(attempt.tokens.length);
+    place.release();
   }
 }
 
--- a/bench/src/token-rate.ts
+++ b/bench/src/token-rate.ts
@@ -81,6 +81,8 @@
       tokenGapMs: 2000,
       deadline: clock.now() + 60_000,
       sink: { write: () => {} },
+      onFirstToken: () => {},
+      onTokenGap: () => {},
       progress,
       signal: new AbortController().signal,
     });
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -204,7 +204,7 @@
   );
   provide(
     "streams",
-    [...base, "engines", "evidence", "router"],
+    [...base, "engines", "evidence", "state", "admission", "router"],
     (services) => new Streams(services),
   );
   provide(
--- a/packages/node/src/serving/chat.ts
+++ b/packages/node/src/serving/chat.ts
@@ -19,6 +19,7 @@
 import { type ChatReply, StreamedReply, WholeReply } from "./chat-reply.ts";
 import type { Gate } from "./gate.ts";
 import { createCloseSignal, readJson, type RoutedRequest } from "./http.ts";
+import { Place } from "./place.ts";
 import type { Streams } from "./streams.ts";
 
 const MS_PER_SECOND = 1000;
@@ -33,6 +34,7 @@
   readonly id: string;
   readonly account: string;
   readonly rank: Rank;
+  readonly place: Place;
   /** When the request came, on the node's clock. */
   readonly startedAt: number;
   readonly maxTokens: number;
@@ -85,33 +87,27 @@
     if (permit.isErr) {
       throw permit.error;
     }
+    const place = new Place(permit.value);
     const work = {
       id,
       account: account.name,
       rank,
+      place,
       startedAt,
       maxTokens,
       body,
     };
-    let tokens = 0;
     try {
-      const onTokens = (count: number) => {
-        if (tokens === 0) {
-          permit.value.noteFirstToken();
-        }
-        tokens += count;
-      };
-      await this.#stream(work, response, signal, onTokens);
+      await this.#stream(work, response, signal);
     } finally {
-      permit.value.release(tokens);
+      place.release();
     }
   }
 
   async #stream(
-    { id, account, rank, startedAt, maxTokens, body }: AdmittedChat,
+    { id, account, rank, place, startedAt, maxTokens, body }: AdmittedChat,
     response: ServerResponse,
     signal: AbortSignal,
-    onTokens: (count: number) => void,
   ): Promise<void> {
     const reply = this.#createReply(id, body, response);
     const end = await this.#streams.run({
@@ -120,13 +116,9 @@
       messages: body.messages,
       maxTokens,
       rank,
+      place,
       deadline: startedAt + REQUEST_DEADLINE_MS,
-      sink: {
-        write: (events, count) => {
-          onTokens(count);
-          return reply.write(events, count);
-        },
-      },
+      sink: reply,
     }, signal);
     if (end.isErr) {
       throw end.error;
--- a/packages/node/src/serving/first-token-watch.ts
+++ b/packages/node/src/serving/first-token-watch.ts
@@ -16,7 +16,7 @@
 const WATCH_INTERVAL_MS = 500;
 
 /**
- * Aborts with the caller's signal, and when the work should move to another
+ * Aborts with any of the signals, and when the work should move to another
  * group while the engine has sent no new token: the deadline of the first token
  * is long, as an engine may queue the request.
  */
@@ -24,7 +24,7 @@
   clock: Clock,
   progress: Progress,
   hasMoved: () => boolean,
-  signal: AbortSignal,
+  signals: readonly AbortSignal[],
 ): Watch {
   const before = progress.next;
   const moved = new AbortController();
@@ -41,7 +41,7 @@
   // The sleep rejects when the watch ends.
   run().catch(() => {});
   return {
-    signal: AbortSignal.any([signal, moved.signal]),
+    signal: AbortSignal.any([...signals, moved.signal]),
     end: () => ended.abort(),
   };
 }
--- a/packages/node/src/serving/gate.ts
+++ b/packages/node/src/serving/gate.ts
@@ -71,6 +71,7 @@
     this.#peers.onMessage("usage", (node, { sequence, accounts }) => {
       this.#limits.noteReport(node, sequence, accounts, this.#accounts);
     });
+    this.#peers.reportLoad(() => this.load);
     this.#tasks.repeat("observe_capacity", probeIntervalMs, () => {
       this.#observeCapacity();
       return Promise.resolve();
--- a/packages/node/src/serving/router.ts
+++ b/packages/node/src/serving/router.ts
@@ -48,16 +48,21 @@
     this.#hashPrompt = await createPromptHasher();
   }
 
+  /** Hashes the prefixes of a prompt, once for all choices of a request. */
+  hashPrompt(messages: readonly ChatMessage[]): readonly string[] {
+    return this.#hashPrompt(messages);
+  }
+
   /** Chooses a servable group of a model. */
   choose(
     model: string,
     excluded: ReadonlySet<string>,
-    messages: readonly ChatMessage[] = [],
+    prefix: readonly string[] = [],
   ): GroupState | undefined {
     const request = {
       dataCentre: this.#dataCentre,
       excluded,
-      prefix: this.#hashPrompt(messages),
+      prefix,
     };
     const routes = this.#findRoutes(model);
     const isFresh = routes.listedAt === this.#clock.now();
--- a/packages/node/src/serving/stream-attempt.ts
+++ b/packages/node/src/serving/stream-attempt.ts
@@ -14,6 +14,7 @@
 import type { GenerateRequest } from "@zinniahill/schema";
 import { DeliveredText, readFinishReason } from "./delivered-text.ts";
 import { ProgressWatch } from "./progress-watch.ts";
+import { TokenGaps } from "./token-gaps.ts";
 import { findForeignEvent, selectRun, type TokenRun } from "./token-run.ts";
 
 /** Takes the events of an answer, each token once and in order. */
@@ -62,6 +63,10 @@
   readonly deadline: number;
   readonly sink: TokenSink;
   readonly progress: Progress;
+  /** Called at the first new token of the attempt. */
+  onFirstToken(): void;
+  /** Called with the mean time between tokens over a part of the attempt. */
+  onTokenGap(ms: number): void;
   readonly signal: AbortSignal;
 }
 
@@ -105,7 +110,9 @@
   attempt: Attempt,
   watch: ProgressWatch,
 ): Promise<void> {
-  const { body, progress, sink } = attempt;
+  const { body, progress } = attempt;
+  const before = progress.next;
+  const gaps = new TokenGaps((ms) => attempt.onTokenGap(ms));
   if (stream.request !== body.request) {
     throw new Error("the stream belongs to another request");
   }
@@ -126,7 +133,15 @@
     const tokens = run.next - progress.next;
     progress.note(run);
     if (tokens > 0) {
-      await sink.write(run.bytes, tokens);
+      if (run.next - tokens === before) {
+        attempt.onFirstToken();
+      }
+      gaps.note(tokens, clock.now());
+      const written = attempt.sink.write(run.bytes, tokens);
+      if (written !== undefined) {
+        await written;
+        gaps.restart(clock.now());
+      }
       // Only new tokens move the deadline, so a connection that repeats old
       // ones stalls like a silent one.
       const until = clock.now() + attempt.tokenGapMs;
--- a/packages/node/src/serving/streams.ts
+++ b/packages/node/src/serving/streams.ts
@@ -6,74 +6,27 @@
 import {
   type Clock,
   type Logger,
-  type Random,
   type Service,
   TaskGroup,
   withDeadline,
 } from "@zinniahill/kernel";
 import type { Engines, Fault } from "@zinniahill/platform";
-import {
-  type ChatMessage,
-  type GroupState,
-  type Rank,
-  RANKS,
-  Refusal,
-  type Settings,
-  type Verdict,
-} from "@zinniahill/schema";
+import type { GroupState, Rank, Refusal, Settings } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import type { Evidence } from "../groups/evidence.ts";
 import type { Hosts } from "../groups/hosts.ts";
 import type { NodeKernel } from "../services.ts";
-import type { Router } from "./router.ts";
+import type { ControlState } from "../state/control-state.ts";
 import { watchFirstToken } from "./first-token-watch.ts";
-import { Progress, runAttempt, type TokenSink } from "./stream-attempt.ts";
-
-/** A request for a stream of tokens. */
-export interface StreamRequest {
-  readonly request: string;
-  readonly model: string;
-  readonly messages: readonly ChatMessage[];
-  readonly maxTokens: number;
-  readonly rank: Rank;
-  /** When the request must have ended, on the node's clock. */
-  readonly deadline: number;
-  readonly sink: TokenSink;
-}
-
-/** How a stream ended. */
-export interface StreamEnd {
-  readonly attempts: number;
-  /** The whole answer. */
-  readonly progress: Progress;
-}
-
-/** Whether a retry may be made for a request of a rank. */
-export type MayRetry = (rank: Rank) => boolean;
-
-/** What is known of one request over all its attempts. */
-interface Run {
-  readonly request: StreamRequest;
-  readonly signal: AbortSignal;
-  readonly progress: Progress;
-  /** Groups on which the last attempt brought no new token. */
-  readonly excluded: Set<string>;
-  /** How often each lead was asked. */
-  readonly asked: Map<string, number>;
-  /** The group of the last attempt, if that one brought new tokens. */
-  resumable: string | undefined;
-  attempts: number;
-  fruitless: number;
-  verdict: Verdict;
-}
+import type { Gate } from "./gate.ts";
+import type { Router } from "./router.ts";
+import { runAttempt } from "./stream-attempt.ts";
+import { type StreamEnd, type StreamRequest, StreamRun } from "./stream-run.ts";
 
 const MAX_FRUITLESS_ATTEMPTS = 8;
 const NO_GROUP_WAIT_MS = 10_000;
-const RETRY_AFTER_MS = 1000;
 /** A present host answers a probe sooner; a missing one costs this wait. */
 const PROBE_ANSWER_MS = 250;
-const BASE_PAUSE_MS = 50;
-const MAX_PAUSE_MS = 1000;
 
 /**
  * Progress deadlines that the first token may take: an engine may queue a
@@ -94,27 +47,27 @@
 /** Carries streams from groups to callers. */
 export class Streams implements Service {
   #clock: Clock;
-  #random: Random;
   #logger: Logger;
   #engines: Engines;
   #evidence: Evidence;
   #hosts: Hosts;
   #router: Router;
   #settings: Settings;
-  #mayRetry: MayRetry;
+  #state: ControlState;
+  #gate: Gate;
   #cancels: TaskGroup;
   #running = 0;
 
-  constructor(kernel: NodeKernel, mayRetry: MayRetry = () => true) {
+  constructor(kernel: NodeKernel) {
     this.#clock = kernel.find("clock");
-    this.#random = kernel.find("random");
     this.#logger = kernel.find("logger");
     this.#engines = kernel.find("engines");
     this.#evidence = kernel.find("evidence");
     this.#hosts = kernel.find("hosts");
     this.#router = kernel.find("router");
     this.#settings = kernel.find("settings");
-    this.#mayRetry = mayRetry;
+    this.#state = kernel.find("state");
+    this.#gate = kernel.find("admission");
     this.#cancels = new TaskGroup(this.#clock, this.#logger);
   }
 
@@ -131,17 +84,8 @@
     request: StreamRequest,
     signal: AbortSignal,
   ): Promise<Result<StreamEnd, Refusal>> {
-    const run: Run = {
-      request,
-      signal,
-      progress: new Progress(),
-      excluded: new Set(),
-      asked: new Map(),
-      resumable: undefined,
-      attempts: 0,
-      fruitless: 0,
-      verdict: "not-run",
-    };
+    const prefix = this.#router.hashPrompt(request.messages);
+    const run = new StreamRun(request, prefix, signal);
     this.#running++;
     try {
       return await this.#runAttempts(run);
@@ -150,46 +94,93 @@
     }
   }
 
-  async #runAttempts(run: Run): Promise<Result<StreamEnd, Refusal>> {
-    const { request, progress, signal } = run;
+  async #runAttempts(run: StreamRun): Promise<Result<StreamEnd, Refusal>> {
+    const { progress, signal } = run;
     while (run.fruitless < MAX_FRUITLESS_ATTEMPTS && !signal.aborted) {
+      if (run.hasYielded && !await this.#regainPlace(run)) {
+        break;
+      }
       const group = await this.#findGroup(run);
       if (group === undefined) {
         break;
       }
+      if (run.hasYielded) {
+        continue;
+      }
       const fault = await this.#attempt(run, group);
       if (progress.isComplete) {
         return Result.ok({ attempts: run.attempts, progress });
       }
-      this.#noteFault(run, group, fault);
-      if (!signal.aborted && fault.verdict !== "not-run") {
-        await this.#suspect(run, group);
-      }
-      if (signal.aborted || !this.#mayRetry(request.rank)) {
+      run.noteVerdict(fault);
+      if (!run.hasYielded && !await this.#prepareRetry(run, group, fault)) {
         break;
       }
-      await this.#pause(run);
     }
-    return Result.err(createStreamRefusal(run, this.#clock.now()));
+    return Result.err(run.createRefusal(this.#clock.now()));
   }
 
-  #noteFault(run: Run, group: GroupState, fault: Fault): void {
+  /**
+   * Waits for a place after a yield. A stream that has delivered tokens asks
+   * again when the wait was too long, as its caller cannot repeat the rest.
+   */
+  async #regainPlace(run: StreamRun): Promise<boolean> {
     const { request, progress, signal } = run;
-    if (run.verdict === "not-run") {
-      run.verdict = fault.verdict;
+    this.#logger.info("stream_yielded", {
+      request: request.request,
+      next: progress.next,
+    });
+    for (let round = 1; !signal.aborted; round++) {
+      const resumed = await request.place.resume(signal);
+      if (resumed.isOk) {
+        run.refusal = undefined;
+        return true;
+      }
+      run.refusal = resumed.error;
+      if (progress.next === 0 || this.#clock.now() >= request.deadline) {
+        return false;
+      }
+      await this.#sleepRetryPause(run, round);
     }
-    if (progress.next > 0) {
-      run.verdict = "ran";
+    return false;
+  }
+
+  /** Whether another attempt may follow; returns when it may begin. */
+  async #prepareRetry(
+    run: StreamRun,
+    group: GroupState,
+    fault: Fault,
+  ): Promise<boolean> {
+    this.#noteFault(run, group, fault);
+    if (!run.signal.aborted && fault.verdict !== "not-run") {
+      await this.#suspect(run, group);
+    }
+    if (run.signal.aborted || !this.#takeRetry(run)) {
+      return false;
     }
+    if (run.fruitless > 0) {
+      await this.#sleepRetryPause(run, run.fruitless);
+    }
+    return true;
+  }
+
+  /**
+   * Takes a retry from the rank's budget. An answer that has begun goes on
+   * without one: its caller would lose what it has received.
+   */
+  #takeRetry({ request, progress }: StreamRun): boolean {
+    return this.#gate.mayRetry(request.rank) || progress.next > 0;
+  }
+
+  #noteFault(run: StreamRun, group: GroupState, fault: Fault): void {
     if (run.resumable === undefined) {
       run.excluded.add(group.group);
     }
     this.#logger.warn("stream_broken", {
-      request: request.request,
+      request: run.request.request,
       group: group.group,
-      next: progress.next,
+      next: run.progress.next,
       verdict: fault.verdict,
-      caller_gone: signal.aborted,
+      caller_gone: run.signal.aborted,
       error: fault.message,
     });
   }
@@ -198,7 +189,7 @@
    * Has the group probed. A group that brought tokens holds the prefix, so the
    * stream waits a moment for the answer before it goes elsewhere.
    */
-  async #suspect(run: Run, { group }: GroupState): Promise<void> {
+  async #suspect(run: StreamRun, { group }: GroupState): Promise<void> {
     this.#evidence.noteSuspect(group);
     if (run.resumable !== group) {
       return;
@@ -215,18 +206,14 @@
     ).catch(() => {});
   }
 
-  /** Waits with full jitter after attempts that brought nothing. */
-  async #pause(run: Run): Promise<void> {
-    if (run.fruitless === 0) {
-      return;
-    }
-    const longest = BASE_PAUSE_MS * 2 ** (run.fruitless - 1);
-    const pauseMs = this.#random.fraction() * Math.min(MAX_PAUSE_MS, longest);
+  /** Waits with full jitter. */
+  async #sleepRetryPause(run: StreamRun, retry: number): Promise<void> {
+    const pauseMs = this.#gate.drawRetryPauseMs(retry);
     await this.#clock.sleep(pauseMs, run.signal).catch(() => {});
   }
 
   /** Waits for a group, no longer than the request may take. */
-  async #findGroup(run: Run): Promise<GroupState | undefined> {
+  async #findGroup(run: StreamRun): Promise<GroupState | undefined> {
     const now = this.#clock.now();
     const waitMs = Math.min(NO_GROUP_WAIT_MS, run.request.deadline - now);
     if (waitMs <= 0) {
@@ -255,15 +242,15 @@
    * Resumes on the same group, whose engine holds the prefix, if it can be
    * served; takes a group that brought nothing only when no other is left.
    */
-  #chooseGroup(run: Run): GroupState | undefined {
+  #chooseGroup(run: StreamRun): GroupState | undefined {
     const { model } = run.request;
     const same = this.#evidence.listServable(model)
       .find(({ group }) => group === run.resumable);
-    return same ?? this.#router.choose(model, run.excluded) ??
-      this.#router.choose(model, new Set());
+    return same ?? this.#router.choose(model, run.excluded, run.prefix) ??
+      this.#router.choose(model, new Set(), run.prefix);
   }
 
-  async #attempt(run: Run, group: GroupState): Promise<Fault> {
+  async #attempt(run: StreamRun, group: GroupState): Promise<Fault> {
     const { progress } = run;
     const address = this.#hosts.findAddress(group.hosts[0]!);
     run.attempts++;
@@ -275,31 +262,24 @@
         : await this.#ask(run, group, address);
     } finally {
       this.#router.end(group.group);
-      const hasProgress = progress.next > before;
-      run.resumable = hasProgress ? group.group : undefined;
-      run.fruitless = hasProgress ? 0 : run.fruitless + 1;
-      if (hasProgress) {
-        run.excluded.clear();
-      }
+      run.request.place.noteTokens(progress.next - before);
+      run.noteProgress(group.group, progress.next > before);
     }
   }
 
-  async #ask(run: Run, group: GroupState, address: string): Promise<Fault> {
+  async #ask(
+    run: StreamRun,
+    group: GroupState,
+    address: string,
+  ): Promise<Fault> {
     const { request, progress, signal } = run;
-    const asked = run.asked.get(address) ?? 0;
-    run.asked.set(address, asked + 1);
-    // An engine that closes or cancels the old stream late must not meet the
-    // new one under the same id.
-    const id = asked === 0 ? request.request : `${request.request}-${asked}`;
-    const tokenGapMs = this.#settings.timing["stream-progress"];
-    const factor = run.resumable === group.group
-      ? RESUME_FACTOR
-      : FIRST_TOKEN_FACTORS[request.rank];
+    const { place } = request;
+    const id = run.createAttemptId(address);
     const waiting = watchFirstToken(
       this.#clock,
       progress,
       () => this.#hasMoved(group),
-      signal,
+      [signal, place.yielded],
     );
     const fault = await runAttempt(this.#clock, this.#engines, {
       address,
@@ -309,15 +289,17 @@
         model: request.model,
         messages: [...request.messages],
         maxTokens: request.maxTokens,
-        priority: RANKS.indexOf(request.rank),
+        priority: place.priority,
         offset: progress.next,
         ...(progress.next > 0 ? { prefix: progress.delivered.read() } : {}),
       },
       newConnection: run.attempts > 1,
-      firstTokenMs: tokenGapMs * factor,
-      tokenGapMs,
+      firstTokenMs: this.#getFirstTokenMs(run, group),
+      tokenGapMs: this.#settings.timing["stream-progress"],
       deadline: request.deadline,
       sink: request.sink,
+      onFirstToken: () => place.noteFirstToken(),
+      onTokenGap: (ms) => this.#router.noteTokenGap(group.group, ms),
       progress,
       signal: waiting.signal,
     });
@@ -330,25 +312,19 @@
     return fault;
   }
 
+  /** How long the engine may take until the first token of an attempt. */
+  #getFirstTokenMs({ request, resumable }: StreamRun, group: GroupState) {
+    const progressMs = this.#settings.timing["stream-progress"];
+    if (resumable === group.group) {
+      return progressMs * RESUME_FACTOR;
+    }
+    const { rank } = request;
+    const targetMs = this.#state.rules?.ranks[rank]["first-token"] ?? 0;
+    return Math.max(progressMs * FIRST_TOKEN_FACTORS[rank], targetMs);
+  }
+
   #hasMoved(group: GroupState): boolean {
     return this.#evidence.findObstacle(group) !== undefined &&
       this.#evidence.listServable(group.model).length > 0;
   }
 }
-
-const REFUSALS: { readonly [Kind in Verdict]: string } = {
-  "not-run": "no group of the model can be served now",
-  "may-have-run": "no group has completed the request",
-  "ran": "the answer could not be completed",
-};
-
-function createStreamRefusal(run: Run, now: number): Refusal {
-  const { verdict, request } = run;
-  const isLate = now >= request.deadline;
-  return new Refusal(
-    isLate ? "deadline" : "no-group",
-    verdict,
-    REFUSALS[verdict],
-    RETRY_AFTER_MS,
-  );
-}
--- a/packages/node/test/serving/fixture.ts
+++ b/packages/node/test/serving/fixture.ts
@@ -15,7 +15,9 @@
   MemoryTransports,
 } from "@zinniahill/stand-ins";
 import type { Refusal } from "@zinniahill/schema";
-import type { StreamRequest } from "../../src/serving/streams.ts";
+import { Place } from "../../src/serving/place.ts";
+import type { StreamRequest } from "../../src/serving/stream-run.ts";
+import { TestPermit } from "./test-permit.ts";
 
 const HOSTS = 6;
 const STEP_MS = 10;
@@ -56,6 +58,12 @@
   tamper: Tamper | undefined;
   /** Requests that the node sent to engines, in order. */
   readonly asked: { address: string; offset: number; prefix?: string }[] = [];
+  /** Priorities of these requests. */
+  readonly priorities: number[] = [];
+  /** Further lines of the rules file. */
+  rules = "";
+  /** The permit of the next stream that begins. */
+  permit = new TestPermit();
   readonly cancelled: string[] = [];
   /** How long a cancel is on its way. */
   cancelDelayMs = 0;
@@ -77,7 +85,7 @@
       id: "rules",
       node: "operator",
       basis: 0,
-      text: RULES,
+      text: RULES + this.rules,
       author: "tests",
     }]);
     const clients = this.platform.createClients("n1");
@@ -115,6 +123,7 @@
       messages: MESSAGES,
       maxTokens: 50,
       rank: "normal",
+      place: new Place(this.permit),
       deadline: this.clock.now() + 300_000,
       sink: {
         write: (events, tokens) => {
@@ -151,6 +160,7 @@
       ...engines,
       generate: async (address, body, options) => {
         const { offset, prefix } = body;
+        this.priorities.push(body.priority);
         this.asked.push({
           address,
           offset,
--- a/packages/node/test/serving/streams.test.ts
+++ b/packages/node/test/serving/streams.test.ts
@@ -1,5 +1,4 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { Streams } from "../../src/serving/streams.ts";
 import { createWholeText, StreamWorld, type Tamper } from "./fixture.ts";
 
 const TOKENS = 50;
@@ -197,21 +196,21 @@
     });
 
     it("makes no further attempt when the retry budget forbids it", async () => {
-      const streams = new Streams(world.node, () => false);
+      exhaustRetries(world);
+      world.tamper = stallAfter(0);
+      const received = world.begin();
+      await world.clock.advance(40_000);
+      expect(received.outcome).toMatchObject({ verdict: "may-have-run" });
+      expect(world.asked).toHaveLength(1);
+    });
+
+    it("completes an answer that has begun without a retry budget", async () => {
+      exhaustRetries(world);
       world.tamper = stallAfter(5);
-      let outcome: unknown;
-      streams.run({
-        request: "req2",
-        model: "chat",
-        messages: [],
-        maxTokens: TOKENS,
-        rank: "normal",
-        deadline: world.clock.now() + 60_000,
-        sink: { write: () => {} },
-      }, new AbortController().signal).then((end) => outcome = end);
+      const received = world.begin();
       await world.clock.advance(20_000);
-      expect(outcome).toMatchObject({ error: { verdict: "ran" } });
-      expect(world.asked).toHaveLength(1);
+      expect(received.text).toBe(WHOLE_TEXT);
+      expect(world.asked).toHaveLength(2);
     });
 
     it("makes the engine's stream wait for a slow caller", async () => {
@@ -238,6 +237,13 @@
   });
 });
 
+function exhaustRetries(world: StreamWorld): void {
+  const gate = world.node.find("admission");
+  while (gate.mayRetry("normal")) {
+    // Each call takes one retry.
+  }
+}
+
 function countRuns(world: StreamWorld): number {
   return [...world.platform.engines.values()]
     .reduce((sum, { runs }) => sum + runs.length, 0);
--- a/packages/node/test/state/planned-stop.test.ts
+++ b/packages/node/test/state/planned-stop.test.ts
@@ -1,7 +1,8 @@
 import { Refusal } from "@zinniahill/schema";
-import { type NodeKernel, stopAsPlanned } from "@zinniahill/node";
+import { type NodeKernel, Place, stopAsPlanned } from "@zinniahill/node";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { computeServeOnMs } from "../../src/planned-stop.ts";
+import { TestPermit } from "../serving/test-permit.ts";
 import { Cluster, createConfiguration, createPeerAddress } from "./cluster.ts";
 
 describe("planned stop", () => {
@@ -177,6 +178,7 @@
         messages: [{ role: "user", content: "hello" }],
         maxTokens: TOKENS,
         rank: "normal",
+        place: new Place(new TestPermit()),
         deadline: cluster.clock.now() + 60_000,
         sink: {
           write: (_events, count) => {
