Leave a group at once when one of its hosts is found missing

A stream that had delivered tokens noticed the loss of a host only by its progress deadline. Streams now have one task that checks the groups with running attempts whenever evidence changes. All attempts on a group with a missing host end at once; those without a token also end when the group cannot be served and another can. The task replaces a timer for each stream. A draining group keeps its streams. A group that is known to be lost is not probed again before the stream goes on, which took up to 250 ms.

The test bounds the delay after the evidence by one step of its clock, as the time until the evidence depends on when the next probe is due.

--- a/packages/node/src/serving/streams.ts
+++ b/packages/node/src/serving/streams.ts
@@ -17,8 +17,8 @@
 import type { Hosts } from "../groups/hosts.ts";
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
-import { watchFirstToken } from "./first-token-watch.ts";
 import type { Gate } from "./gate.ts";
+import { GroupWatch } from "./group-watch.ts";
 import type { Router } from "./router.ts";
 import { runAttempt } from "./stream-attempt.ts";
 import { type StreamEnd, type StreamRequest, StreamRun } from "./stream-run.ts";
@@ -55,6 +55,8 @@
   #settings: Settings;
   #state: ControlState;
   #gate: Gate;
+  #groups: GroupWatch;
+  #tasks: TaskGroup;
   #cancels: TaskGroup;
   #running = 0;
 
@@ -68,11 +70,17 @@
     this.#settings = kernel.find("settings");
     this.#state = kernel.find("state");
     this.#gate = kernel.find("admission");
+    this.#groups = new GroupWatch(this.#clock, this.#evidence);
+    this.#tasks = new TaskGroup(this.#clock, this.#logger);
     this.#cancels = new TaskGroup(this.#clock, this.#logger);
   }
 
-  stop(): Promise<void> {
-    return this.#cancels.stop();
+  start(): void {
+    this.#tasks.run("watch_groups", (signal) => this.#groups.run(signal));
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([this.#tasks.stop(), this.#cancels.stop()]);
   }
 
   dump(): unknown {
@@ -151,7 +159,10 @@
     fault: Fault,
   ): Promise<boolean> {
     this.#noteFault(run, group, fault);
-    if (!run.signal.aborted && fault.verdict !== "not-run") {
+    // A group that is known to be lost needs no probe to confirm it.
+    const needsProbe = fault.verdict !== "not-run" &&
+      !this.#groups.isLost(group);
+    if (!run.signal.aborted && needsProbe) {
       await this.#suspect(run, group);
     }
     if (run.signal.aborted || !this.#takeRetry(run)) {
@@ -275,10 +286,10 @@
     const { request, progress, signal } = run;
     const { place } = request;
     const id = run.createAttemptId(address);
-    const waiting = watchFirstToken(
-      this.#clock,
-      progress,
-      () => this.#hasMoved(group),
+    const before = progress.next;
+    const watch = this.#groups.watch(
+      group,
+      () => progress.next > before,
       [signal, place.yielded],
     );
     const fault = await runAttempt(this.#clock, this.#engines, {
@@ -301,9 +312,9 @@
       onFirstToken: () => place.noteFirstToken(),
       onTokenGap: (ms) => this.#router.noteTokenGap(group.group, ms),
       progress,
-      signal: waiting.signal,
+      signal: watch.signal,
     });
-    waiting.end();
+    watch.end();
     if (!progress.isComplete && fault.verdict !== "not-run") {
       this.#cancels.run("cancel_stream", async () => {
         await this.#engines.cancel(address, id);
@@ -322,9 +333,4 @@
     const targetMs = this.#state.rules?.ranks[rank]["first-token"] ?? 0;
     return Math.max(progressMs * FIRST_TOKEN_FACTORS[rank], targetMs);
   }
-
-  #hasMoved(group: GroupState): boolean {
-    return this.#evidence.findObstacle(group) !== undefined &&
-      this.#evidence.listServable(group.model).length > 0;
-  }
 }
