--- a/bench/src/deployment.ts
+++ b/bench/src/deployment.ts
@@ -68,9 +68,15 @@
 const PEER_TOKEN = "demo-peer-token-00001";
 const API_KEYS = { north: "demo-key-north", south: "demo-key-south" };
 
+/** Returns the address at which others reach a stand-in, such as a relay's. */
+export type Wire = (name: string, address: string) => Promise<string>;
+
+const DIRECT: Wire = (_name, address) => Promise.resolve(address);
+
 /** Starts every process and publishes the rules with the command. */
 export async function startDeployment(
   size: DeploymentSize,
+  wire: Wire = DIRECT,
 ): Promise<Deployment> {
   const directory = mkdtempSync(join(tmpdir(), "zinniahill-"));
   const [log, hostList, weightStore, records] = await Promise.all([
@@ -79,10 +85,10 @@
     startStandIn("weight-store"),
     startStandIn("record-service"),
   ]);
-  const engines = await startEngines(size);
+  const engines = await startEngines(size, wire);
   await announceHosts(hostList.address, engines);
   const nodes = await startNodes(size, directory, {
-    log: log.address,
+    log: await wire("log", log.address),
     hostList: hostList.address,
     weightStore: weightStore.address,
   });
@@ -161,7 +167,10 @@
   throw new Error("what was waited for did not come about");
 }
 
-function startEngines(size: DeploymentSize): Promise<RunningEngine[]> {
+function startEngines(
+  size: DeploymentSize,
+  wire: Wire,
+): Promise<RunningEngine[]> {
   return Promise.all(
     Array.from({ length: size.hosts }, async (_, index) => {
       const host = `host-${String(index + 1).padStart(2, "0")}`;
@@ -169,6 +178,7 @@
       const domain = index % size.fabricDomains;
       return {
         ...engine,
+        address: await wire(host, engine.address),
         host,
         fabricDomain: `fabric-${domain + 1}`,
         dataCentre: `dc-${domain % size.dataCentres + 1}`,
--- a/bench/src/matrix/mechanisms.ts
+++ b/bench/src/matrix/mechanisms.ts
@@ -141,11 +141,15 @@
       return appended;
     },
     read: async (stream, range, signal) => {
-      const page = await log.read(stream, range, signal);
+      const listOwn = () =>
+        own[stream].filter(({ offset }) => offset >= range.from);
+      // Waits for the next append of any node when there is nothing to read.
+      const from = listOwn().length > 0 ? range.from : Number.MAX_SAFE_INTEGER;
+      const page = await log.read(stream, { ...range, from }, signal);
       return page.map((value) => ({
         ...value,
         first: 1,
-        entries: own[stream].filter(({ offset }) => offset >= range.from),
+        entries: listOwn(),
       }));
     },
   };
--- a/bench/src/matrix/steps.ts
+++ b/bench/src/matrix/steps.ts
@@ -133,13 +133,16 @@
   }
 }
 
-/** The lead that serves, or the first host when none does yet. */
+/**
+ * A host that serves but is not the lead, so that the lead can still accept
+ * work while the host is away; the first choice of placement before that.
+ */
 export function findServingHost(world: World): string {
   const engines = [...world.platform.engines.values()];
-  const lead = engines.find(({ status }) =>
-    status.role === "serving" && status.rank === 0
+  const member = engines.find(({ status }) =>
+    status.role === "serving" && status.rank > 0
   );
-  return lead?.options.host ?? "host-7";
+  return member?.options.host ?? "host-8";
 }
 
 function createRecordMatch(
