--- a/bench/src/deployment.ts
+++ b/bench/src/deployment.ts
@@ -6,9 +6,9 @@
 import { createHash } from "node:crypto";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import process from "node:process";
 import { request } from "undici";
 import {
   runCommand,
@@ -26,6 +26,10 @@
   readonly dataCentres: number;
   readonly hostsPerGroup: number;
   readonly replicas: number;
+  /** Options of the engine stand-ins. */
+  readonly engine?: Readonly<Record<string, number>>;
+  /** Tokens a second that each client account may use. */
+  readonly accountTokens?: number;
 }
 
 /** A node and its addresses. */
@@ -50,6 +54,7 @@
   readonly log: RunningStandIn;
   readonly hostList: RunningStandIn;
   readonly records: RunningStandIn;
+  readonly standIns: readonly RunningStandIn[];
   readonly adminToken: string;
   readonly apiKeys: Readonly<Record<string, string>>;
 }
@@ -64,8 +69,13 @@
   replicas: 2,
 };
 
+/** Keeps the ports of two deployments that start together apart. */
+const PORT_STRIDE = 97;
 const ADMIN_TOKEN = "demo-admin-token-0001";
 const PEER_TOKEN = "demo-peer-token-00001";
+/** Short, so that a planned stop of the demo's nodes is quick. */
+const LOOKUP_VALIDITY = "1s";
+const DEFAULT_ACCOUNT_TOKENS = 100_000;
 const API_KEYS = { north: "demo-key-north", south: "demo-key-south" };
 
 /** Returns the address at which others reach a stand-in, such as a relay's. */
@@ -115,11 +125,26 @@
     log,
     hostList,
     records,
+    standIns: [log, hostList, weightStore, records, ...engines],
     adminToken: ADMIN_TOKEN,
     apiKeys: API_KEYS,
   };
 }
 
+/** Stops the nodes as planned, then the stand-ins. */
+export async function stopDeployment(deployment: Deployment): Promise<void> {
+  for (const node of deployment.nodes) {
+    node.kill("SIGTERM");
+  }
+  const codes = await Promise.all(deployment.nodes.map(({ exited }) => exited));
+  if (codes.some((code) => code !== 0)) {
+    throw new Error(`the nodes ended with exit codes ${codes}`);
+  }
+  for (const standIn of deployment.standIns) {
+    standIn.kill("SIGTERM");
+  }
+}
+
 /** Waits until this many groups are served, as a node sees it. */
 export async function waitForGroups(
   deployment: Deployment,
@@ -133,6 +158,32 @@
   }
 }
 
+/** The part of a node's state dump that is measured. */
+export interface ReportedDump {
+  readonly processUsage: {
+    readonly uptimeMs: number;
+    readonly cpuMs: number;
+    readonly rssBytes: number;
+    readonly heapUsedBytes: number;
+    readonly externalBytes: number;
+  };
+  readonly traffic: Readonly<
+    Record<string, { sentBytes: number; receivedBytes: number }>
+  >;
+  readonly leases: { readonly held: readonly unknown[] };
+}
+
+/** Reads a node's state dump. */
+export async function readDump(
+  deployment: Deployment,
+  adminAddress: string,
+): Promise<ReportedDump> {
+  const reply = await request(`http://${adminAddress}/admin/dump`, {
+    headers: { authorization: `Bearer ${deployment.adminToken}` },
+  });
+  return await reply.body.json() as ReportedDump;
+}
+
 /** A group as a node reports it. */
 export interface ReportedGroup {
   readonly group: string;
@@ -174,7 +225,10 @@
   return Promise.all(
     Array.from({ length: size.hosts }, async (_, index) => {
       const host = `host-${String(index + 1).padStart(2, "0")}`;
-      const engine = await startStandIn("engine", { host });
+      const engine = await startStandIn("engine", {
+        host,
+        ...size.engine,
+      });
       const domain = index % size.fabricDomains;
       return {
         ...engine,
@@ -241,6 +295,8 @@
         `log = ${platform.log}`,
         `host-list = ${platform.hostList}`,
         `weight-store = ${platform.weightStore}`,
+        "[timing]",
+        `lookup-validity = ${LOOKUP_VALIDITY}`,
         "[output]",
         "log-level = warn",
         "",
@@ -261,10 +317,11 @@
 }
 
 function createRules(size: DeploymentSize, recordsAddress: string): string {
+  const tokens = size.accountTokens ?? DEFAULT_ACCOUNT_TOKENS;
   const accounts = Object.entries(API_KEYS).map(([name, key]) => {
     const hash = createHash("sha256").update(key).digest("hex");
     return `account ${name} key=sha256:${hash} ranks=urgent,normal,batch ` +
-      "requests=200/s tokens=100000/s streams=64 # asked by the demo";
+      `requests=10000/s tokens=${tokens}/s streams=64 # asked by the demo`;
   });
   return [
     "rank urgent first-token=750ms floor=20% worth=10 # asked by the demo",
@@ -278,12 +335,30 @@
   ].join("\n");
 }
 
-function findFreeAddress(): Promise<string> {
+/**
+ * Ports below the system's range for outgoing connections, so that none of
+ * those takes a port between its choice here and its use by a node.
+ */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 10_000;
+let nextPort = FIRST_PORT + process.pid * PORT_STRIDE % PORT_COUNT;
+
+async function findFreeAddress(): Promise<string> {
+  for (;;) {
+    const port = nextPort;
+    nextPort = FIRST_PORT + (port + 1 - FIRST_PORT) % PORT_COUNT;
+    if (await isFree(port)) {
+      return `127.0.0.1:${port}`;
+    }
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(`127.0.0.1:${port}`));
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => {
+      server.close(() => resolve(true));
     });
   });
 }
--- a/bench/src/matrix/processes.ts
+++ b/bench/src/matrix/processes.ts
@@ -225,8 +225,10 @@
       const key = `${prefix}-${index >> 1}`;
       const { publicAddress } = nodes[index % nodes.length]!;
       try {
-        const reply = await recordCall(publicAddress, apiKeys.north!, key, {
+        const reply = await recordCall(publicAddress, {
+          apiKey: apiKeys.north!,
           key,
+          body: { key },
         });
         return { key, verdict: readVerdict(reply.body) };
       } catch {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -14,6 +14,7 @@
   HostListClient,
   LogClient,
   PlainServiceClient,
+  Traffic,
   WeightStoreClient,
 } from "@zinniahill/platform";
 import type { Settings } from "@zinniahill/schema";
@@ -27,13 +28,16 @@
 import { Metrics } from "./metrics.ts";
 import { Peers } from "./peers/peers.ts";
 import { WebSocketTransport } from "./peers/transport.ts";
+import { ProcessUsage } from "./process-usage.ts";
 import type { NodeKernel, Services } from "./services.ts";
 import { Front } from "./serving/front.ts";
 import { Gate } from "./serving/gate.ts";
 import { Lookup } from "./serving/lookup.ts";
 import { Router } from "./serving/router.ts";
 import { Streams } from "./serving/streams.ts";
+import { Checkpoints } from "./state/checkpoints.ts";
 import { ControlState } from "./state/control-state.ts";
+import { Recovery } from "./state/recovery.ts";
 
 /** Services that a test puts in place of the node's own. */
 export type Replacements = Partial<Services>;
@@ -57,6 +61,7 @@
     [
       ...base,
       "metrics",
+      "lifecycle",
       "state",
       "admission",
       "streams",
@@ -103,59 +108,82 @@
   );
   provide("metrics", [], () => new Metrics(output.metrics, node.name));
   provide("lifecycle", [], () => new Lifecycle());
+  provide("traffic", [], () => new Traffic());
+  provide("processUsage", [], () => new ProcessUsage());
 
   provide(
     "log",
-    ["clock"],
+    ["clock", "traffic"],
     (services) =>
       new LogClient(services.find("clock"), {
         address: platform.log,
         timeoutMs: platform["log-timeout"],
-      }),
+      }, services.find("traffic")),
   );
   provide(
     "hostList",
-    ["clock"],
+    ["clock", "traffic"],
     (services) =>
-      new HostListClient(services.find("clock"), platform["host-list"]),
+      new HostListClient(
+        services.find("clock"),
+        platform["host-list"],
+        services.find("traffic"),
+      ),
   );
   provide(
     "weightStore",
-    ["clock"],
+    ["clock", "traffic"],
     (services) =>
-      new WeightStoreClient(services.find("clock"), platform["weight-store"]),
+      new WeightStoreClient(
+        services.find("clock"),
+        platform["weight-store"],
+        services.find("traffic"),
+      ),
   );
   provide(
     "engines",
-    ["clock"],
-    (services) => new EngineClient(services.find("clock")),
+    ["clock", "traffic"],
+    (services) =>
+      new EngineClient(services.find("clock"), services.find("traffic")),
   );
   provide(
     "plainServices",
-    ["clock"],
-    (services) => new PlainServiceClient(services.find("clock")),
+    ["clock", "traffic"],
+    (services) =>
+      new PlainServiceClient(services.find("clock"), services.find("traffic")),
   );
 
   provide("state", [...base, "log"], (services) => new ControlState(services));
   provide(
     "peerTransport",
-    [],
-    () => new WebSocketTransport(node["peer-token"]),
+    ["traffic"],
+    (services) =>
+      new WebSocketTransport(node["peer-token"], services.find("traffic")),
   );
   provide(
     "peers",
     [...base, "lifecycle", "peerTransport", "state"],
     (services) => new Peers(services),
   );
+  provide(
+    "checkpoints",
+    [...base, "state"],
+    (services) => new Checkpoints(services),
+  );
+  provide(
+    "recovery",
+    [...base, "state", "peers"],
+    (services) => new Recovery(services),
+  );
   provide("hosts", [...base, "hostList"], (services) => new Hosts(services));
   provide(
     "evidence",
-    [...base, "engines", "state", "hosts"],
+    [...base, "engines", "peers", "state", "hosts", "leases"],
     (services) => new Evidence(services),
   );
   provide(
     "leases",
-    [...base, "state", "hosts"],
+    [...base, "lifecycle", "state", "hosts"],
     (services) => new Leases(services),
   );
   provide(
@@ -182,7 +210,7 @@
   );
   provide(
     "lookup",
-    [...base, "lifecycle", "peers"],
+    [...base, "state", "lifecycle", "peers"],
     (services) => new Lookup(services),
   );
   return kernel;
--- a/packages/node/src/peers/transport.ts
+++ b/packages/node/src/peers/transport.ts
@@ -5,7 +5,8 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
-import { Condition, type Service } from "@zinniahill/kernel";
+import { Condition, describeError, type Service } from "@zinniahill/kernel";
+import { Traffic } from "@zinniahill/platform";
 import { MAX_PEER_MESSAGE_BYTES } from "@zinniahill/schema";
 import { WebSocket, WebSocketServer } from "ws";
 import { hashSecret, isSameHash, readBearer } from "../serving/http.ts";
@@ -14,6 +15,8 @@
 export interface PeerConnection {
   /** Bytes that were sent but have not left this process. */
   readonly queuedBytes: number;
+  /** Why the connection broke; undefined while it has not. */
+  readonly failure?: string | undefined;
   /** Sends one message; does nothing when the connection has ended. */
   send(message: Uint8Array): void;
   /** Waits for the next message; undefined when the connection has ended. */
@@ -36,10 +39,12 @@
 /** Connections over WebSocket; both ends know the same token. */
 export class WebSocketTransport implements PeerTransport {
   #token: string;
+  #traffic: Traffic;
   #server: WebSocketServer | undefined;
 
-  constructor(token: string) {
+  constructor(token: string, traffic: Traffic = new Traffic()) {
     this.#token = token;
+    this.#traffic = traffic;
   }
 
   stop(): void {
@@ -64,7 +69,8 @@
           isSameHash(hashSecret(readBearer(req)), expected),
       }, resolve);
       server.on("error", reject);
-      server.on("connection", (socket) => {
+      server.on("connection", (socket, request) => {
+        this.#traffic.track("peers", request.socket);
         onConnection(new WebSocketConnection(socket));
       });
       this.#server = server;
@@ -76,6 +82,9 @@
       headers: { authorization: `Bearer ${this.#token}` },
       maxPayload: MAX_PEER_MESSAGE_BYTES,
     });
+    socket.on("upgrade", (reply) => {
+      this.#traffic.track("peers", reply.socket);
+    });
     const connection = new WebSocketConnection(socket);
     return new Promise((resolve, reject) => {
       const onAbort = () => {
@@ -100,6 +109,7 @@
   #inbox: Uint8Array[] = [];
   #changed = new Condition();
   #isEnded = false;
+  #failure: string | undefined;
 
   constructor(socket: WebSocket) {
     this.#socket = socket;
@@ -107,7 +117,9 @@
       this.#inbox.push(bytes);
       this.#changed.notify();
     });
-    socket.on("error", () => {});
+    socket.on("error", (failure) => {
+      this.#failure = describeError(failure);
+    });
     socket.on("close", () => {
       this.#isEnded = true;
       this.#changed.notify();
@@ -118,6 +130,10 @@
     return this.#socket.bufferedAmount;
   }
 
+  get failure(): string | undefined {
+    return this.#failure;
+  }
+
   send(message: Uint8Array): void {
     if (this.#socket.readyState === WebSocket.OPEN) {
       this.#socket.send(message);
--- a/packages/node/src/services.ts
+++ b/packages/node/src/services.ts
@@ -9,6 +9,7 @@
   HostList,
   Log,
   PlainServices,
+  Traffic,
   WeightStore,
 } from "@zinniahill/platform";
 import type { Settings } from "@zinniahill/schema";
@@ -21,12 +22,15 @@
 import type { Metrics } from "./metrics.ts";
 import type { Peers } from "./peers/peers.ts";
 import type { PeerTransport } from "./peers/transport.ts";
+import type { ProcessUsage } from "./process-usage.ts";
 import type { Gate } from "./serving/gate.ts";
 import type { Front } from "./serving/front.ts";
 import type { Lookup } from "./serving/lookup.ts";
 import type { Router } from "./serving/router.ts";
 import type { Streams } from "./serving/streams.ts";
+import type { Checkpoints } from "./state/checkpoints.ts";
 import type { ControlState } from "./state/control-state.ts";
+import type { Recovery } from "./state/recovery.ts";
 import type { Lifecycle } from "./lifecycle.ts";
 
 /** Service types by name. */
@@ -37,6 +41,8 @@
   metrics: Metrics;
   settings: Settings;
   lifecycle: Lifecycle;
+  processUsage: ProcessUsage;
+  traffic: Traffic;
   log: Log;
   hostList: HostList;
   weightStore: WeightStore;
@@ -45,6 +51,8 @@
   state: ControlState;
   peerTransport: PeerTransport;
   peers: Peers;
+  checkpoints: Checkpoints;
+  recovery: Recovery;
   hosts: Hosts;
   evidence: Evidence;
   leases: Leases;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -27,10 +27,11 @@
 } from "./plain-services.ts";
 export {
   END_INDEX,
-  type TokenEvent,
+  type TokenBlock,
   TokenFormatError,
   TokenSplitter,
 } from "./token-events.ts";
+export { type Channel, Traffic, type TrafficCount } from "./traffic.ts";
 export {
   type GrantRequest,
   type WeightStore,
--- a/packages/policy/src/routing.ts
+++ b/packages/policy/src/routing.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
-import type { Random } from "@zinniahill/kernel";
+import type { Clock, Random } from "@zinniahill/kernel";
+import { GroupSpeeds } from "./group-speeds.ts";
+import { PrefixIndex } from "./prefix-index.ts";
 
 /** A group that may be chosen. */
 export interface RouteCandidate {
@@ -11,6 +13,8 @@
   readonly dataCentre: string;
   /** Requests in flight at the group, as its last report says. */
   readonly reportedLoad: number;
+  /** When that report was made, on this node's clock. */
+  readonly reportedAt: number;
 }
 
 /** What routing needs to know of a request. */
@@ -18,15 +22,41 @@
   readonly dataCentre: string;
   /** Groups that have failed this request. */
   readonly excluded: ReadonlySet<string>;
+  /** Hashes of growing prefixes of the prompt, the shortest first. */
+  readonly prefix?: readonly string[];
 }
 
+/** What was measured on one attempt. */
+export interface AttemptMeasure {
+  /** Mean time between two tokens. */
+  readonly tokenGapMs: number;
+}
+
+/** A report loses half of its weight in this time. */
+const REPORT_HALF_LIFE_MS = 1000;
+/** A preferred group may have this much more load than the mean. */
+const PREFERENCE_LOAD_FACTOR = 1.25;
+/** Load that a preference may add when groups are almost idle. */
+const PREFERENCE_SLACK = 2;
+/** A new group gets its full part after this time. */
+const SLOW_START_MS = 10_000;
+const SLOW_START_SHARE = 0.1;
+
 /** Chooses groups and counts the work that this node has given them. */
 export class Routing {
+  /** Prefixes that groups are thought to hold in their caches. */
+  readonly prefixes = new PrefixIndex();
+  #clock: Clock;
   #random: Random;
+  #speeds: GroupSpeeds;
   #outstanding = new Map<string, number>();
+  #firstSeenAt = new Map<string, number>();
+  #reports = new Map<string, { reportedAt: number; others: number }>();
 
-  constructor(random: Random) {
+  constructor(clock: Clock, random: Random) {
+    this.#clock = clock;
     this.#random = random;
+    this.#speeds = new GroupSpeeds(clock);
   }
 
   /** Requests of this node that run on a group. */
@@ -39,13 +69,18 @@
     request: RouteRequest,
     candidates: readonly RouteCandidate[],
   ): RouteCandidate | undefined {
-    const allowed = candidates.filter(({ group }) =>
-      !request.excluded.has(group)
-    );
-    const near = allowed.filter(({ dataCentre }) =>
-      dataCentre === request.dataCentre
-    );
-    return this.#chooseOfTwo(near.length > 0 ? near : allowed);
+    const allowed = request.excluded.size === 0
+      ? candidates
+      : candidates.filter(({ group }) => !request.excluded.has(group));
+    const usable = this.#speeds.filter(allowed);
+    const bound = this.#getLoadBound(usable);
+    const chosen = this.#chooseByPrefix(request.prefix ?? [], usable, bound) ??
+      this.#chooseNear(request.dataCentre, usable, bound) ??
+      this.#chooseOfTwo(usable);
+    if (chosen !== undefined && request.prefix !== undefined) {
+      this.prefixes.note(chosen.group, request.prefix);
+    }
+    return chosen;
   }
 
   /** Counts a request that begins on a group. */
@@ -54,13 +89,69 @@
   }
 
   /** Counts a request that ends on a group. */
-  end(group: string): void {
+  end(group: string, measure?: AttemptMeasure): void {
     const count = this.countOutstanding(group) - 1;
     if (count > 0) {
       this.#outstanding.set(group, count);
     } else {
       this.#outstanding.delete(group);
     }
+    if (measure !== undefined) {
+      this.#speeds.note(group, measure.tokenGapMs);
+    }
+  }
+
+  /** Forgets groups that exist no longer. */
+  retain(groups: ReadonlySet<string>): void {
+    for (const group of this.#firstSeenAt.keys()) {
+      if (!groups.has(group)) {
+        this.#firstSeenAt.delete(group);
+        this.#reports.delete(group);
+        this.#speeds.forget(group);
+        this.prefixes.forget(group);
+      }
+    }
+  }
+
+  /** The load up to which a group may be preferred to others. */
+  #getLoadBound(candidates: readonly RouteCandidate[]): number {
+    const load = candidates.reduce(
+      (sum, candidate) => sum + this.#countLoad(candidate),
+      0,
+    );
+    return load / candidates.length * PREFERENCE_LOAD_FACTOR +
+      PREFERENCE_SLACK;
+  }
+
+  #chooseByPrefix(
+    prefix: readonly string[],
+    candidates: readonly RouteCandidate[],
+    bound: number,
+  ): RouteCandidate | undefined {
+    let best: RouteCandidate | undefined;
+    let bestLength = 0;
+    for (const candidate of prefix.length > 0 ? candidates : []) {
+      const length = this.prefixes.match(candidate.group, prefix);
+      if (length > bestLength && this.#countLoad(candidate) <= bound) {
+        best = candidate;
+        bestLength = length;
+      }
+    }
+    return best;
+  }
+
+  /** Two choices in the data centre, unless both have too much work. */
+  #chooseNear(
+    dataCentre: string,
+    candidates: readonly RouteCandidate[],
+    bound: number,
+  ): RouteCandidate | undefined {
+    const near = this.#chooseOfTwo(
+      candidates.filter((candidate) => candidate.dataCentre === dataCentre),
+    );
+    return near !== undefined && this.#countLoad(near) <= bound
+      ? near
+      : undefined;
   }
 
   #chooseOfTwo(
@@ -69,12 +160,45 @@
     if (candidates.length < 2) {
       return candidates[0];
     }
-    const first = candidates[this.#random.below(candidates.length)]!;
-    const second = candidates[this.#random.below(candidates.length)]!;
+    const index = this.#random.below(candidates.length);
+    const step = 1 + this.#random.below(candidates.length - 1);
+    const first = candidates[index]!;
+    const second = candidates[(index + step) % candidates.length]!;
     return this.#countLoad(second) < this.#countLoad(first) ? second : first;
   }
 
-  #countLoad({ group, reportedLoad }: RouteCandidate): number {
-    return Math.max(this.countOutstanding(group), reportedLoad);
+  /** Own work, and the work of others as far as the report is fresh. */
+  #countLoad(candidate: RouteCandidate): number {
+    const own = this.countOutstanding(candidate.group);
+    const others = this.#countOthers(candidate);
+    const age = this.#clock.now() - candidate.reportedAt;
+    const weight = 0.5 ** (age / REPORT_HALF_LIFE_MS);
+    return (own + others * weight + 1) / this.#getStartShare(candidate.group);
+  }
+
+  /**
+   * Work of others, as of the report. Own work is taken off as it was when the
+   * report came; taking off the present number would hide all that this node
+   * has sent since, and send a burst to one group.
+   */
+  #countOthers({ group, reportedLoad, reportedAt }: RouteCandidate): number {
+    const known = this.#reports.get(group);
+    if (known?.reportedAt === reportedAt) {
+      return known.others;
+    }
+    const others = Math.max(0, reportedLoad - this.countOutstanding(group));
+    this.#reports.set(group, { reportedAt, others });
+    return others;
+  }
+
+  #getStartShare(group: string): number {
+    const now = this.#clock.now();
+    const firstSeenAt = this.#firstSeenAt.get(group);
+    if (firstSeenAt === undefined) {
+      this.#firstSeenAt.set(group, now);
+      return SLOW_START_SHARE;
+    }
+    const share = (now - firstSeenAt) / SLOW_START_MS;
+    return Math.min(1, Math.max(SLOW_START_SHARE, share));
   }
 }
--- a/stand-ins/src/engine-model.ts
+++ b/stand-ins/src/engine-model.ts
@@ -113,12 +113,17 @@
   /** Notes the status of another host of the group. */
   noteMember(host: string, status: EngineStatus): void {
     const isMember = status.group === this.#status.group &&
-      status.role !== "idle";
+      (status.role === "serving" || status.role === "draining");
     if (isMember) {
       this.#heardAt.set(host, this.#clock.now());
     }
   }
 
+  /** Orders that the engine has refused. */
+  get refusedOrders(): readonly ReceivedOrder[] {
+    return this.receivedOrders.filter(({ refusal }) => refusal !== undefined);
+  }
+
   /** Carries out an order, or returns why not. */
   carryOut(order: EngineOrder): RefusalReason {
     const { order: kind, group, fence } = order;
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -26,7 +26,6 @@
   type LogQuery,
   type LogRetention,
 } from "./log-model.ts";
-export { MemoryTransports } from "./memory/transport.ts";
 export { LogStandIn } from "./log.ts";
 export { type LinkMode, MemoryNetwork } from "./memory/network.ts";
 export {
@@ -37,8 +36,9 @@
   type PlatformEvent,
   WEIGHT_STORE_END,
 } from "./memory/platform.ts";
-export { MemoryStream, type StreamFaults } from "./memory/stream.ts";
 export { type RecordedWrite, RecordModel } from "./memory/record-model.ts";
+export { MemoryStream, type StreamFaults } from "./memory/stream.ts";
+export { MemoryTransports } from "./memory/transport.ts";
 export {
   type RecordedCall,
   type RecordFaults,
