--- a/bench/src/policy/fleet.ts
+++ b/bench/src/policy/fleet.ts
@@ -8,45 +8,15 @@
   Admission,
   Capacity,
   type Permit,
+  PrefixIndex,
   RetryBudget,
   type RouteCandidate,
   Routing,
 } from "@zinniahill/policy";
-import { type Rank, RANKS, type Rules } from "@zinniahill/schema";
 import { BenchEngine, type CacheEvent } from "./engine.ts";
 import { type BenchGate, FifoGate } from "./fifo-gate.ts";
 import type { BenchRequest, Recorder } from "./traffic.ts";
-
-/** What a run uses; a baseline switches one part off. */
-export interface Variant {
-  readonly admission: "ranked" | "fifo";
-  readonly yields: boolean;
-  readonly routing: "two-choices" | "random";
-  readonly affinity: boolean;
-  readonly ejection: boolean;
-  readonly budget: boolean;
-}
-
-/** Everything that is built. */
-export const FULL: Variant = {
-  admission: "ranked",
-  yields: true,
-  routing: "two-choices",
-  affinity: true,
-  ejection: true,
-  budget: true,
-};
-
-/** The size and the conditions of a run. */
-export interface FleetOptions {
-  readonly seed: number;
-  readonly rules: Rules;
-  readonly variant: Variant;
-  readonly clientMs: number;
-  readonly nodes?: number;
-  readonly groups?: number;
-  readonly cacheBlocks?: number;
-}
+import type { FleetOptions } from "./variant.ts";
 
 interface Node {
   readonly gate: BenchGate;
@@ -67,6 +37,8 @@
 const CACHE_EVENT_LOSS = 0.1;
 const PROGRESS_DEADLINE_MS = 2000;
 const MAX_ATTEMPTS = 8;
+/** Tokens over which the time between tokens is measured. */
+const MEASURED_TOKENS = 8;
 const DEFAULT_CACHE_BLOCKS = 4096;
 
 /** Runs requests from the caller to the engine and back. */
@@ -76,6 +48,8 @@
   readonly nodes: Node[];
   /** Attempts that reached an engine. */
   attempts = 0;
+  /** Requests that were admitted, and so had a first attempt. */
+  admitted = 0;
   /** Batch requests that gave their place to urgent work. */
   yields = 0;
   #options: FleetOptions;
@@ -129,8 +103,10 @@
       return;
     }
     let permit: Permit = admitted.value;
+    this.admitted++;
     node.budget.noteFirst(request.rank);
     let served = 0;
+    let servedBefore = 0;
     let lastAt = startedAt;
     const excluded = new Set<string>();
     const onToken = () => {
@@ -158,19 +134,20 @@
       if (end === "yielded") {
         this.yields++;
         const again = await permit.resume(signal);
-        permit.release(served);
+        permit.release(served - servedBefore);
+        servedBefore = served;
         if (again.isErr) {
           recorder.onBroken(request);
           return;
         }
         permit = again.value;
       } else if (end === "failed" && !this.#mayRetry(node, request, attempt)) {
-        permit.release(served);
+        permit.release(served - servedBefore);
         recorder.onBroken(request);
         return;
       }
     }
-    permit.release(served);
+    permit.release(served - servedBefore);
     recorder.onServed(request, clock.now() - startedAt);
   }
 
@@ -189,17 +166,25 @@
     this.attempts++;
     node.routing.begin(group);
     return new Promise((resolve) => {
-      const startedAt = this.clock.now();
-      let firstAt: number | undefined;
       let seen = 0;
+      let hasEnded = false;
+      let measuredAt = this.clock.now();
+      const noteGap = (ms: number) => {
+        if (this.#options.variant.ejection) {
+          node.routing.noteTokenGap(group, ms);
+        }
+      };
       let cancelDeadline = () => {};
       const finish = (end: "done" | "yielded" | "failed") => {
+        hasEnded = true;
         cancelDeadline();
         permit.yielded.removeEventListener("abort", onYield);
-        const gaps = Math.max(1, seen - 1);
-        const gap = (this.clock.now() - (firstAt ?? startedAt)) / gaps;
-        const isMeasured = seen > 1 || end === "failed";
-        node.routing.end(group, isMeasured ? { tokenGapMs: gap } : undefined);
+        // Without a first token the time was spent in the queue of the engine,
+        // which says nothing of its speed.
+        if (end === "failed" && seen > 0) {
+          noteGap(this.clock.now() - measuredAt);
+        }
+        node.routing.end(group);
         resolve(end);
       };
       const onYield = () => {
@@ -222,11 +207,16 @@
         });
       };
       const job = {
-        priority: this.#getPriority(request.rank),
+        priority: permit.priority,
         prefix: request.prefix,
         tokensLeft: tokens,
         onToken: () => {
-          firstAt ??= this.clock.now() + crossMs;
+          if (seen % MEASURED_TOKENS === 0) {
+            if (seen > 0) {
+              noteGap((this.clock.now() - measuredAt) / MEASURED_TOKENS);
+            }
+            measuredAt = this.clock.now();
+          }
           seen++;
           expectProgress(PROGRESS_DEADLINE_MS);
           onToken();
@@ -236,14 +226,14 @@
       permit.yielded.addEventListener("abort", onYield, { once: true });
       const target = this.#options.rules.ranks[request.rank]["first-token"];
       expectProgress(Math.max(PROGRESS_DEADLINE_MS, target));
-      engine.submit(job);
+      this.clock.schedule(crossMs, () => {
+        if (!hasEnded) {
+          engine.submit(job);
+        }
+      });
     });
   }
 
-  #getPriority(rank: Rank): number {
-    return this.#options.variant.admission === "fifo" ? 0 : RANKS.indexOf(rank);
-  }
-
   #mayRetry(node: Node, request: BenchRequest, attempt: number): boolean {
     return attempt < MAX_ATTEMPTS &&
       (!this.#options.variant.budget || node.budget.tryTake(request.rank));
@@ -283,7 +273,11 @@
     return {
       gate,
       capacity,
-      routing: new Routing(this.clock, this.#random),
+      routing: new Routing(
+        this.clock,
+        this.#random,
+        new PrefixIndex(this.#options.createPrefixStore),
+      ),
       budget: new RetryBudget((rank) => rules.ranks[rank], this.#random),
       dataCentre: `dc-${index % DATA_CENTRES}`,
       candidates: [],
--- a/packages/policy/src/first-token-control.ts
+++ b/packages/policy/src/first-token-times.ts
@@ -1,5 +1,5 @@
 /**
- * Adapts the number of requests in flight to measured first-token times.
+ * How long first tokens take after dispatch.
  *
  * @module
  */
@@ -7,8 +7,8 @@
 
 /** Weight of a new sample in the mean and in the deviation. */
 const SMOOTHING = 0.1;
-/** Deviations above the mean that cover about 95 in 100 samples. */
-const DEVIATIONS = 2;
+/** Deviations above the mean that cover about 99 in 100 samples. */
+const DEVIATIONS = 3;
 
 interface Typical {
   meanMs: number;
@@ -16,14 +16,9 @@
 }
 
 /** Time between dispatch and first token, by rank. */
-export class FirstTokenControl {
+export class FirstTokenTimes {
   #typical = new Map<Rank, Typical>();
 
-  /** Multiplies the capacity of the node. */
-  get factor(): number {
-    return 1;
-  }
-
   /** The time from dispatch to first token that few requests exceed. */
   getTypicalMs(rank: Rank): number {
     const typical = this.#typical.get(rank);
--- a/packages/policy/src/prefix-index.ts
+++ b/packages/policy/src/prefix-index.ts
@@ -3,21 +3,18 @@
  *
  * @module
  */
-
-/** Prefixes remembered for one group. */
-const DEFAULT_CAPACITY = 4096;
+import { type PrefixStore, TailStore } from "./prefix-store.ts";
 
 /**
- * An index kept from what the node has sent, with the least recently used
- * prefix dropped first. Cache events correct it; they come late and with gaps,
- * so the index is a hint.
+ * An index kept from what the node has sent. Cache events correct it; they come
+ * late and with gaps, so the index is a hint.
  */
 export class PrefixIndex {
-  #capacity: number;
-  #groups = new Map<string, Map<string, true>>();
+  #createStore: () => PrefixStore;
+  #groups = new Map<string, PrefixStore>();
 
-  constructor(capacity = DEFAULT_CAPACITY) {
-    this.#capacity = capacity;
+  constructor(createStore: () => PrefixStore = () => new TailStore()) {
+    this.#createStore = createStore;
   }
 
   /** How many of the prefixes, from the shortest, a group holds. */
@@ -35,20 +32,12 @@
 
   /** Notes a prompt that was sent to a group. */
   note(group: string, prefix: readonly string[]): void {
-    const held = this.#groups.get(group) ?? new Map<string, true>();
-    this.#groups.set(group, held);
-    // The shortest prefix becomes the most recent one, because the longer ones
-    // are of no use without it.
-    for (const hash of prefix.toReversed()) {
-      held.delete(hash);
-      held.set(hash, true);
-    }
-    for (const hash of held.keys()) {
-      if (held.size <= this.#capacity) {
-        break;
-      }
-      held.delete(hash);
+    let held = this.#groups.get(group);
+    if (held === undefined) {
+      held = this.#createStore();
+      this.#groups.set(group, held);
     }
+    held.note(prefix);
   }
 
   /** Corrects the index by an event of a group's cache. */
@@ -64,7 +53,7 @@
     }
     const held = this.#groups.get(group);
     for (const hash of event.removed ?? []) {
-      held?.delete(hash);
+      held?.remove(hash);
     }
   }
 
--- a/packages/policy/src/routing.ts
+++ b/packages/policy/src/routing.ts
@@ -26,18 +26,12 @@
   readonly prefix?: readonly string[];
 }
 
-/** What was measured on one attempt. */
-export interface AttemptMeasure {
-  /** Mean time between two tokens. */
-  readonly tokenGapMs: number;
-}
-
 /** A report loses half of its weight in this time. */
 const REPORT_HALF_LIFE_MS = 1000;
 /** A preferred group may have this much more load than the mean. */
-const PREFERENCE_LOAD_FACTOR = 1.25;
+const PREFERENCE_LOAD_FACTOR = 1;
 /** Load that a preference may add when groups are almost idle. */
-const PREFERENCE_SLACK = 2;
+const PREFERENCE_SLACK = 1;
 /** A new group gets its full part after this time. */
 const SLOW_START_MS = 10_000;
 const SLOW_START_SHARE = 0.1;
@@ -45,7 +39,7 @@
 /** Chooses groups and counts the work that this node has given them. */
 export class Routing {
   /** Prefixes that groups are thought to hold in their caches. */
-  readonly prefixes = new PrefixIndex();
+  readonly prefixes: PrefixIndex;
   #clock: Clock;
   #random: Random;
   #speeds: GroupSpeeds;
@@ -53,7 +47,8 @@
   #firstSeenAt = new Map<string, number>();
   #reports = new Map<string, { reportedAt: number; others: number }>();
 
-  constructor(clock: Clock, random: Random) {
+  constructor(clock: Clock, random: Random, prefixes = new PrefixIndex()) {
+    this.prefixes = prefixes;
     this.#clock = clock;
     this.#random = random;
     this.#speeds = new GroupSpeeds(clock);
@@ -89,16 +84,18 @@
   }
 
   /** Counts a request that ends on a group. */
-  end(group: string, measure?: AttemptMeasure): void {
+  end(group: string): void {
     const count = this.countOutstanding(group) - 1;
     if (count > 0) {
       this.#outstanding.set(group, count);
     } else {
       this.#outstanding.delete(group);
     }
-    if (measure !== undefined) {
-      this.#speeds.note(group, measure.tokenGapMs);
-    }
+  }
+
+  /** Takes the mean time between tokens over a part of a stream. */
+  noteTokenGap(group: string, ms: number): void {
+    this.#speeds.note(group, ms);
   }
 
   /** Forgets groups that exist no longer. */
@@ -198,7 +195,13 @@
       this.#firstSeenAt.set(group, now);
       return SLOW_START_SHARE;
     }
-    const share = (now - firstSeenAt) / SLOW_START_MS;
+    // A group that returns from ejection starts slowly too: its new samples
+    // come late, because its requests are slow.
+    const startedAt = Math.max(
+      firstSeenAt,
+      this.#speeds.getReturnedAt(group),
+    );
+    const share = (now - startedAt) / SLOW_START_MS;
     return Math.min(1, Math.max(SLOW_START_SHARE, share));
   }
 }
