--- a/bench/src/matrix/callers.ts
+++ b/bench/src/matrix/callers.ts
@@ -161,6 +161,17 @@
   }
 }
 
+/** Makes one non-idempotent call at a node, once. */
+export async function requestCallAt(
+  node: MemoryNode,
+  key: string,
+): Promise<void> {
+  const attempt = { node: node.name, start: node.starts, from: 0 };
+  await node.handle((kernel) =>
+    runCall(kernel, { key, attempts: [] }, attempt)
+  );
+}
+
 async function runCall(
   kernel: NodeKernel,
   { key }: CallCase,
