Let orders arrive after the lease has changed hands

Cause: no row had an order under way while another node claimed the lease. The fault order-late cuts a node from the log and holds its orders back for 4.5 s, just below the longest order of 5 s, so that the last ones arrive later. Ruled out: killing the holder at the order; the order then arrives before the lease of 6 s ends.

--- a/bench/src/matrix/faults.ts
+++ b/bench/src/matrix/faults.ts
@@ -24,6 +24,8 @@
 /** Shorter than the 10 s for which a stream waits for a group. */
 const PARTITION_MS = 6000;
 const OUTAGE_MS = 8000;
+/** Just below the longest order of 5 s. */
+const ORDER_DELAY_MS = 4500;
 const SLOW_LOG_MS = 1500;
 /** Appends take effect after their callers have given up; reads fail. */
 const LATE_LOG_MS = 3500;
@@ -109,14 +111,17 @@
     cutLinks(world, own, others, PARTITION_MS);
   },
   "cut-from-log": (world, { node }) => {
-    const heal = world.cutLog([node], () => {
-      setLinks(world, node, [LOG_END], "silent");
+    cutFromLog(world, node);
+  },
+  "order-late": (world, { node }) => {
+    // The holder cannot renew, gives orders until its lease ends, and the last
+    // of them arrive when another node holds the lease.
+    const own = world.node(node);
+    own.orderDelayMs = ORDER_DELAY_MS;
+    cutFromLog(world, node);
+    after(world, PAST_LEASE_MS, () => {
+      own.orderDelayMs = 0;
     });
-    after(
-      world,
-      PAST_LEASE_MS,
-      () => heal(() => setLinks(world, node, [LOG_END], "pass")),
-    );
   },
   "cut-from-hosts": (world, { node }) => {
     cutLinks(world, node, [...world.platform.engines.keys()], PARTITION_MS);
@@ -252,6 +257,17 @@
   });
 }
 
+function cutFromLog(world: World, node: string): void {
+  const heal = world.cutLog([node], () => {
+    setLinks(world, node, [LOG_END], "silent");
+  });
+  after(
+    world,
+    PAST_LEASE_MS,
+    () => heal(() => setLinks(world, node, [LOG_END], "pass")),
+  );
+}
+
 function cutLinks(
   world: World,
   end: string,
--- a/bench/src/matrix/memory-node.ts
+++ b/bench/src/matrix/memory-node.ts
@@ -7,6 +7,7 @@
 import { type Logger, SeededRandom } from "@zinniahill/kernel";
 import { createCoreNode, type NodeKernel } from "@zinniahill/node";
 import { Settings } from "@zinniahill/schema";
+import type { MemoryClients } from "@zinniahill/stand-ins";
 import { PausableClock } from "./pausable-clock.ts";
 import { bindClients, bindTransport } from "./process-clients.ts";
 import { openSpan, type PlannedStop } from "./records.ts";
@@ -37,6 +38,8 @@
   readonly peerAddress: string;
   /** Requests of callers that the node has not answered. */
   inFlight = 0;
+  /** Orders of this node are under way for this long, even if it ends. */
+  orderDelayMs = 0;
   #world: World;
   #options: MemoryNodeOptions;
   #kernel: NodeKernel | undefined;
@@ -176,7 +179,10 @@
   #createKernel(): NodeKernel {
     const { platform, transports, mechanism } = this.#world;
     const { name, peerAddress, seed } = this.#options;
-    const bound = bindClients(platform.createClients(name), this.#clock);
+    const bound = bindClients(
+      this.#delayOrders(platform.createClients(name)),
+      this.#clock,
+    );
     const clients = mechanism.replaceClients?.(bound, name) ?? bound;
     const transport = bindTransport(
       transports.create(peerAddress),
@@ -191,6 +197,25 @@
     });
   }
 
+  #delayOrders(clients: MemoryClients): MemoryClients {
+    const { engines } = clients;
+    return {
+      ...clients,
+      engines: {
+        ...engines,
+        order: async (address, order, timeoutMs, signal) => {
+          if (this.orderDelayMs === 0) {
+            return engines.order(address, order, timeoutMs, signal);
+          }
+          await this.#world.clock.sleep(this.orderDelayMs);
+          // What was sent arrives, whether or not its sender still waits.
+          const { signal: unbound } = new AbortController();
+          return engines.order(address, order, timeoutMs, unbound);
+        },
+      },
+    };
+  }
+
   #createSettings(): Settings {
     const { name, peerAddress, peers } = this.#options;
     return Settings.parse({
