--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -6,8 +6,8 @@
 export { createCoreNode, createNode, type Replacements } from "./node.ts";
 export { type PeerConnection, type PeerTransport } from "./peers/transport.ts";
 export { stopAsPlanned } from "./planned-stop.ts";
-export { Place } from "./serving/place.ts";
 export { type NodeKernel, type Services } from "./services.ts";
+export { Place } from "./serving/place.ts";
 export {
   type Attempt,
   Progress,
