Retire a broken group without waiting for missing hosts

Cause: a draining group with a lost host waited for every other host that had not confirmed its unload until that one was lost too, which takes the whole absence limit. The members were also unloaded only after the lead had replied.

A group with a lost host now unloads its lead and members in parallel, and is retired once the present members have confirmed. Missing hosts stay held.

--- a/packages/node/src/groups/group-steps.ts
+++ b/packages/node/src/groups/group-steps.ts
@@ -216,34 +216,74 @@
     signal: AbortSignal,
   ): Promise<void> {
     const [lead, ...members] = group.hosts;
-    const isBroken = group.hosts.some((host) => this.#isLost(host));
-    const isLeadDone = await this.#unloadLead(lead!, group, lease, signal);
-    if (!isLeadDone && !isBroken) {
+    if (group.hosts.some((host) => this.#isLost(host))) {
+      await this.#retireBroken(group, lease, signal);
       return;
     }
-    const unloaded = await Promise.all(members.map(async (host) => ({
-      host,
-      isDone: await this.#unload(host, group, lease, signal),
-    })));
-    const open = unloaded.some(({ host, isDone }) =>
-      !isDone && !this.#isLost(host)
-    );
-    if (open) {
+    if (!await this.#unloadLead(lead!, group, lease, signal)) {
       return;
     }
-    const released = unloaded.filter(({ isDone }) => isDone)
-      .map(({ host }) => host);
+    const unloaded = await this.#listUnloaded(members, group, lease, signal);
+    if (unloaded.length === members.length) {
+      await this.#retire(group, [lead!, ...unloaded], lease, signal);
+    }
+  }
+
+  /**
+   * Retires a group that has lost a host. It can serve nothing any more, so
+   * the present hosts are unloaded at once and missing ones are not waited
+   * for: each of them stays held until it has confirmed the unload.
+   */
+  async #retireBroken(
+    group: GroupState,
+    lease: HeldLease,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const [lead, ...members] = group.hosts;
+    const [isLeadDone, unloaded] = await Promise.all([
+      this.#unloadLead(lead!, group, lease, signal),
+      this.#listUnloaded(members, group, lease, signal),
+    ]);
+    const isOpen = members.some((host) =>
+      !unloaded.includes(host) && !this.#isMissing(host)
+    );
+    if (!isOpen) {
+      const released = isLeadDone ? [lead!, ...unloaded] : unloaded;
+      await this.#retire(group, released, lease, signal);
+    }
+  }
+
+  #isMissing(host: string): boolean {
+    return this.#evidence.find(host).missingSince !== undefined ||
+      this.#isLost(host);
+  }
+
+  async #retire(
+    { group }: GroupState,
+    released: string[],
+    lease: HeldLease,
+    signal: AbortSignal,
+  ): Promise<void> {
     await this.#orders.propose(
-      {
-        kind: "group-retired",
-        group: group.group,
-        released: isLeadDone ? [lead!, ...released] : released,
-      },
+      { kind: "group-retired", group, released },
       lease,
       signal,
     );
   }
 
+  /** Unloads hosts in parallel; resolves to those that have confirmed it. */
+  async #listUnloaded(
+    hosts: readonly string[],
+    group: GroupState,
+    lease: HeldLease,
+    signal: AbortSignal,
+  ): Promise<string[]> {
+    const isDone = await Promise.all(
+      hosts.map((host) => this.#unload(host, group, lease, signal)),
+    );
+    return hosts.filter((_host, index) => isDone[index]);
+  }
+
   /** Resolves to whether the lead is empty and has confirmed the unload. */
   async #unloadLead(
     lead: string,
--- a/packages/node/test/groups/loss.test.ts
+++ b/packages/node/test/groups/loss.test.ts
@@ -93,6 +93,25 @@
     });
   });
 
+  describe("of a second host later", () => {
+    for (const [first, second] of [["h1", "h3"], ["h2", "h3"]] as const) {
+      it(`retires the group without waiting until ${second} counts as lost after ${first}`, async () => {
+        await startFleet(
+          ["h1", "h2", "h3", "h4", "h5", "h6"],
+          "model chat version=1 hosts=4 replicas=1 spares=1",
+        );
+        fleet.setHost(first, "silent");
+        await fleet.clock.advance(4000);
+        fleet.setHost(second, "silent");
+        await fleet.clock.advance(ABSENCE_MS - 500);
+        expect(fleet.records("group-retired")).toHaveLength(1);
+        expect(findHeld()).toEqual(expect.arrayContaining([first, second]));
+        await fleet.untilServed(node);
+        expect(findHeld()).toEqual([first, second]);
+      });
+    }
+  });
+
   describe("while requests run", () => {
     it("unloads no host that has requests in flight", async () => {
       await startFleet(
