Pass evidence on once for each host, along the tree of nodes

Cause: every node that probes a lost host reports it, and every node passed on each report.

An observation that was passed on within the validity of evidence is not passed on again, and evidence travels along the tree that carries usage.

Evidence under way while the tree changes may be lost. The bytes test of usage now checks the highest node instead of the mean.

--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
 import {
   type Clock,
   Condition,
@@ -26,6 +25,8 @@
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
 import { Conversation, type Peer } from "./conversation.ts";
+import { EvidenceFilter } from "./evidence-filter.ts";
+import { hashName } from "./name-hash.ts";
 import { PeerRegistry } from "./registry.ts";
 import { isRelayable, Relay } from "./relay.ts";
 import { PeerSlots } from "./slots.ts";
@@ -48,6 +49,7 @@
   #instance: string;
   #registry: PeerRegistry;
   #relay: Relay;
+  #filter: EvidenceFilter;
   #slots: PeerSlots;
   #usage: UsageExchange;
   /** Notified when the next heartbeats should not be put off. */
@@ -73,6 +75,7 @@
       heartbeatMs: timing["heartbeat-interval"],
     });
     this.#relay = new Relay(node.name, this.#instance);
+    this.#filter = new EvidenceFilter(timing["evidence-validity"]);
     const plan = planPeerSlots(
       node["peer-address"],
       node.peers ?? [],
@@ -166,8 +169,11 @@
       this.#usage.noteOwn(message.accounts);
       return;
     }
-    const isRelayed = this.#isPartial && isRelayable(message);
-    this.#sendToAll(isRelayed ? this.#relay.wrap(message) : message);
+    if (this.#isPartial && isRelayable(message)) {
+      this.#passOn(this.#relay.wrap(message));
+    } else {
+      this.#sendToAll(message);
+    }
   }
 
   /** Sends a message to one peer; does nothing when it is not connected. */
@@ -175,10 +181,23 @@
     this.#registry.live.get(node)?.send(encodePeerMessage(message));
   }
 
-  #sendToAll(message: PeerMessage, except?: Conversation): void {
+  #passOn(relayed: PeerMessageOf<"relayed">, except?: Conversation): void {
+    const { message } = relayed;
+    const hosts = this.#filter.select(message.hosts, this.#clock.now());
+    if (hosts.length > 0) {
+      const selected = { ...relayed, message: { ...message, hosts } };
+      this.#sendToAll(selected, except, new Set(this.#usage.links));
+    }
+  }
+
+  #sendToAll(
+    message: PeerMessage,
+    except?: Conversation,
+    nodes: { has(node: string): boolean } = this.#registry.live,
+  ): void {
     const bytes = encodePeerMessage(message);
-    for (const conversation of this.#registry.live.values()) {
-      if (conversation !== except) {
+    for (const [node, conversation] of this.#registry.live) {
+      if (conversation !== except && nodes.has(node)) {
         conversation.send(bytes);
       }
     }
@@ -280,7 +299,7 @@
     } else if (message.kind !== "relayed") {
       this.#notify(node, message);
     } else if (this.#relay.accept(message)) {
-      this.#sendToAll(message, source);
+      this.#passOn(message, source);
       this.#notify(message.origin, message.message);
     }
     if (message.kind === "heartbeat" && message.sequence === 1) {
@@ -328,7 +347,3 @@
     };
   }
 }
-
-function hashName(name: string): number {
-  return createHash("sha256").update(name).digest().readUInt32BE();
-}
--- a/packages/node/src/peers/usage-exchange.ts
+++ b/packages/node/src/peers/usage-exchange.ts
@@ -67,6 +67,11 @@
     return [root, wave, depth, parent];
   }
 
+  /** Neighbours along the tree. */
+  get links(): readonly string[] {
+    return this.#tree.links;
+  }
+
   /** Takes in the place of a neighbour. */
   notePlace(node: string, [root, wave, depth, parent]: Place): void {
     const before = this.#tree.place;
--- a/packages/node/test/peers/usage-exchange.test.ts
+++ b/packages/node/test/peers/usage-exchange.test.ts
@@ -202,7 +202,7 @@
           `${SIZE} nodes, ${accounts} accounts: mean ${Math.round(mean)}`,
           `highest ${Math.round(Math.max(...rates))}; ${byKind.join(", ")}`,
         );
-        expect(2 * mean).toBeLessThan(BYTES_PER_SECOND);
+        expect(2 * Math.max(...rates)).toBeLessThan(BYTES_PER_SECOND);
       },
     );
   });
