--- a/bench/src/matrix/mechanisms.ts
+++ b/bench/src/matrix/mechanisms.ts
@@ -83,9 +83,9 @@
   },
   /** Engines carry out orders with an old fencing number. */
   "fencing": { engines: { checksFence: false } },
-  /** Nodes do not learn which hosts leave. */
+  /** Nodes do not learn which hosts leave, but for drains they were told of. */
   "drain": {
-    replaceClients: (clients) => ({
+    replaceClients: (clients, node) => ({
       ...clients,
       hostList: {
         list: async (signal) => {
@@ -97,7 +97,7 @@
       },
       log: createFilteredLog(
         clients.log,
-        (record) => record.kind !== "host-drained",
+        (record) => record.kind !== "host-drained" || record.node === node,
       ),
     }),
   },
