--- a/bench/src/policy/affinity.ts
+++ b/bench/src/policy/affinity.ts
@@ -7,7 +7,7 @@
 import { type PrefixStore, TailStore } from "@zinniahill/policy";
 import { EVICTIONS } from "./eviction.ts";
 import { Fleet, GROUPS } from "./fleet.ts";
-import { emit } from "./output.ts";
+import { writeFigure } from "../report.ts";
 import { createRules } from "./rules.ts";
 import { GROUP_RATE, type Recorder, runTraffic } from "./traffic.ts";
 import { FULL, type Variant } from "./variant.ts";
@@ -49,7 +49,7 @@
       },
     };
     for (const [figure, { unit, count }] of Object.entries(figures)) {
-      emit({
+      writeFigure({
         name: `${name}/${figure}`,
         value: count(affine),
         unit,
@@ -82,14 +82,14 @@
         seed,
         () => createStore(INDEX_SIZE),
       );
-      emit({
+      writeFigure({
         name: `eviction/load-${load}x/tail-against-${name}/cache-hits`,
         value: tail.hits,
         unit: "share",
         baseline: other.hits,
         seed,
       });
-      emit({
+      writeFigure({
         name: `eviction/load-${load}x/tail-against-${name}/tokens-per-second`,
         value: tail.recorder.tokens / 10,
         unit: "tokens/s",
--- a/bench/src/policy/cost.ts
+++ b/bench/src/policy/cost.ts
@@ -5,7 +5,7 @@
  */
 import { ManualClock, SeededRandom, SystemClock } from "@zinniahill/kernel";
 import { Admission, Routing } from "@zinniahill/policy";
-import { emit } from "./output.ts";
+import { writeFigure } from "../report.ts";
 import { createRules } from "./rules.ts";
 
 const SEED = 61;
@@ -18,7 +18,7 @@
 /** Measures routing by runners and admission by client accounts. */
 export async function measureCost(): Promise<void> {
   for (const runners of RUNNERS) {
-    emit({
+    writeFigure({
       name: `cost/routing/${runners}-runners`,
       value: measureRouting(runners),
       unit: "us",
@@ -26,7 +26,7 @@
     });
   }
   for (const accounts of ACCOUNTS) {
-    emit({
+    writeFigure({
       name: `cost/admission/${accounts}-accounts`,
       value: await measureAdmission(accounts),
       unit: "us",
--- a/bench/src/policy/fairness.ts
+++ b/bench/src/policy/fairness.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Fleet, GROUPS } from "./fleet.ts";
-import { emit } from "./output.ts";
+import { writeFigure } from "../report.ts";
 import { createRules } from "./rules.ts";
 import { type Flow, GROUP_RATE, type Recorder, runTraffic } from "./traffic.ts";
 import { FULL } from "./variant.ts";
@@ -28,7 +28,7 @@
       "served": { unit: "share", count: countServed },
     };
     for (const [figure, { unit, count }] of Object.entries(figures)) {
-      emit({
+      writeFigure({
         name: `${name}/${figure}`,
         value: count(fair),
         unit,
--- a/bench/src/policy/faults.ts
+++ b/bench/src/policy/faults.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Fleet, GROUPS } from "./fleet.ts";
-import { emit } from "./output.ts";
+import { writeFigure } from "../report.ts";
 import { createRules } from "./rules.ts";
 import {
   GROUP_RATE,
@@ -32,7 +32,7 @@
     "token-gap-p99": (recorder: Recorder) => recorder.ranks.normal.gap.at(99),
   };
   for (const [figure, count] of Object.entries(figures)) {
-    emit({
+    writeFigure({
       name: `stragglers/${figure}`,
       value: count(ejecting),
       unit: "ms",
@@ -80,14 +80,14 @@
 }
 
 function emitRetries(name: string, budget: StallRun, none: StallRun): void {
-  emit({
+  writeFigure({
     name: `${name}/attempts-per-request`,
     value: budget.attemptsPerRequest,
     unit: "1",
     baseline: none.attemptsPerRequest,
     seed: SEED,
   });
-  emit({
+  writeFigure({
     name: `${name}/attempts-per-request-after`,
     value: budget.attemptsAfter,
     unit: "1",
@@ -95,14 +95,14 @@
     seed: SEED,
   });
   const capacity = GROUPS * GROUP_RATE * MEAN_TOKENS * AFTER_MS / 1000;
-  emit({
+  writeFigure({
     name: `${name}/goodput-after`,
     value: budget.recorder.tokens / capacity,
     unit: "share of capacity",
     baseline: none.recorder.tokens / capacity,
     seed: SEED,
   });
-  emit({
+  writeFigure({
     name: `${name}/worth-on-time-after`,
     value: budget.recorder.worthOnTime,
     unit: "share",
--- a/bench/src/policy/limits.ts
+++ b/bench/src/policy/limits.ts
@@ -6,7 +6,7 @@
 import { ManualClock, type Random, SeededRandom } from "@zinniahill/kernel";
 import { AccountLimits, type AccountUsage } from "@zinniahill/policy";
 import type { AccountRule } from "@zinniahill/schema";
-import { emit } from "./output.ts";
+import { writeFigure } from "../report.ts";
 import { createRules } from "./rules.ts";
 
 const SEED = 51;
@@ -97,7 +97,7 @@
     for (const [figure, { value, baseline }] of Object.entries(figures)) {
       const isStreams = figure === "streams-peak";
       const unit = isStreams ? "share of limit" : "share of rate * time";
-      emit({
+      writeFigure({
         name: `limits/${name}/${figure}`,
         value,
         unit: figure === "accounts-remembered" ? "1" : unit,
--- a/bench/src/policy/ranks.ts
+++ b/bench/src/policy/ranks.ts
@@ -5,7 +5,7 @@
  */
 import { type Rank, RANKS } from "@zinniahill/schema";
 import { Fleet, GROUPS } from "./fleet.ts";
-import { emit } from "./output.ts";
+import { writeFigure } from "../report.ts";
 import { createRules } from "./rules.ts";
 import {
   type Flow,
@@ -98,7 +98,7 @@
     if (key === "full") {
       continue;
     }
-    emit({
+    writeFigure({
       name: `${name}/worth-on-time/against-${key}`,
       value: full.recorder.worthOnTime,
       unit: "share",
@@ -106,7 +106,7 @@
       seed: SEED,
     });
     for (const rank of RANKS) {
-      emit({
+      writeFigure({
         name: `${name}/${rank}/kept/against-${key}`,
         value: countKept(full.recorder, rank, load),
         unit: "share of the lesser of load and floor",
@@ -117,7 +117,7 @@
   }
   const other = runs.get("no-yields")?.recorder;
   if (other !== undefined) {
-    emit({
+    writeFigure({
       name: `${name}/urgent/first-token-p95/against-no-yields`,
       value: full.recorder.ranks.urgent.firstToken.at(95),
       unit: "ms",
@@ -125,26 +125,31 @@
       seed: SEED,
     });
   }
-  emit({
+  writeFigure({
     name: `${name}/tokens-per-second`,
     value: full.recorder.tokens / (DURATION_MS / 1000),
     unit: "tokens/s",
     baseline: fifo.tokens / (DURATION_MS / 1000),
     seed: SEED,
   });
-  emit({ name: `${name}/yields`, value: full.yields, unit: "1", seed: SEED });
+  writeFigure({
+    name: `${name}/yields`,
+    value: full.yields,
+    unit: "1",
+    seed: SEED,
+  });
 }
 
 function emitRank(name: string, seen: Seen, baseline: Seen): void {
   for (const percentile of PERCENTILES) {
-    emit({
+    writeFigure({
       name: `${name}/first-token-p${percentile}`,
       value: seen.firstToken.at(percentile),
       unit: "ms",
       baseline: baseline.firstToken.at(percentile),
       seed: SEED,
     });
-    emit({
+    writeFigure({
       name: `${name}/token-gap-p${percentile}`,
       value: seen.gap.at(percentile),
       unit: "ms",
@@ -160,7 +165,7 @@
     "broken": (one: Seen) => one.broken / one.offered,
   };
   for (const [figure, count] of Object.entries(figures)) {
-    emit({
+    writeFigure({
       name: `${name}/${figure}`,
       value: count(seen),
       unit: "share",
@@ -168,7 +173,7 @@
       seed: SEED,
     });
   }
-  emit({
+  writeFigure({
     name: `${name}/refusal-p99`,
     value: seen.refusal.at(99),
     unit: "ms",
--- a/bench/src/policy/traffic.ts
+++ b/bench/src/policy/traffic.ts
@@ -7,7 +7,7 @@
 import { type Rank, RANKS, type Rules } from "@zinniahill/schema";
 import { BLOCK_MS, FULL_STEP_MS, SLOTS } from "./engine.ts";
 import type { Fleet } from "./fleet.ts";
-import { Times } from "./output.ts";
+import { Times } from "./times.ts";
 
 /** One request of a caller. */
 export interface BenchRequest {
