End a call in memory with a fault when its caller gives it up

Cause: the fault matrix ended with an uncaught AbortError in the row flood@start. A batch stream that yields aborts its call; the network in memory threw, where the HTTP clients return a fault, so the error left the stream's task. Ruled out: catching it in the stream; the interface of the clients does not throw.

--- a/stand-ins/src/memory/network.ts
+++ b/stand-ins/src/memory/network.ts
@@ -63,7 +63,9 @@
     if (this.findMode(from, to) === "refuse") {
       return Result.err(NOT_SENT);
     }
-    await this.#clock.sleep(this.latencyMs, signal);
+    if (!await this.#travel(signal)) {
+      return Result.err(NO_REPLY);
+    }
     if (this.findMode(from, to) === "silent") {
       return this.#wait(deadline, signal);
     }
@@ -71,12 +73,24 @@
     const reply = await Promise.race([work(), limit.ended]);
     // The unused timer would stay in the clock until the deadline.
     limit.cancel();
-    await this.#clock.sleep(this.latencyMs, signal);
+    if (!await this.#travel(signal)) {
+      return Result.err(NO_REPLY);
+    }
     const isLost = this.findMode(from, to) !== "pass" ||
       this.findMode(to, from) !== "pass";
     return isLost ? this.#wait(deadline, signal) : reply;
   }
 
+  /** Crosses the link once; false when the caller gave the call up. */
+  async #travel(signal: AbortSignal | undefined): Promise<boolean> {
+    try {
+      await this.#clock.sleep(this.latencyMs, signal);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
   #wait(
     deadline: number,
     signal: AbortSignal | undefined,
