Reuse engine connections after a whole answer; abort without stacks

Cause: a stream was aborted at its last event, before the end of the body, so its connection was closed and each request opened a new one; and every request ended with aborts that each recorded a stack (a processor profile shows internalConnect, DOMException and prepareStackTrace).

--- a/packages/node/src/serving/http.ts
+++ b/packages/node/src/serving/http.ts
@@ -39,6 +39,8 @@
 const UNREAD_LINGER_MS = 1000;
 /** How long a reply that was written may take to reach its caller. */
 const CLOSE_LINGER_MS = 1000;
+/** Without a reason, each abort would record a stack of its own. */
+const CALLER_GONE = new Error("the caller has gone");
 const METHODS = ["GET", "POST"] as const;
 
 /** An HTTP server whose requests are tasks. */
@@ -256,9 +258,13 @@
   );
 }
 
-/** A signal that aborts when the connection to the caller ends. */
+/** A signal that aborts when the caller goes before it has the whole reply. */
 export function createCloseSignal(response: ServerResponse): AbortSignal {
   const controller = new AbortController();
-  response.on("close", () => controller.abort());
+  response.on("close", () => {
+    if (!response.writableFinished) {
+      controller.abort(CALLER_GONE);
+    }
+  });
   return controller.signal;
 }
--- a/packages/node/src/serving/stream-attempt.ts
+++ b/packages/node/src/serving/stream-attempt.ts
@@ -70,6 +70,8 @@
   readonly signal: AbortSignal;
 }
 
+/** The end of a body follows its last event at once, or the engine is slow. */
+const RELEASE_LIMIT_MS = 1000;
 const CHUNK_ID_PREFIX = '"id":"chatcmpl-';
 
 /** Runs one attempt; returns why it ended, complete or not. */
@@ -93,20 +95,39 @@
     return stream.error;
   }
   const watch = new ProgressWatch(clock, signal, until);
+  const chunks = stream.value.chunks[Symbol.asyncIterator]();
   try {
-    await forward(clock, stream.value, attempt, watch);
+    await forward(clock, stream.value, chunks, attempt, watch);
     return { verdict: "may-have-run", message: "the stream ended" };
   } catch (failure) {
     return { verdict: "may-have-run", message: describeError(failure) };
   } finally {
     watch.end();
-    stream.value.close();
+    if (attempt.progress.isComplete) {
+      releaseConnection(clock, stream.value, chunks);
+    } else {
+      stream.value.close();
+    }
   }
 }
 
+/** Reads on to the end of the body, so that the connection can be reused. */
+function releaseConnection(
+  clock: Clock,
+  stream: EngineStream,
+  chunks: AsyncIterator<Uint8Array>,
+): void {
+  const cancel = clock.schedule(RELEASE_LIMIT_MS, () => stream.close());
+  chunks.next().catch(() => {}).finally(() => {
+    cancel();
+    stream.close();
+  });
+}
+
 async function forward(
   clock: Clock,
   stream: EngineStream,
+  chunks: AsyncIterator<Uint8Array>,
   attempt: Attempt,
   watch: ProgressWatch,
 ): Promise<void> {
@@ -118,7 +139,6 @@
   }
   const mark = Buffer.from(`${CHUNK_ID_PREFIX}${body.request}"`);
   const splitter = new TokenSplitter();
-  const chunks = stream.chunks[Symbol.asyncIterator]();
   while (true) {
     const chunk = await watch.wait(chunks.next());
     if (chunk.done) {
--- a/packages/platform/src/engines.ts
+++ b/packages/platform/src/engines.ts
@@ -72,6 +72,8 @@
 /** Statuses by which an engine refuses a request before it runs. */
 const REFUSAL_STATUSES = new Set([409, 503]);
 const MAX_REASON_LENGTH = 200;
+/** Without a reason, each close would record a stack of its own. */
+const STREAM_CLOSED = new Error("the stream was closed");
 const JSON_HEADERS = { "content-type": "application/json" };
 /** The callers of the client set the deadlines. */
 const UNLIMITED = { bodyTimeout: 0, headersTimeout: 0 };
@@ -145,7 +147,7 @@
     options.signal?.addEventListener("abort", onAbort, { once: true });
     const close = () => {
       options.signal?.removeEventListener("abort", onAbort);
-      controller.abort();
+      controller.abort(STREAM_CLOSED);
     };
     try {
       return await withDeadline(
