Name services by the usual terms of the field

Cause: reading the code as a newcomer, the names Gate, Keeper, Front and phrases such as the lead's word had to be explained. Ruled out: a glossary entry for each; admission control, group controller and public API need none. Conclusion: no behaviour changes.

--- a/packages/node/src/gauges.ts
+++ b/packages/node/src/gauges.ts
@@ -9,7 +9,7 @@
 import type { Metrics } from "./metrics.ts";
 import type { Peers } from "./peers/peers.ts";
 import type { NodeKernel } from "./services.ts";
-import type { Gate } from "./serving/gate.ts";
+import type { AdmissionControl } from "./serving/admission-control.ts";
 import type { ControlState } from "./state/control-state.ts";
 
 const INTERVAL_MS = 1000;
@@ -24,7 +24,7 @@
   #evidence: Evidence;
   #leases: Leases;
   #peers: Peers;
-  #gate: Gate;
+  #admission: AdmissionControl;
   #tasks: TaskGroup;
 
   constructor(kernel: NodeKernel) {
@@ -33,7 +33,7 @@
     this.#evidence = kernel.find("evidence");
     this.#leases = kernel.find("leases");
     this.#peers = kernel.find("peers");
-    this.#gate = kernel.find("admission");
+    this.#admission = kernel.find("admission");
     this.#tasks = new TaskGroup(kernel.find("clock"), kernel.find("logger"));
   }
 
@@ -51,8 +51,8 @@
   }
 
   readonly #readings: Readonly<Record<string, Reading>> = {
-    "requests.in_flight": () => this.#gate.inFlight,
-    "load": () => this.#gate.load,
+    "requests.in_flight": () => this.#admission.inFlight,
+    "load": () => this.#admission.load,
     "groups": () => this.#state.control.groups.size,
     "groups.served": () => this.#countServed(),
     "configuration.version": () => this.#state.control.configuration.version,
--- a/packages/node/src/groups/evidence.ts
+++ b/packages/node/src/groups/evidence.ts
@@ -324,7 +324,7 @@
   }
 
   /**
-   * A peer's word stops a group at once but is not believed longer than the
+   * A peer's report stops a group at once but does not count longer than the
    * probe takes that it causes: one peer with a broken link must not take a
    * group away from all nodes.
    */
--- a/packages/node/src/groups/keeper.ts
+++ b/packages/node/src/groups/group-controller.ts
@@ -11,7 +11,7 @@
 import { GroupSteps } from "./group-steps.ts";
 import type { HeldLease, Leases } from "./leases.ts";
 import { Orders } from "./orders.ts";
-import { ScopeKeeper } from "./scope-keeper.ts";
+import { ScopeController } from "./scope-controller.ts";
 
 const ROUND_INTERVAL_MS = 250;
 
@@ -45,12 +45,12 @@
 type LeaseRound = (lease: HeldLease, signal: AbortSignal) => Promise<boolean>;
 
 /** Keeps the scopes that are held: one task for each scope and each group. */
-export class Keeper implements Service {
+export class GroupController implements Service {
   #clock: Clock;
   #state: ControlState;
   #leases: Leases;
   #tasks: TaskGroup;
-  #scopeKeeper: ScopeKeeper;
+  #scopeKeeper: ScopeController;
   #steps: GroupSteps;
   #kept = new Set<string>();
 
@@ -60,7 +60,7 @@
     this.#leases = kernel.find("leases");
     this.#tasks = new TaskGroup(this.#clock, kernel.find("logger"));
     const orders = new Orders(kernel);
-    this.#scopeKeeper = new ScopeKeeper(kernel, orders);
+    this.#scopeKeeper = new ScopeController(kernel, orders);
     this.#steps = new GroupSteps(kernel, orders);
   }
 
--- a/packages/node/src/groups/group-probe.ts
+++ b/packages/node/src/groups/group-probe.ts
@@ -76,7 +76,7 @@
   }
 }
 
-/** Whether the lead's word on the members counts. */
+/** Whether the lead's report on the members counts. */
 function isServingLead(lead: EngineStatus, group: GroupState): boolean {
   return group.phase === "ready" && lead.group === group.group &&
     lead.role === "serving";
--- a/packages/node/src/groups/probe-choice.ts
+++ b/packages/node/src/groups/probe-choice.ts
@@ -42,7 +42,7 @@
   }
 
   /**
-   * Whether the lead's word on its members is not enough: the holder needs
+   * Whether the lead's report on its members is not enough: the holder needs
    * the role of each host, and engines that ignore the fencing number may
    * change theirs at any time.
    */
--- a/packages/node/src/groups/scope-keeper.ts
+++ b/packages/node/src/groups/scope-controller.ts
@@ -27,7 +27,7 @@
 import type { Orders } from "./orders.ts";
 
 /** Keeps one scope after the other; holds no state of its own. */
-export class ScopeKeeper {
+export class ScopeController {
   #clock: Clock;
   #random: Random;
   #settings: Settings;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -23,7 +23,7 @@
 import { Departures } from "./groups/departures.ts";
 import { Evidence } from "./groups/evidence.ts";
 import { Hosts } from "./groups/hosts.ts";
-import { Keeper } from "./groups/keeper.ts";
+import { GroupController } from "./groups/group-controller.ts";
 import { Leases } from "./groups/leases.ts";
 import { Lifecycle } from "./lifecycle.ts";
 import { Gauges } from "./gauges.ts";
@@ -32,8 +32,8 @@
 import { WebSocketTransport } from "./peers/transport.ts";
 import { ProcessUsage } from "./process-usage.ts";
 import type { NodeKernel, Services } from "./services.ts";
-import { Front } from "./serving/front.ts";
-import { Gate } from "./serving/gate.ts";
+import { PublicApi } from "./serving/public-api.ts";
+import { AdmissionControl } from "./serving/admission-control.ts";
 import { Lookup } from "./serving/lookup.ts";
 import { Router } from "./serving/router.ts";
 import { Streams } from "./serving/streams.ts";
@@ -64,7 +64,7 @@
     (services) => new Gauges(services),
   );
   kernel.provide(
-    "front",
+    "publicApi",
     [
       ...base,
       "metrics",
@@ -75,7 +75,7 @@
       "calls",
       "lookup",
     ],
-    (services) => new Front(services),
+    (services) => new PublicApi(services),
   );
   return kernel;
 }
@@ -199,15 +199,15 @@
     (services) => new Leases(services),
   );
   provide(
-    "keeper",
+    "groupController",
     [...base, "engines", "weightStore", "departures", "evidence", "leases"],
-    (services) => new Keeper(services),
+    (services) => new GroupController(services),
   );
 
   provide(
     "admission",
     [...base, "state", "evidence", "peers"],
-    (services) => new Gate(services),
+    (services) => new AdmissionControl(services),
   );
   provide(
     "router",
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -25,7 +25,7 @@
  */
 export async function stopAsPlanned(
   node: NodeKernel,
-  countInFlight: () => number = () => node.find("front").inFlight,
+  countInFlight: () => number = () => node.find("publicApi").inFlight,
 ): Promise<void> {
   const clock = node.find("clock");
   const logger = node.find("logger");
--- a/packages/node/src/serving/gate.ts
+++ b/packages/node/src/serving/admission-control.ts
@@ -31,7 +31,7 @@
 const USAGE_BYTES_PER_SECOND = 2500;
 
 /** Admits requests by the rules in force and this node's part of capacity. */
-export class Gate implements Service {
+export class AdmissionControl implements Service {
   #clock: Clock;
   #settings: Settings;
   #state: ControlState;
--- a/packages/node/src/serving/chat.ts
+++ b/packages/node/src/serving/chat.ts
@@ -17,7 +17,7 @@
 import type { NodeKernel } from "../services.ts";
 import type { Caller } from "./authentication.ts";
 import { type ChatReply, StreamedReply, WholeReply } from "./chat-reply.ts";
-import type { Gate } from "./gate.ts";
+import type { AdmissionControl } from "./admission-control.ts";
 import { createCloseSignal, readJson, type RoutedRequest } from "./http.ts";
 import { Place } from "./place.ts";
 import type { Streams } from "./streams.ts";
@@ -47,7 +47,7 @@
   #logger: Logger;
   #metrics: Metrics;
   #settings: Settings;
-  #gate: Gate;
+  #admission: AdmissionControl;
   #streams: Streams;
 
   constructor(kernel: NodeKernel) {
@@ -55,7 +55,7 @@
     this.#logger = kernel.find("logger");
     this.#metrics = kernel.find("metrics");
     this.#settings = kernel.find("settings");
-    this.#gate = kernel.find("admission");
+    this.#admission = kernel.find("admission");
     this.#streams = kernel.find("streams");
   }
 
@@ -80,7 +80,7 @@
       DEFAULT_MAX_TOKENS;
     const startedAt = this.#clock.now();
     const signal = createCloseSignal(response);
-    const permit = await this.#gate.admit(
+    const permit = await this.#admission.admit(
       { account: account.name, rank, tokens: maxTokens },
       signal,
     );
--- a/packages/node/src/serving/front.ts
+++ b/packages/node/src/serving/public-api.ts
@@ -32,7 +32,7 @@
 const REQUEST_ID_HEADER = "x-request-id";
 
 /** Serves callers. */
-export class Front implements Service {
+export class PublicApi implements Service {
   #random: Random;
   #logger: Logger;
   #metrics: Metrics;
--- a/packages/node/src/serving/streams.ts
+++ b/packages/node/src/serving/streams.ts
@@ -17,7 +17,7 @@
 import type { Hosts } from "../groups/hosts.ts";
 import type { NodeKernel } from "../services.ts";
 import type { ControlState } from "../state/control-state.ts";
-import type { Gate } from "./gate.ts";
+import type { AdmissionControl } from "./admission-control.ts";
 import { GroupWatch } from "./group-watch.ts";
 import type { Router } from "./router.ts";
 import { runAttempt } from "./stream-attempt.ts";
@@ -54,7 +54,7 @@
   #router: Router;
   #settings: Settings;
   #state: ControlState;
-  #gate: Gate;
+  #admission: AdmissionControl;
   #groups: GroupWatch;
   #tasks: TaskGroup;
   #cancels: TaskGroup;
@@ -69,7 +69,7 @@
     this.#router = kernel.find("router");
     this.#settings = kernel.find("settings");
     this.#state = kernel.find("state");
-    this.#gate = kernel.find("admission");
+    this.#admission = kernel.find("admission");
     this.#groups = new GroupWatch(this.#clock, this.#evidence);
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
     this.#cancels = new TaskGroup(this.#clock, this.#logger);
@@ -179,7 +179,7 @@
    * without one: its caller would lose what it has received.
    */
   #takeRetry({ request, progress }: StreamRun): boolean {
-    return this.#gate.mayRetry(request.rank) || progress.next > 0;
+    return this.#admission.mayRetry(request.rank) || progress.next > 0;
   }
 
   #noteFault(run: StreamRun, group: GroupState, fault: Fault): void {
@@ -219,7 +219,7 @@
 
   /** Waits with full jitter. */
   async #sleepRetryPause(run: StreamRun, retry: number): Promise<void> {
-    const pauseMs = this.#gate.drawRetryPauseMs(retry);
+    const pauseMs = this.#admission.drawRetryPauseMs(retry);
     await this.#clock.sleep(pauseMs, run.signal).catch(() => {});
   }
 
--- a/packages/node/test/administration/administration.test.ts
+++ b/packages/node/test/administration/administration.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { type RunningFront, startFront } from "../serving/front-fixture.ts";
+import { type RunningApi, startApi } from "../serving/public-api-fixture.ts";
 
 const TOKEN = "admin-token-of-tests";
 const PEER_TOKEN = "peer-token-of-tests";
@@ -11,9 +11,9 @@
 }
 
 describe("Administration over HTTP", () => {
-  let running: RunningFront;
+  let running: RunningApi;
   beforeEach(async () => {
-    running = await startFront();
+    running = await startApi();
   });
   afterEach(() => running.stop());
 
--- a/packages/node/test/serving/front-fixture.ts
+++ b/packages/node/test/serving/public-api-fixture.ts
@@ -28,7 +28,7 @@
 const POLLS = 1000;
 
 /** A running node and what surrounds it. */
-export interface RunningFront {
+export interface RunningApi {
   readonly node: NodeKernel;
   readonly platform: MemoryPlatform;
   readonly records: RecordModel;
@@ -39,7 +39,7 @@
 }
 
 /** Starts the node and waits until its group serves. */
-export async function startFront(): Promise<RunningFront> {
+export async function startApi(): Promise<RunningApi> {
   const clock = new SystemClock();
   const platform = new MemoryPlatform(clock);
   for (const index of [1, 2]) {
@@ -61,7 +61,7 @@
     text: createRules(),
     author: "tests",
   }]);
-  const lines: RunningFront["lines"] = [];
+  const lines: RunningApi["lines"] = [];
   const publicAddress = await findFreeAddress();
   const node = createNode(await createSettings(publicAddress), {
     ...platform.createClients("n1"),
@@ -126,7 +126,7 @@
   });
 }
 
-function createLogger(lines: RunningFront["lines"]): Logger {
+function createLogger(lines: RunningApi["lines"]): Logger {
   const write = (event: string, fields: Fields = {}) => {
     lines.push({ event, fields });
   };
--- a/packages/node/test/serving/front.test.ts
+++ b/packages/node/test/serving/public-api.test.ts
@@ -7,10 +7,10 @@
   API_KEY,
   BODY_LIMIT_BYTES,
   findFreeAddress,
-  type RunningFront,
+  type RunningApi,
   SOUTH_KEY,
-  startFront,
-} from "./front-fixture.ts";
+  startApi,
+} from "./public-api-fixture.ts";
 
 const CHAT = {
   model: "chat",
@@ -19,17 +19,17 @@
 };
 const CHAT_PATH = "/v1/chat/completions";
 
-describe("Front", () => {
-  let front: RunningFront;
+describe("PublicApi", () => {
+  let api: RunningApi;
 
   beforeAll(async () => {
-    front = await startFront();
+    api = await startApi();
   });
 
-  afterAll(() => front.stop());
+  afterAll(() => api.stop());
 
   const send = (path: string, options: RequestInit = {}, key = API_KEY) =>
-    fetch(`${front.url}${path}`, {
+    fetch(`${api.url}${path}`, {
       ...options,
       headers: { authorization: `Bearer ${key}`, ...options.headers },
     });
@@ -40,7 +40,7 @@
     const createClient = () =>
       new OpenAI({
         apiKey: API_KEY,
-        baseURL: `${front.url}/v1`,
+        baseURL: `${api.url}/v1`,
         maxRetries: 0,
       });
 
@@ -205,7 +205,7 @@
     });
 
     it("answers a large body without reading all of it", async () => {
-      const reply = await sendEndlessBody(front.url);
+      const reply = await sendEndlessBody(api.url);
       expect(reply).toMatch(/^HTTP\/1\.1 413 /);
       expect(reply).toContain('"verdict":"not-run"');
     });
@@ -214,8 +214,8 @@
   describe("plain services", () => {
     it("keeps the method, path, query string and headers of a call", async () => {
       const seen: unknown[] = [];
-      const handle = front.records.handle.bind(front.records);
-      front.records.handle = (call) => {
+      const handle = api.records.handle.bind(api.records);
+      api.records.handle = (call) => {
         seen.push(call);
         return handle(call);
       };
@@ -224,7 +224,7 @@
         body: "data",
         headers: { "x-note": "n", "idempotency-key": "key-1" },
       });
-      front.records.handle = handle;
+      api.records.handle = handle;
       expect(reply.status).toBe(201);
       expect(reply.headers.get("idempotency-key")).toBe("key-1");
       expect(seen).toMatchObject([{
@@ -249,7 +249,7 @@
         });
       const [first, second] = [await call(), await call()];
       expect(await second.text()).toBe(await first.text());
-      expect(front.records.countRuns("key-2")).toBe(1);
+      expect(api.records.countRuns("key-2")).toBe(1);
     });
 
     it("refuses a key that is used again with another body", async () => {
@@ -275,10 +275,10 @@
       await reply.text();
       await send("/v1/models", {}, "a-key-nobody-has");
       await send("/v1/models", {}, SOUTH_KEY);
-      const served = front.lines.filter(({ fields }) => fields.request === id);
-      const text = JSON.stringify([front.lines, front.node.dump()]);
+      const served = api.lines.filter(({ fields }) => fields.request === id);
+      const text = JSON.stringify([api.lines, api.node.dump()]);
       expect(served.map(({ event }) => event)).toContain("request_served");
-      expect(front.lines.filter(({ event }) => event.startsWith("request_")))
+      expect(api.lines.filter(({ event }) => event.startsWith("request_")))
         .not.toHaveLength(0);
       for (
         const secret of [
--- a/packages/node/test/serving/stream-policy.test.ts
+++ b/packages/node/test/serving/stream-policy.test.ts
@@ -85,9 +85,9 @@
       expect(world.permit.firstTokens).toBe(3);
     });
 
-    it("reports the load of the gate to peers and lookup", () => {
-      const gate = world.node.find("admission");
-      vi.spyOn(gate, "load", "get").mockReturnValue(0.6);
+    it("reports the load of the admission to peers and lookup", () => {
+      const admission = world.node.find("admission");
+      vi.spyOn(admission, "load", "get").mockReturnValue(0.6);
       expect(world.node.find("peers").load).toBe(0.6);
     });
   });
@@ -101,9 +101,9 @@
       expect(take.mock.calls).toEqual([["normal"], ["normal"]]);
     });
 
-    it("pauses as the gate draws when an attempt brought nothing", async () => {
-      const gate = world.node.find("admission");
-      const draw = vi.spyOn(gate, "drawRetryPauseMs").mockReturnValue(700);
+    it("pauses as the admission draws when an attempt brought nothing", async () => {
+      const admission = world.node.find("admission");
+      const draw = vi.spyOn(admission, "drawRetryPauseMs").mockReturnValue(700);
       for (const address of world.platform.engines.keys()) {
         world.platform.network.setMode("n1", address, "refuse");
       }
--- a/packages/node/test/serving/streams.test.ts
+++ b/packages/node/test/serving/streams.test.ts
@@ -238,8 +238,8 @@
 });
 
 function exhaustRetries(world: StreamWorld): void {
-  const gate = world.node.find("admission");
-  while (gate.mayRetry("normal")) {
+  const admission = world.node.find("admission");
+  while (admission.mayRetry("normal")) {
     // Each call takes one retry.
   }
 }
--- a/packages/policy/src/permit.ts
+++ b/packages/policy/src/permit.ts
@@ -27,7 +27,7 @@
    * permit. A holder that never reads the signal is not asked to yield.
    */
   readonly yielded: AbortSignal;
-  /** Waits for a place again after a yield, ahead of nobody else's turn. */
+  /** Waits for a place again after a yield, behind those that already wait. */
   resume(signal: AbortSignal): Promise<Result<Permit, Refusal>>;
   /** Says that the first token of an attempt has come. */
   noteFirstToken(): void;
