--- a/bench/src/capacity/idle-nodes.ts
+++ b/bench/src/capacity/idle-nodes.ts
@@ -57,8 +57,10 @@
 ];
 
 /** Measures idle nodes at growing numbers of nodes and of groups. */
-export async function measureIdleNodes(): Promise<void> {
-  for (const series of SERIES) {
+export async function measureIdleNodes(
+  names: readonly string[] = SERIES.map(({ name }) => name),
+): Promise<void> {
+  for (const series of SERIES.filter(({ name }) => names.includes(name))) {
     const measured: { size: number; costs: NodeCost[] }[] = [];
     for (const size of series.sizes) {
       const { nodes, groups } = series.createSize(size);
