Stream through two entry hosts with a known client library in a test

Cause: the client library was tried against one node only, while callers move from one entry host to another. Before: one node in the tests of the public API.

--- a/packages/node/test/serving/public-api-fixture.ts
+++ b/packages/node/test/serving/public-api-fixture.ts
@@ -38,33 +38,18 @@
   stop(): Promise<void>;
 }
 
-/** Starts the node and waits until its group serves. */
-export async function startApi(): Promise<RunningApi> {
+/** Starts a node and waits until its group serves. */
+export async function startApi(
+  name = "n1",
+  shared?: MemoryPlatform,
+): Promise<RunningApi> {
   const clock = new SystemClock();
-  const platform = new MemoryPlatform(clock);
-  for (const index of [1, 2]) {
-    platform.addHost({
-      host: `h${index}`,
-      address: `10.0.0.${index}:8000`,
-      dataCentre: "dc-1",
-      fabricDomain: "fabric-1",
-      accelerators: 8,
-      state: "live",
-    }, { batchSize: 8, stepMs: 2, checksFence: true, loadMs: 10 });
-  }
-  const records = platform.addRecordService(RECORDS);
-  platform.log.append("control", [{
-    kind: "configuration",
-    id: "rules",
-    node: "operator",
-    basis: 0,
-    text: createRules(),
-    author: "tests",
-  }]);
+  const platform = shared ?? createPlatform(clock);
+  const records = platform.records.get(RECORDS)!;
   const lines: RunningApi["lines"] = [];
   const publicAddress = await findFreeAddress();
-  const node = createNode(await createSettings(publicAddress), {
-    ...platform.createClients("n1"),
+  const node = createNode(await createSettings(name, publicAddress), {
+    ...platform.createClients(name),
     clock,
     random: new SeededRandom(5),
     logger: createLogger(lines),
@@ -86,11 +71,37 @@
     lines,
     stop: async () => {
       await node.stop();
-      await platform.stop();
+      if (shared === undefined) {
+        await platform.stop();
+      }
     },
   };
 }
 
+function createPlatform(clock: SystemClock): MemoryPlatform {
+  const platform = new MemoryPlatform(clock);
+  for (const index of [1, 2]) {
+    platform.addHost({
+      host: `h${index}`,
+      address: `10.0.0.${index}:8000`,
+      dataCentre: "dc-1",
+      fabricDomain: "fabric-1",
+      accelerators: 8,
+      state: "live",
+    }, { batchSize: 8, stepMs: 2, checksFence: true, loadMs: 10 });
+  }
+  platform.addRecordService(RECORDS);
+  platform.log.append("control", [{
+    kind: "configuration",
+    id: "rules",
+    node: "operator",
+    basis: 0,
+    text: createRules(),
+    author: "tests",
+  }]);
+  return platform;
+}
+
 function createRules(): string {
   const hash = (key: string) => createHash("sha256").update(key).digest("hex");
   const limits = "requests=100/s tokens=10000/s streams=8";
@@ -104,10 +115,13 @@
   ].join("\n");
 }
 
-async function createSettings(publicAddress: string): Promise<Settings> {
+async function createSettings(
+  name: string,
+  publicAddress: string,
+): Promise<Settings> {
   return Settings.parse({
     node: {
-      name: "n1",
+      name,
       "data-centre": "dc-1",
       "public-address": publicAddress,
       "admin-address": await findFreeAddress(),
