Keep one copy of the test settings and of the routed request

Cause: two test fixtures held the same settings, and the stand-ins held their own copy of the type of a routed request. Before: two copies each. Conclusion: no behaviour changes.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -7,6 +7,7 @@
 export { type PeerConnection, type PeerTransport } from "./peers/transport.ts";
 export { stopAsPlanned } from "./planned-stop.ts";
 export { type NodeKernel, type Services } from "./services.ts";
+export { type RoutedRequest } from "./serving/http.ts";
 export { Place } from "./serving/place.ts";
 export {
   type Attempt,
--- a/packages/node/test/calls/fixture.ts
+++ b/packages/node/test/calls/fixture.ts
@@ -12,7 +12,8 @@
   sleepOn,
 } from "@zinniahill/kernel";
 import type { Log } from "@zinniahill/platform";
-import { ServiceRule, Settings } from "@zinniahill/schema";
+import { ServiceRule } from "@zinniahill/schema";
+import { createSettings } from "../settings.ts";
 import { MemoryPlatform, type RecordModel } from "@zinniahill/stand-ins";
 import { Calls } from "../../src/calls/calls.ts";
 import type { ServiceCall } from "../../src/calls/service-call.ts";
@@ -145,23 +146,3 @@
     body: Buffer.from(`body of ${key}`),
   };
 }
-
-/** Creates the settings of one node. */
-export function createSettings(name: string): Settings {
-  return Settings.parse({
-    node: {
-      name,
-      "data-centre": "dc-1",
-      "public-address": "127.0.0.1:1",
-      "admin-address": "127.0.0.1:2",
-      "peer-address": "127.0.0.1:3",
-      "admin-token": "admin-token-of-tests",
-      "peer-token": "peer-token-of-tests",
-    },
-    platform: {
-      log: "127.0.0.1:4",
-      "host-list": "127.0.0.1:5",
-      "weight-store": "127.0.0.1:6",
-    },
-  });
-}
--- a/packages/node/test/serving/fixture.ts
+++ b/packages/node/test/serving/fixture.ts
@@ -7,7 +7,7 @@
 import { ManualClock, SeededRandom } from "@zinniahill/kernel";
 import { createCoreNode, type NodeKernel } from "@zinniahill/node";
 import type { Engines, EngineStream } from "@zinniahill/platform";
-import { Settings } from "@zinniahill/schema";
+import { createSettings } from "../settings.ts";
 import {
   createToken,
   hashMessages,
@@ -90,7 +90,7 @@
     }]);
     const clients = this.platform.createClients("n1");
     const transports = new MemoryTransports(this.platform.network);
-    this.node = createCoreNode(createNodeSettings(), {
+    this.node = createCoreNode(createSettings("n1"), {
       ...clients,
       engines: this.#wrapEngines(clients.engines),
       clock: this.clock,
@@ -203,22 +203,3 @@
 function createAddress(index: number): string {
   return `10.0.0.${index + 1}:8000`;
 }
-
-function createNodeSettings(): Settings {
-  return Settings.parse({
-    node: {
-      name: "n1",
-      "data-centre": "dc-1",
-      "public-address": "127.0.0.1:1",
-      "admin-address": "127.0.0.1:2",
-      "peer-address": "127.0.0.1:3",
-      "admin-token": "admin-token-of-tests",
-      "peer-token": "peer-token-of-tests",
-    },
-    platform: {
-      log: "127.0.0.1:4",
-      "host-list": "127.0.0.1:5",
-      "weight-store": "127.0.0.1:6",
-    },
-  });
-}
--- a/stand-ins/src/server.ts
+++ b/stand-ins/src/server.ts
@@ -11,15 +11,9 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import type { RoutedRequest } from "@zinniahill/node";
 import polka, { type Polka } from "polka";
 
-/** A request with what the router has read from its address. */
-export interface RoutedRequest extends IncomingMessage {
-  readonly path: string;
-  readonly params: Readonly<Record<string, unknown>>;
-  readonly query: Readonly<Record<string, unknown>>;
-}
-
 /** A route's handler; what it returns is sent as JSON. */
 export type Handler = (
   request: RoutedRequest,
