--- a/bench/src/matrix/mechanisms.ts
+++ b/bench/src/matrix/mechanisms.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import type { Engines, EngineStream, Log, Stream } from "@zinniahill/platform";
+import type { Engines, EngineStream, Log, Stream } from "@zinniahill/clients";
 import type { EngineStatus, LogEntry } from "@zinniahill/schema";
 import type { MemoryClients } from "@zinniahill/stand-ins";
 import { Result } from "true-myth";
--- a/bench/src/matrix/process-clients.ts
+++ b/bench/src/matrix/process-clients.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { PeerConnection, PeerTransport } from "@zinniahill/node";
-import type { Engines, EngineStream } from "@zinniahill/platform";
+import type { Engines, EngineStream } from "@zinniahill/clients";
 import type { MemoryClients } from "@zinniahill/stand-ins";
 import { Result } from "true-myth";
 import type { PausableClock } from "./pausable-clock.ts";
--- a/bench/src/token-rate.ts
+++ b/bench/src/token-rate.ts
@@ -7,7 +7,7 @@
 import { Buffer } from "node:buffer";
 import { SystemClock } from "@zinniahill/kernel";
 import { Progress, runAttempt } from "@zinniahill/node";
-import { type Engines, TokenSplitter } from "@zinniahill/platform";
+import { type Engines, TokenSplitter } from "@zinniahill/clients";
 import { Result } from "true-myth";
 
 const TOKENS = 300_000;
--- a/packages/platform/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -19,12 +19,18 @@
   type ReadRange,
   type Stream,
 } from "./log.ts";
+export {
+  type PeerConnection,
+  type PeerTransport,
+  WebSocketTransport,
+} from "./peer-transport.ts";
 export {
   type PlainCall,
   type PlainReply,
   PlainServiceClient,
   type PlainServices,
 } from "./plain-services.ts";
+export { hashSecret, isSameHash, readBearer } from "./secrets.ts";
 export {
   END_INDEX,
   type TokenBlock,
--- a/packages/node/src/peers/transport.ts
+++ b/packages/clients/src/peer-transport.ts
@@ -6,10 +6,10 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { Condition, describeError, type Service } from "@zinniahill/kernel";
-import { Traffic } from "@zinniahill/platform";
 import { MAX_PEER_MESSAGE_BYTES } from "@zinniahill/schema";
 import { WebSocket, WebSocketServer } from "ws";
-import { hashSecret, isSameHash, readBearer } from "../serving/http.ts";
+import { hashSecret, isSameHash, readBearer } from "./secrets.ts";
+import { Traffic } from "./traffic.ts";
 
 /** One connection to another node. */
 export interface PeerConnection {
--- a/packages/node/test/peers/transport.test.ts
+++ b/packages/clients/test/peer-transport.test.ts
@@ -3,7 +3,7 @@
 import type { PeerConnection } from "@zinniahill/node";
 import { MAX_PEER_MESSAGE_BYTES } from "@zinniahill/schema";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { WebSocketTransport } from "../../src/peers/transport.ts";
+import { WebSocketTransport } from "../src/index.ts";
 
 const TOKEN = "0123456789abcdef";
 
--- a/packages/platform/test/token-events.test.ts
+++ b/packages/clients/test/token-events.test.ts
@@ -3,7 +3,7 @@
   END_INDEX,
   TokenFormatError,
   TokenSplitter,
-} from "@zinniahill/platform";
+} from "@zinniahill/clients";
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 
--- a/packages/platform/test/verdicts.test.ts
+++ b/packages/clients/test/verdicts.test.ts
@@ -6,7 +6,7 @@
   createFault,
   EngineClient,
   PlainServiceClient,
-} from "@zinniahill/platform";
+} from "@zinniahill/clients";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 
 const TIMEOUT_MS = 5000;
--- a/packages/node/src/administration/administration.ts
+++ b/packages/node/src/administration/administration.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { hashSecret, isSameHash, readBearer } from "@zinniahill/clients";
 import type { Random, Service } from "@zinniahill/kernel";
 import {
   type ControlRecord,
@@ -16,10 +17,7 @@
 import type { Peers } from "../peers/peers.ts";
 import type { NodeKernel } from "../services.ts";
 import {
-  hashSecret,
   HttpListener,
-  isSameHash,
-  readBearer,
   readJson,
   type RequestTask,
   type RoutedRequest,
--- a/packages/node/src/calls/append-queue.ts
+++ b/packages/node/src/calls/append-queue.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Clock, Condition, type Logger } from "@zinniahill/kernel";
-import type { Log } from "@zinniahill/platform";
+import type { Log } from "@zinniahill/clients";
 import type { CallRecord, CallRecordOf } from "@zinniahill/schema";
 
 interface QueuedRecord {
--- a/packages/node/src/calls/calls.ts
+++ b/packages/node/src/calls/calls.ts
@@ -12,7 +12,7 @@
   TaskGroup,
   withDeadline,
 } from "@zinniahill/kernel";
-import type { Log, PlainReply } from "@zinniahill/platform";
+import type { Log, PlainReply } from "@zinniahill/clients";
 import { CallReducer, type RememberedCall } from "@zinniahill/policy";
 import {
   CallRecord,
--- a/packages/node/src/calls/dispatch.ts
+++ b/packages/node/src/calls/dispatch.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, Logger } from "@zinniahill/kernel";
-import type { PlainServices } from "@zinniahill/platform";
+import type { PlainServices } from "@zinniahill/clients";
 import type { Refusal, Verdict } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import {
--- a/packages/node/src/calls/service-call.ts
+++ b/packages/node/src/calls/service-call.ts
@@ -5,7 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
-import type { PlainReply } from "@zinniahill/platform";
+import type { PlainReply } from "@zinniahill/clients";
 import type { RememberedCall } from "@zinniahill/policy";
 import { Refusal, type ServiceRule, type Verdict } from "@zinniahill/schema";
 import { Result } from "true-myth";
--- a/packages/node/src/groups/group-probe.ts
+++ b/packages/node/src/groups/group-probe.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "@zinniahill/kernel";
-import type { Engines } from "@zinniahill/platform";
+import type { Engines } from "@zinniahill/clients";
 import type { EngineStatus, GroupState } from "@zinniahill/schema";
 import type { Sighting } from "./host-evidence.ts";
 
--- a/packages/node/src/groups/group-steps.ts
+++ b/packages/node/src/groups/group-steps.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "@zinniahill/kernel";
-import type { WeightStore } from "@zinniahill/platform";
+import type { WeightStore } from "@zinniahill/clients";
 import type {
   EngineStatus,
   GroupPhase,
--- a/packages/node/src/groups/hosts.ts
+++ b/packages/node/src/groups/hosts.ts
@@ -9,7 +9,7 @@
   type Service,
   TaskGroup,
 } from "@zinniahill/kernel";
-import type { HostList } from "@zinniahill/platform";
+import type { HostList } from "@zinniahill/clients";
 import type { Host } from "@zinniahill/schema";
 import type { NodeKernel } from "../services.ts";
 
--- a/packages/node/src/groups/orders.ts
+++ b/packages/node/src/groups/orders.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, Logger, Random } from "@zinniahill/kernel";
-import type { Engines } from "@zinniahill/platform";
+import type { Engines } from "@zinniahill/clients";
 import type {
   ControlRecord,
   EngineOrder,
--- a/packages/node/src/groups/scope-controller.ts
+++ b/packages/node/src/groups/scope-controller.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Clock, Random } from "@zinniahill/kernel";
-import type { Engines } from "@zinniahill/platform";
+import type { Engines } from "@zinniahill/clients";
 import {
   type Departure,
   isDrainDue,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -16,7 +16,8 @@
   PlainServiceClient,
   Traffic,
   WeightStoreClient,
-} from "@zinniahill/platform";
+  WebSocketTransport,
+} from "@zinniahill/clients";
 import type { Settings } from "@zinniahill/schema";
 import { Administration } from "./administration/administration.ts";
 import { Calls } from "./calls/calls.ts";
@@ -29,7 +30,6 @@
 import { Gauges } from "./gauges.ts";
 import { Metrics } from "./metrics.ts";
 import { Peers } from "./peers/peers.ts";
-import { WebSocketTransport } from "./peers/transport.ts";
 import { ProcessUsage } from "./process-usage.ts";
 import type { NodeKernel, Services } from "./services.ts";
 import { PublicApi } from "./serving/public-api.ts";
--- a/packages/node/src/peers/conversation.ts
+++ b/packages/node/src/peers/conversation.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { PeerConnection } from "@zinniahill/clients";
 import { type Clock, DeadlineError, withDeadline } from "@zinniahill/kernel";
 import {
   decodePeerMessage,
@@ -13,7 +14,6 @@
   type PeerMessageOf,
 } from "@zinniahill/schema";
 import { createMachine, interpret, state, transition } from "robot3";
-import type { PeerConnection } from "./transport.ts";
 
 /** Why a connection was ended by this node. */
 export type PeerFault =
--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { PeerConnection, PeerTransport } from "@zinniahill/clients";
 import {
   type Clock,
   Condition,
@@ -30,7 +31,6 @@
 import { PeerRegistry } from "./registry.ts";
 import { isRelayable, Relay } from "./relay.ts";
 import { PeerSlots } from "./slots.ts";
-import type { PeerConnection, PeerTransport } from "./transport.ts";
 import { UsageExchange } from "./usage-exchange.ts";
 
 export { type Peer } from "./conversation.ts";
--- a/packages/node/src/services.ts
+++ b/packages/node/src/services.ts
@@ -8,10 +8,11 @@
   Engines,
   HostList,
   Log,
+  PeerTransport,
   PlainServices,
   Traffic,
   WeightStore,
-} from "@zinniahill/platform";
+} from "@zinniahill/clients";
 import type { Settings } from "@zinniahill/schema";
 import type { Administration } from "./administration/administration.ts";
 import type { Calls } from "./calls/calls.ts";
@@ -23,7 +24,6 @@
 import type { Gauges } from "./gauges.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Peers } from "./peers/peers.ts";
-import type { PeerTransport } from "./peers/transport.ts";
 import type { ProcessUsage } from "./process-usage.ts";
 import type { AdmissionControl } from "./serving/admission-control.ts";
 import type { PublicApi } from "./serving/public-api.ts";
--- a/packages/node/src/serving/authentication.ts
+++ b/packages/node/src/serving/authentication.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage } from "node:http";
 import { type AccountRule, Refusal, type Rules } from "@zinniahill/schema";
 import type { ControlState } from "../state/control-state.ts";
-import { hashSecret, isSameHash, readBearer } from "./http.ts";
+import { hashSecret, isSameHash, readBearer } from "@zinniahill/clients";
 
 /** A client account and the rules under which it calls. */
 export interface Caller {
--- a/packages/node/src/serving/http.ts
+++ b/packages/node/src/serving/http.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { createHash, timingSafeEqual } from "node:crypto";
 import {
   createServer,
   type IncomingMessage,
@@ -233,22 +232,6 @@
   sendJson(response, refusal.status, refusal.toBody());
 }
 
-/** Reads the bearer token of a request. */
-export function readBearer(request: IncomingMessage): string {
-  const header = request.headers.authorization ?? "";
-  return header.startsWith("Bearer ") ? header.slice("Bearer ".length) : "";
-}
-
-/** Hashes a secret. */
-export function hashSecret(secret: string): string {
-  return createHash("sha256").update(secret).digest("hex");
-}
-
-/** Compares two hashes of the same length in constant time. */
-export function isSameHash(a: string, b: string): boolean {
-  return timingSafeEqual(Buffer.from(a, "hex"), Buffer.from(b, "hex"));
-}
-
 /** The refusal that a failure of a task stands for. */
 export function createRefusal(failure: unknown): Refusal {
   return failure instanceof Refusal ? failure : new Refusal(
--- a/packages/node/src/serving/stream-attempt.ts
+++ b/packages/node/src/serving/stream-attempt.ts
@@ -10,7 +10,7 @@
   type EngineStream,
   type Fault,
   TokenSplitter,
-} from "@zinniahill/platform";
+} from "@zinniahill/clients";
 import type { GenerateRequest } from "@zinniahill/schema";
 import { DeliveredText, readFinishReason } from "./delivered-text.ts";
 import { ProgressWatch } from "./progress-watch.ts";
--- a/packages/node/src/serving/stream-run.ts
+++ b/packages/node/src/serving/stream-run.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Fault } from "@zinniahill/platform";
+import type { Fault } from "@zinniahill/clients";
 import {
   type ChatMessage,
   type Rank,
--- a/packages/node/src/serving/streams.ts
+++ b/packages/node/src/serving/streams.ts
@@ -10,7 +10,7 @@
   TaskGroup,
   withDeadline,
 } from "@zinniahill/kernel";
-import type { Engines, Fault } from "@zinniahill/platform";
+import type { Engines, Fault } from "@zinniahill/clients";
 import type { GroupState, Rank, Refusal, Settings } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import type { Evidence } from "../groups/evidence.ts";
--- a/packages/node/src/serving/token-run.ts
+++ b/packages/node/src/serving/token-run.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { END_INDEX, type TokenBlock } from "@zinniahill/platform";
+import { END_INDEX, type TokenBlock } from "@zinniahill/clients";
 
 /** What a block of events holds for the caller. */
 export interface TokenRun {
--- a/packages/node/src/state/checkpoint-search.ts
+++ b/packages/node/src/state/checkpoint-search.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Fault, Log } from "@zinniahill/platform";
+import type { Fault, Log } from "@zinniahill/clients";
 import { findCheckpoint } from "@zinniahill/policy";
 import type { ControlSnapshot } from "@zinniahill/schema";
 import { Result } from "true-myth";
--- a/packages/node/src/state/control-state.ts
+++ b/packages/node/src/state/control-state.ts
@@ -10,7 +10,7 @@
   type Service,
   TaskGroup,
 } from "@zinniahill/kernel";
-import type { Log } from "@zinniahill/platform";
+import type { Log } from "@zinniahill/clients";
 import { ControlReducer, type Decision } from "@zinniahill/policy";
 import {
   ControlRecord,
--- a/packages/node/src/state/proposals.ts
+++ b/packages/node/src/state/proposals.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Clock, withDeadline } from "@zinniahill/kernel";
-import type { Fault, Log } from "@zinniahill/platform";
+import type { Fault, Log } from "@zinniahill/clients";
 import type { Decision } from "@zinniahill/policy";
 import { type ControlRecord, Refusal } from "@zinniahill/schema";
 import { Result } from "true-myth";
--- a/packages/node/test/calls/calls.test.ts
+++ b/packages/node/test/calls/calls.test.ts
@@ -1,5 +1,5 @@
 import { Buffer } from "node:buffer";
-import type { Log } from "@zinniahill/platform";
+import type { Log } from "@zinniahill/clients";
 import { ServiceRule } from "@zinniahill/schema";
 import { beforeEach, describe, expect, it } from "vitest";
 import {
--- a/packages/node/test/calls/fixture.ts
+++ b/packages/node/test/calls/fixture.ts
@@ -11,7 +11,7 @@
   SeededRandom,
   sleepOn,
 } from "@zinniahill/kernel";
-import type { Log } from "@zinniahill/platform";
+import type { Log } from "@zinniahill/clients";
 import { ServiceRule } from "@zinniahill/schema";
 import { createSettings } from "../settings.ts";
 import { MemoryPlatform, type RecordModel } from "@zinniahill/stand-ins";
--- a/packages/node/test/serving/fixture.ts
+++ b/packages/node/test/serving/fixture.ts
@@ -6,7 +6,7 @@
 import { Buffer } from "node:buffer";
 import { ManualClock, SeededRandom } from "@zinniahill/kernel";
 import { createCoreNode, type NodeKernel } from "@zinniahill/node";
-import type { Engines, EngineStream } from "@zinniahill/platform";
+import type { Engines, EngineStream } from "@zinniahill/clients";
 import { createSettings } from "../settings.ts";
 import {
   createToken,
--- a/packages/node/test/state/cluster.ts
+++ b/packages/node/test/state/cluster.ts
@@ -17,7 +17,7 @@
   type Replacements,
   type Services,
 } from "@zinniahill/node";
-import type { Log } from "@zinniahill/platform";
+import type { Log } from "@zinniahill/clients";
 import {
   type ControlRecord,
   parseSettings,
--- /dev/null
+++ b/packages/relay/src/feeds/key-table.ts
@@ -0,0 +1,61 @@
+/**
+ * The newest record of each key of one topic.
+ *
+ * @module
+ */
+import type { KeyRecord } from "../model/peer-message.ts";
+
+/**
+ * Holds the newest record of each key, deletions included. Records may come
+ * from the store and from peers in any order; an older offset never replaces a
+ * newer one.
+ */
+export class KeyTable {
+  #records = new Map<string, KeyRecord>();
+  #next = 0;
+
+  /** The offset up to which every record was applied. */
+  get next(): number {
+    return this.#next;
+  }
+
+  /** The records of keys that exist. */
+  list(): KeyRecord[] {
+    return [...this.#records.values()]
+      .filter(({ value }) => value !== undefined);
+  }
+
+  /** Records from an offset on, deletions included. */
+  listFrom(offset: number): KeyRecord[] {
+    return [...this.#records.values()]
+      .filter((record) => record.offset >= offset);
+  }
+
+  /** Applies records that complete the table up to `next`. */
+  apply(records: readonly KeyRecord[], next: number): KeyRecord[] {
+    const changed = records.filter((record) => this.#put(record));
+    this.#next = Math.max(this.#next, next);
+    return changed;
+  }
+
+  /**
+   * Applies a snapshot that was begun when the topic ended at `next`. A key
+   * that it does not name was deleted, unless its record is newer.
+   */
+  applySnapshot(records: readonly KeyRecord[], next: number): KeyRecord[] {
+    const named = new Set(records.map(({ key }) => key));
+    const deleted = this.list()
+      .filter(({ key, offset }) => !named.has(key) && offset < next)
+      .map(({ key }) => ({ key, offset: next - 1, value: undefined }));
+    return this.apply([...records, ...deleted], next);
+  }
+
+  #put(record: KeyRecord): boolean {
+    const current = this.#records.get(record.key);
+    if (current !== undefined && current.offset >= record.offset) {
+      return false;
+    }
+    this.#records.set(record.key, record);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/relay/src/outside.ts
@@ -0,0 +1,153 @@
+/**
+ * The outside systems that an adapter connects: the store, the upstreams'
+ * control interface and the form of callers' requests.
+ *
+ * @module
+ */
+import type { IncomingMessage } from "node:http";
+import type { Verdict } from "@zinniahill/schema";
+import type { Result } from "true-myth";
+import type { Configuration } from "./model/configuration.ts";
+import type { Instance, Report } from "./model/instance.ts";
+import type { Order, OrderReply } from "./model/order.ts";
+import type { KeyRecord, NodeEntry } from "./model/peer-message.ts";
+
+/** The topics that nodes follow. */
+export type FeedName = "configuration" | "instances" | "nodes";
+
+/** A call that got no usable reply. */
+export interface Fault {
+  readonly verdict: Verdict;
+  readonly message: string;
+  /** The history before the wanted offset is gone. */
+  readonly isHistoryLost?: boolean;
+}
+
+/** Newest records of all keys. */
+export interface Snapshot {
+  readonly records: readonly KeyRecord[];
+  /** The offset after which newer records are read. */
+  readonly next: number;
+}
+
+/** Records from an offset on. */
+export interface Batch {
+  readonly records: readonly KeyRecord[];
+  readonly next: number;
+}
+
+/** The store's topics of keys and values. */
+export interface Topics {
+  /** Reads the newest record of each key. */
+  readNewest(
+    feed: FeedName,
+    signal: AbortSignal,
+  ): Promise<Result<Snapshot, Fault>>;
+  /** Waits up to `waitMs` for records from an offset on. */
+  readFrom(
+    feed: FeedName,
+    offset: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<Batch, Fault>>;
+  /** Announces this node. */
+  writeNode(
+    entry: NodeEntry,
+    signal: AbortSignal,
+  ): Promise<Result<void, Fault>>;
+}
+
+/** What a member of the placement group was told. */
+export interface Standing {
+  /** Rises with each change of the members. */
+  readonly generation: number;
+  readonly isHolder: boolean;
+}
+
+/** Membership at the store, of which one member holds placement. */
+export interface Seat {
+  renew(
+    member: string,
+    generation: number,
+    termMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<Standing, Fault>>;
+  leave(member: string, signal: AbortSignal): Promise<Result<void, Fault>>;
+}
+
+/** The conditions under which an engine carries out an order. */
+export interface OrderCondition {
+  readonly fence: number;
+  /** The engine's count of orders that the decision was based on. */
+  readonly orderCount?: number | undefined;
+}
+
+/** The engines' control interface. */
+export interface Engines {
+  report(
+    instance: Instance,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<Report, Fault>>;
+  order(
+    instance: Instance,
+    order: Order,
+    condition: OrderCondition,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<OrderReply, Fault>>;
+}
+
+/** Turns stored values into the product's types; undefined if unreadable. */
+export interface RecordDecoder {
+  configuration(value: string): Result<Configuration, string>;
+  instance(id: string, value: string): Result<Instance, string>;
+  node(value: string): Result<NodeEntry, string>;
+}
+
+/** What a caller's request says of itself. */
+export interface RequestFacts {
+  readonly attemptId: string | undefined;
+  readonly host: string;
+  /** Path with query, as sent. */
+  readonly target: string;
+  readonly key: string | undefined;
+  readonly deadlineMs: number | undefined;
+  readonly model: string | undefined;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly outputHint: number | undefined;
+  /** The last event that the caller has of an earlier stream. */
+  readonly lastEventId: string | undefined;
+}
+
+/** What the relay adds to a request for an upstream. */
+export interface ForwardFacts {
+  readonly deadlineMs: number;
+  readonly instance: string;
+  readonly account: string | undefined;
+  /** 0 is first, 9 is last. */
+  readonly priority: number | undefined;
+  readonly lastEventId: string | undefined;
+}
+
+/** What an upstream's response head says. */
+export interface ReplyFacts {
+  /** Whether the upstream says that it did not run the request. */
+  readonly isNotRun: boolean;
+  readonly attemptId: string | undefined;
+  /** Whether the response carries the upstream's signature. */
+  readonly isSealed: boolean;
+  /** Whether the body was encoded on the way. */
+  readonly isEncoded: boolean;
+  /** Instance that the upstream holds responsible for a refusal. */
+  readonly faultyInstance: string | undefined;
+}
+
+/** The form of callers' requests and upstreams' replies. */
+export interface RequestFormat {
+  readRequest(request: IncomingMessage): RequestFacts;
+  /** Headers for the upstream, as names and values in turn. */
+  writeForward(request: IncomingMessage, facts: ForwardFacts): string[];
+  readReply(headers: ReadonlyMap<string, string>): ReplyFacts;
+}
--- /dev/null
+++ b/packages/relay/src/peers/mesh.ts
@@ -0,0 +1,432 @@
+/**
+ * Connections to the other nodes: one task for each.
+ *
+ * @module
+ */
+import type { PeerConnection, PeerTransport } from "@zinniahill/clients";
+import {
+  type Clock,
+  describeError,
+  type Logger,
+  type Random,
+  type Service,
+  TaskGroup,
+  withDeadline,
+} from "@zinniahill/kernel";
+import type { Feeds } from "../feeds/feeds.ts";
+import type { Lifecycle } from "../lifecycle.ts";
+import {
+  type NodeEntry,
+  type PeerMessage,
+  SharedFeed,
+} from "../model/peer-message.ts";
+import type { RecordDecoder, Topics } from "../outside.ts";
+import type { RelayKernel } from "../services.ts";
+import { NodeDirectory } from "./directory.ts";
+import { decodeMessage, encodeMessage } from "./peer-codec.ts";
+
+/** A message of one kind. */
+export type MessageOf<Kind extends PeerMessage["kind"]> = Extract<
+  PeerMessage,
+  { kind: Kind }
+>;
+
+type Beat = MessageOf<"beat">;
+
+/** Handlers of messages, by kind. */
+type Handlers = {
+  [Kind in PeerMessage["kind"]]: (
+    link: Link,
+    message: MessageOf<Kind>,
+  ) => void;
+};
+
+/** A live connection to another node. */
+interface Link {
+  readonly entry: NodeEntry;
+  readonly connection: PeerConnection;
+  heardAt: number;
+  beat: Beat | undefined;
+  /** Since when the peer has known more of a feed than this node. */
+  behindSince: Map<SharedFeed, number>;
+}
+
+/** A node that was heard lately. */
+export interface Peer {
+  readonly entry: NodeEntry;
+  readonly isServing: boolean;
+  readonly outstanding: ReadonlyMap<string, number>;
+}
+
+/** Adds to a beat what another service knows. */
+export type BeatSource = () => readonly [string, number][];
+
+const BEAT_MS = 150;
+/** Beats of all nodes together must not grow with the square of their number. */
+const BEAT_MS_PER_PEER = 15;
+/** Beats that may be missed before a peer counts as lost. */
+const MISSED_BEATS = 6;
+const CONNECT_TIMEOUT_MS = 500;
+const REDIAL_MS = 200;
+const MAX_REDIAL_MS = 2000;
+/** A peer that does not read is cut off rather than waited for. */
+const MAX_QUEUED_BYTES = 4 * 1024 * 1024;
+/** This node's own read of the store normally brings a change sooner. */
+const FETCH_AFTER_MS = 200;
+const ANNOUNCE_RETRY_MS = 500;
+
+/** Keeps a connection to each other node. */
+export class Mesh implements Service {
+  #clock: Clock;
+  #logger: Logger;
+  #random: Random;
+  #transport: PeerTransport;
+  #topics: Topics;
+  #decoder: RecordDecoder;
+  #feeds: Feeds;
+  #lifecycle: Lifecycle;
+  #own: NodeEntry;
+  #directory: NodeDirectory;
+  #tasks: TaskGroup;
+  #links = new Map<string, Link>();
+  #dialing = new Set<string>();
+  #readOutstanding: BeatSource = () => [];
+  #onSuspect: (message: MessageOf<"suspect">) => void = () => {};
+
+  constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#random = kernel.find("random");
+    this.#transport = kernel.find("peerTransport");
+    this.#topics = kernel.find("topics");
+    this.#decoder = kernel.find("decoder");
+    this.#feeds = kernel.find("feeds");
+    this.#lifecycle = kernel.find("lifecycle");
+    const { node } = kernel.find("settings");
+    this.#own = {
+      name: node.name,
+      incarnation: this.#random.id(),
+      dataCentre: node.dataCentre,
+      publicAddress: node.publicAddress,
+      peerAddress: node.peerAddress,
+    };
+    this.#directory = new NodeDirectory(this.#own);
+    this.#tasks = new TaskGroup(this.#clock, this.#logger);
+    this.#feeds.onChange("nodes", (records) => {
+      for (const { value } of records) {
+        const entry = value === undefined
+          ? undefined
+          : this.#decoder.node(value);
+        entry?.match({
+          Ok: (node) => this.#learn(node),
+          Err: (error) => this.#logger.warn("node_entry_unreadable", { error }),
+        });
+      }
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.#transport.listen(
+      this.#own.peerAddress,
+      (connection) => this.#accept(connection),
+    );
+    this.#tasks.run("announce", (signal) => this.#announce(signal));
+    this.#tasks.run("beat", (signal) => this.#beatForever(signal));
+    this.#lifecycle.onChange(() => this.beatNow());
+  }
+
+  async stop(): Promise<void> {
+    for (const link of this.#links.values()) {
+      link.connection.close();
+    }
+    await this.#tasks.stop();
+  }
+
+  /** This node's entry. */
+  get own(): NodeEntry {
+    return this.#own;
+  }
+
+  /** Sets what beats say of requests in progress. */
+  reportOutstanding(source: BeatSource): void {
+    this.#readOutstanding = source;
+  }
+
+  /** Calls a listener for each group that a peer holds for broken. */
+  onSuspect(listener: (message: MessageOf<"suspect">) => void): void {
+    this.#onSuspect = listener;
+  }
+
+  /** Nodes that were heard lately, apart from this one. */
+  list(): Peer[] {
+    return [...this.#links.values()].map(({ entry, beat }) => ({
+      entry,
+      isServing: beat?.isServing ?? false,
+      outstanding: new Map(beat?.outstanding ?? []),
+    }));
+  }
+
+  /** Nodes that are known, whether they were heard or not, and this one. */
+  countNodes(): number {
+    return Math.max(this.#links.size, this.#directory.list().length) + 1;
+  }
+
+  /** Sends a message to every peer. */
+  broadcast(message: PeerMessage): void {
+    const bytes = encodeMessage(message);
+    this.#links.forEach((link) => this.#sendBytes(link, bytes));
+  }
+
+  /** Tells all peers at once how this node is. */
+  beatNow(): void {
+    this.broadcast(this.#createBeat());
+  }
+
+  dump(): unknown {
+    return [...this.#links.values()].map(({ entry, heardAt, beat }) => ({
+      name: entry.name,
+      heardMsAgo: Math.round(this.#clock.now() - heardAt),
+      isServing: beat?.isServing,
+      offsets: beat?.offsets,
+    }));
+  }
+
+  async #announce(signal: AbortSignal): Promise<void> {
+    for (;;) {
+      const written = await this.#topics.writeNode(this.#own, signal);
+      if (written.isOk || signal.aborted) {
+        return;
+      }
+      this.#logger.warn("node_announcement_failed", {
+        error: written.error.message,
+      });
+      await this.#clock.sleep(ANNOUNCE_RETRY_MS, signal);
+    }
+  }
+
+  async #beatForever(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.beatNow();
+      await this.#clock.sleep(this.#beatMs, signal);
+    }
+  }
+
+  get #beatMs(): number {
+    return Math.max(BEAT_MS, BEAT_MS_PER_PEER * this.#links.size);
+  }
+
+  #createBeat(): Beat {
+    const offsets = {} as Beat["offsets"];
+    const agesMs = {} as Beat["agesMs"];
+    for (const feed of SharedFeed.options) {
+      offsets[feed] = this.#feeds.table(feed).next;
+      agesMs[feed] = Math.min(this.#feeds.ageMs(feed), Number.MAX_SAFE_INTEGER);
+    }
+    return {
+      kind: "beat",
+      isServing: this.#lifecycle.isServing,
+      offsets,
+      agesMs,
+      outstanding: [...this.#readOutstanding()],
+    };
+  }
+
+  /** Of two nodes, the one whose name sorts first dials. */
+  #learn(entry: NodeEntry): void {
+    if (!this.#directory.add(entry)) {
+      return;
+    }
+    const { name } = entry;
+    if (this.#own.name < name && !this.#dialing.has(name)) {
+      this.#dialing.add(name);
+      this.#tasks.run(`dial_${name}`, (signal) => this.#dial(name, signal));
+    }
+  }
+
+  async #dial(name: string, signal: AbortSignal): Promise<void> {
+    let failures = 0;
+    while (!signal.aborted) {
+      const entry = this.#directory.find(name)!;
+      try {
+        const connection = await withDeadline(
+          this.#clock,
+          CONNECT_TIMEOUT_MS,
+          signal,
+          (bounded) => this.#transport.connect(entry.peerAddress, bounded),
+        );
+        failures = 0;
+        await this.#converse(connection, signal);
+      } catch (failure) {
+        failures++;
+        this.#logger.debug("peer_unreachable", {
+          peer: name,
+          error: describeError(failure),
+        });
+      }
+      const pauseMs = Math.min(MAX_REDIAL_MS, REDIAL_MS * 2 ** failures);
+      await this.#clock.sleep(
+        pauseMs * (1 + this.#random.fraction()) / 2,
+        signal,
+      );
+    }
+  }
+
+  #accept(connection: PeerConnection): void {
+    this.#tasks.run(
+      "accepted_peer",
+      (signal) => this.#converse(connection, signal),
+    );
+  }
+
+  /** Serves one connection until it ends or falls silent. */
+  async #converse(
+    connection: PeerConnection,
+    signal: AbortSignal,
+  ): Promise<void> {
+    let link: Link | undefined;
+    connection.send(encodeMessage({
+      kind: "hello",
+      entry: this.#own,
+      known: this.#directory.listAll(),
+    }));
+    connection.send(encodeMessage(this.#createBeat()));
+    try {
+      for (;;) {
+        const bytes = await withDeadline(
+          this.#clock,
+          MISSED_BEATS * this.#beatMs,
+          signal,
+          (bounded) => connection.receive(bounded),
+        );
+        if (bytes === undefined) {
+          return;
+        }
+        link = this.#handle(connection, link, bytes);
+      }
+    } catch (failure) {
+      this.#logger.debug("peer_silent", {
+        peer: link?.entry.name,
+        error: describeError(failure),
+      });
+    } finally {
+      connection.close();
+      this.#unlink(link);
+    }
+  }
+
+  /** Handles one message; the first one says who the peer is. */
+  #handle(
+    connection: PeerConnection,
+    link: Link | undefined,
+    bytes: Uint8Array,
+  ): Link | undefined {
+    const decoded = decodeMessage(bytes);
+    if (decoded.isErr) {
+      this.#logger.warn("peer_message_unreadable", {
+        peer: link?.entry.name,
+        error: decoded.error,
+      });
+      return link;
+    }
+    const message = decoded.value;
+    const known = message.kind === "hello"
+      ? this.#link(connection, message)
+      : link;
+    if (known !== undefined) {
+      known.heardAt = this.#clock.now();
+      const handle = this.#handlers[message.kind] as (
+        link: Link,
+        message: PeerMessage,
+      ) => void;
+      handle(known, message);
+    }
+    return known;
+  }
+
+  #link(connection: PeerConnection, { entry }: MessageOf<"hello">): Link {
+    const { name } = entry;
+    this.#links.get(name)?.connection.close();
+    const link: Link = {
+      entry,
+      connection,
+      heardAt: this.#clock.now(),
+      beat: undefined,
+      behindSince: new Map(),
+    };
+    this.#links.set(name, link);
+    this.#logger.info("peer_connected", { peer: name });
+    return link;
+  }
+
+  #unlink(link: Link | undefined): void {
+    if (link !== undefined && this.#links.get(link.entry.name) === link) {
+      this.#links.delete(link.entry.name);
+      this.#logger.info("peer_lost", {
+        peer: link.entry.name,
+        heard_ms_ago: Math.round(this.#clock.now() - link.heardAt),
+      });
+    }
+  }
+
+  readonly #handlers: Handlers = {
+    hello: (_link, { entry, known }) => {
+      this.#learn(entry);
+      known.forEach((other) => this.#learn(other));
+    },
+    beat: (link, beat) => {
+      link.beat = beat;
+      SharedFeed.options.forEach((feed) => this.#compare(link, beat, feed));
+    },
+    fetch: (link, { feed, from }) => {
+      const table = this.#feeds.table(feed);
+      this.#send(link, {
+        kind: "records",
+        feed,
+        records: table.listFrom(from),
+        next: table.next,
+      });
+    },
+    records: (link, { feed, records, next }) => {
+      this.#logger.info("feed_from_peer", {
+        feed,
+        peer: link.entry.name,
+        from: this.#feeds.table(feed).next,
+        next,
+      });
+      this.#feeds.applyFromPeer(feed, records, next);
+    },
+    suspect: (_link, message) => this.#onSuspect(message),
+  };
+
+  /** Asks for records that the peer has and the store has not given. */
+  #compare(link: Link, beat: Beat, feed: SharedFeed): void {
+    const own = this.#feeds.table(feed).next;
+    const theirs = beat.offsets[feed];
+    if (theirs <= own) {
+      link.behindSince.delete(feed);
+      if (theirs === own) {
+        this.#feeds.noteCurrent(feed, beat.agesMs[feed]);
+      }
+      return;
+    }
+    const now = this.#clock.now();
+    const since = link.behindSince.get(feed) ?? now;
+    link.behindSince.set(feed, since);
+    if (!this.#feeds.isReachable(feed) || now - since >= FETCH_AFTER_MS) {
+      link.behindSince.set(feed, now);
+      this.#send(link, { kind: "fetch", feed, from: own });
+    }
+  }
+
+  #send(link: Link, message: PeerMessage): void {
+    this.#sendBytes(link, encodeMessage(message));
+  }
+
+  #sendBytes({ connection }: Link, bytes: Uint8Array): void {
+    if (connection.queuedBytes > MAX_QUEUED_BYTES) {
+      connection.close();
+      return;
+    }
+    connection.send(bytes);
+  }
+}
--- /dev/null
+++ b/packages/relay/src/placement/controller.ts
@@ -0,0 +1,553 @@
+/**
+ * Forms, repairs and dissolves groups while this node holds placement.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  describeError,
+  type Logger,
+  type Service,
+  TaskGroup,
+} from "@zinniahill/kernel";
+import type { CurrentConfiguration } from "../routing/current-configuration.ts";
+import { createGroupName, type Group, Groups } from "../hosts/groups.ts";
+import type { Instances } from "../hosts/instances.ts";
+import type {
+  EngineProfile,
+  Service as ServiceProfile,
+} from "../model/configuration.ts";
+import type { Instance } from "../model/instance.ts";
+import type { Mesh } from "../peers/mesh.ts";
+import type { RelayKernel } from "../services.ts";
+import type { Demand } from "./demand.ts";
+import { type FormingGroup, Formations } from "./formation.ts";
+import type { Holder } from "./holder.ts";
+import { LoadLimit } from "./loads.ts";
+import { isMemberOf, Orders, PlacementError } from "./orders.ts";
+import {
+  createPlan,
+  type Formation,
+  type FreeHost,
+  type Plan,
+  type Staging,
+} from "./plan.ts";
+
+const CHECK_INTERVAL_MS = 500;
+/** Changes that come together are looked at together. */
+const COLLECT_MS = 40;
+/** After placement moves, the first orders wait for a read of the store. */
+const SETTLE_MS = 300;
+/** Epochs of a later holder are always higher, whatever it has read. */
+const EPOCHS_PER_FENCE = 10_000;
+/** A host that did not answer is asked again after this time. */
+const MISSING_RETRY_MS = 1500;
+const CLOSE_WAIT_MS = 10_000;
+/** Time between two checks of the members of one suspected group. */
+const RECHECK_MS = 400;
+
+/** A service with engines. */
+interface EngineService {
+  readonly name: string;
+  readonly engine: EngineProfile;
+}
+
+/** Gives orders so that every model is served by whole groups. */
+export class PlacementController implements Service {
+  #clock: Clock;
+  #logger: Logger;
+  #configuration: CurrentConfiguration;
+  #instances: Instances;
+  #groups: Groups;
+  #mesh: Mesh;
+  #holder: Holder;
+  #demand: Demand;
+  #tasks: TaskGroup;
+  #orders: Orders;
+  #loads: LoadLimit;
+  #formations: Formations;
+  #highestEpoch = 0;
+  /** Groups and hosts that a task is working on. */
+  #busyGroups = new Set<string>();
+  #busyHosts = new Set<string>();
+  /** Members of groups that are being formed, by group name. */
+  #forming = new Map<string, FormingGroup>();
+  /** Hosts that did not answer, and until when they are left alone. */
+  #missingUntil = new Map<string, number>();
+  #checkedAt = new Map<string, number>();
+  /** Groups whose lead has gone and was told to leave. */
+  #releasedLeads = new Set<string>();
+
+  constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#configuration = kernel.find("configuration");
+    this.#instances = kernel.find("instances");
+    this.#groups = kernel.find("groups");
+    this.#mesh = kernel.find("mesh");
+    this.#holder = kernel.find("holder");
+    this.#demand = kernel.find("demand");
+    this.#tasks = new TaskGroup(this.#clock, this.#logger);
+    this.#orders = new Orders(kernel);
+    this.#loads = new LoadLimit(this.#clock, () => this.#demand.hasBegun);
+    this.#formations = new Formations(kernel, this.#orders, this.#loads);
+  }
+
+  start(): void {
+    this.#mesh.onSuspect(({ group, epoch, instance }) => {
+      this.#groups.suspect(group, epoch, `peer about ${instance}`);
+      this.check(group, epoch);
+    });
+    this.#tasks.run("watch_instances", (signal) => this.#watch(signal));
+    this.#tasks.repeat("evaluate", CHECK_INTERVAL_MS, () => {
+      this.#evaluate();
+      return Promise.resolve();
+    });
+  }
+
+  stop(): Promise<void> {
+    return this.#tasks.stop();
+  }
+
+  /** Asks every member of a suspected group, if this node gives the orders. */
+  check(name: string, epoch: number): void {
+    const group = this.#groups.find(name, epoch);
+    const isDue = this.#clock.now() - (this.#checkedAt.get(name) ?? -Infinity) >
+      RECHECK_MS;
+    if (
+      group === undefined || !isDue || !this.#holder.isHolder ||
+      this.#busyGroups.has(name)
+    ) {
+      return;
+    }
+    this.#checkedAt.set(name, this.#clock.now());
+    this.#runOnGroup(group, "check", (signal) => this.#check(group, signal));
+  }
+
+  dump(): unknown {
+    return {
+      isHolder: this.#holder.isHolder,
+      forming: [...this.#forming.keys()],
+      busyHosts: [...this.#busyHosts],
+      missing: [...this.#missingUntil.keys()],
+      loads: this.#loads.running,
+    };
+  }
+
+  async #watch(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#instances.changed.wait(signal);
+      await this.#clock.sleep(COLLECT_MS, signal);
+      this.#evaluate();
+    }
+  }
+
+  #evaluate(): void {
+    if (!this.#holder.isHolder || this.#holder.heldMs < SETTLE_MS) {
+      return;
+    }
+    this.#noteEpochs();
+    for (const service of this.#listEngineServices()) {
+      this.#repair(service);
+      this.#fill(service);
+    }
+  }
+
+  #listEngineServices(): EngineService[] {
+    const services = this.#configuration.current?.services ?? [];
+    return services.flatMap(({ name, engine }: ServiceProfile) =>
+      engine === undefined ? [] : [{ name, engine }]
+    );
+  }
+
+  #noteEpochs(): void {
+    for (const { epoch } of this.#groups.list()) {
+      this.#highestEpoch = Math.max(this.#highestEpoch, epoch);
+    }
+  }
+
+  #takeEpoch(): number {
+    const least = this.#holder.fence * EPOCHS_PER_FENCE;
+    this.#highestEpoch = Math.max(this.#highestEpoch, least) + 1;
+    return this.#highestEpoch;
+  }
+
+  /** Ends groups that lost a member, and goes on with those left half-way. */
+  #repair(service: EngineService): void {
+    for (const group of this.#groups.list()) {
+      if (
+        group.service !== service.name || this.#busyGroups.has(group.name) ||
+        this.#forming.has(group.name) || !this.#isLed(group)
+      ) {
+        continue;
+      }
+      const size = findModel(service, group.model)?.hosts ?? 0;
+      const isWhole = group.members.length === size;
+      if (group.state === "open" || group.state === "closing") {
+        this.#repairServing(group, isWhole);
+      } else if (isWhole && group.state !== "broken") {
+        this.#adopt(service, group);
+      } else {
+        this.#runOnGroup(
+          group,
+          "dissolve",
+          (signal) => this.#dissolve(group, signal),
+        );
+      }
+    }
+  }
+
+  #repairServing(group: Group, isWhole: boolean): void {
+    if (group.members.some(({ isDraining }) => isDraining)) {
+      this.#runOnGroup(
+        group,
+        "drain",
+        (signal) => this.#drain(group, signal),
+      );
+    } else if (!isWhole) {
+      this.check(group.name, group.epoch);
+    }
+  }
+
+  /** Whether the lead can be given orders. */
+  #isLed({ lead }: Group): boolean {
+    return lead !== undefined && !this.#isMissing(lead);
+  }
+
+  /** Opens a group that another holder had begun to form. */
+  #adopt(service: EngineService, group: Group): void {
+    const model = findModel(service, group.model)!;
+    const forming: FormingGroup = {
+      name: group.name,
+      epoch: group.epoch,
+      model,
+      engine: service.engine,
+      members: group.members.map(({ id }) => id),
+      loads: new Set(),
+    };
+    const born = new Map(group.members.map(({ id, bornAt }) => [id, bornAt]));
+    const areReady = group.members.every(({ engine }) =>
+      engine?.membership?.state === "ready"
+    );
+    if (areReady) {
+      this.#runFormation(
+        forming,
+        (signal) => this.#formations.open(forming, born, signal),
+      );
+    }
+  }
+
+  /** Forms groups of free hosts and stages weights on spares. */
+  #fill(service: EngineService): void {
+    const plan = this.#createPlan(service);
+    plan.formations.forEach((formation) => this.#form(service, formation));
+    if (this.#forming.size === 0) {
+      plan.stagings.forEach((staging) => this.#stage(service, staging));
+    }
+  }
+
+  #createPlan(service: EngineService): Plan {
+    const groups = this.#groups.list().filter((group) =>
+      group.service === service.name && this.#isStanding(group)
+    );
+    const counts = new Map<string, number>();
+    const domainModels = new Map<string, string[]>();
+    const note = (model: string, domain: string) => {
+      counts.set(model, (counts.get(model) ?? 0) + 1);
+      domainModels.set(domain, [...domainModels.get(domain) ?? [], model]);
+    };
+    for (const group of groups) {
+      if (!this.#forming.has(group.name)) {
+        note(group.model, readDomain(group.members[0]));
+      }
+    }
+    for (const { model, members } of this.#forming.values()) {
+      note(model.name, readDomain(this.#instances.find(members[0]!)));
+    }
+    return createPlan({
+      engine: service.engine,
+      free: this.#listFree(service, groups),
+      groupCounts: counts,
+      domainModels,
+      demand: this.#demand.readShares(service.engine),
+    });
+  }
+
+  /**
+   * Whether a group's members are not free for another one. A lead that does
+   * not answer may still serve; one that the store no longer lists is told to
+   * leave first, as it may only be cut off from the store.
+   */
+  #isStanding(group: Group): boolean {
+    if (group.lead !== undefined || this.#busyGroups.has(group.name)) {
+      return true;
+    }
+    const lead = this.#instances.findDepartedLead(group.name, group.epoch);
+    if (lead === undefined || this.#releasedLeads.has(group.name)) {
+      return false;
+    }
+    this.#runOnGroup(
+      group,
+      "release_lead",
+      (signal) => this.#releaseLead(group, lead, signal),
+    );
+    return true;
+  }
+
+  async #releaseLead(
+    { name, epoch }: Group,
+    lead: Instance,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const isReleased = await this.#orders.release(lead, name, epoch, signal);
+    this.#logger.info("departed_lead_released", {
+      group: name,
+      epoch,
+      lead: lead.id,
+      answered: isReleased,
+    });
+    this.#releasedLeads.add(name);
+  }
+
+  #listFree(service: EngineService, standing: readonly Group[]): FreeHost[] {
+    const taken = new Set(
+      standing.flatMap(({ members }) => members.map(({ id }) => id)),
+    );
+    return this.#instances.listReady(service.name)
+      .filter((instance) =>
+        instance.engine !== undefined && !taken.has(instance.id) &&
+        !this.#busyHosts.has(instance.id) && !this.#isMissing(instance)
+      )
+      .map(({ id, engine }) => ({
+        id,
+        fabricDomain: engine!.fabricDomain,
+        lastModel: engine!.model,
+        staged: engine!.staged,
+      }));
+  }
+
+  #form(service: EngineService, formation: Formation): void {
+    const epoch = this.#takeEpoch();
+    const forming: FormingGroup = {
+      ...formation,
+      name: createGroupName(formation.model, epoch),
+      epoch,
+      model: findModel(service, formation.model)!,
+      engine: service.engine,
+    };
+    this.#runFormation(
+      forming,
+      (signal) => this.#formations.form(forming, signal),
+    );
+  }
+
+  #runFormation(
+    forming: FormingGroup,
+    work: (signal: AbortSignal) => Promise<void>,
+  ): void {
+    const { name, epoch, members } = forming;
+    this.#forming.set(name, forming);
+    members.forEach((id) => this.#busyHosts.add(id));
+    this.#tasks.run(`form_${name}`, async (signal) => {
+      try {
+        await work(signal);
+      } catch (failure) {
+        this.#logger.warn("group_formation_failed", {
+          group: name,
+          epoch,
+          error: describeError(failure),
+        });
+        await this.#findMissing(members, signal);
+      } finally {
+        this.#forming.delete(name);
+        members.forEach((id) => this.#busyHosts.delete(id));
+        this.#instances.changed.notify();
+      }
+    });
+  }
+
+  #stage(service: EngineService, { host, model }: Staging): void {
+    this.#busyHosts.add(host);
+    const { loadMs } = findModel(service, model)!;
+    this.#tasks.run(`stage_${host}`, async (signal) => {
+      const release = await this.#loads.acquire(service.engine, signal);
+      try {
+        const hasModel = (staged: readonly string[]) => staged.includes(model);
+        await this.#orders.give(
+          host,
+          { kind: "stage", model },
+          ({ engine }) => hasModel(engine.staged),
+          signal,
+        );
+        const until = this.#clock.now() + loadMs * 2;
+        while (
+          this.#clock.now() < until &&
+          !hasModel(this.#instances.find(host)?.engine?.staged ?? [model])
+        ) {
+          await this.#clock.sleep(CHECK_INTERVAL_MS, signal);
+        }
+      } catch (failure) {
+        this.#logger.warn("staging_failed", {
+          instance: host,
+          model,
+          error: describeError(failure),
+        });
+      } finally {
+        release();
+        this.#busyHosts.delete(host);
+      }
+    });
+  }
+
+  #runOnGroup(
+    group: Group,
+    name: string,
+    work: (signal: AbortSignal) => Promise<void>,
+  ): void {
+    this.#busyGroups.add(group.name);
+    this.#tasks.run(`${name}_${group.name}`, async (signal) => {
+      try {
+        await work(signal);
+      } catch (failure) {
+        this.#logger.warn("group_task_failed", {
+          task: name,
+          group: group.name,
+          error: describeError(failure),
+        });
+      } finally {
+        this.#busyGroups.delete(group.name);
+        this.#instances.changed.notify();
+      }
+    });
+  }
+
+  /** Ends a group of which a member is away or has left. */
+  async #check(group: Group, signal: AbortSignal): Promise<void> {
+    const service = this.#listEngineServices()
+      .find(({ name }) => name === group.service);
+    const size = service && findModel(service, group.model)?.hosts;
+    const present = await Promise.all(
+      group.members.map((member) => this.#isPresent(group, member, signal)),
+    );
+    const isWhole = present.every(Boolean) && group.members.length === size;
+    this.#logger.info("group_checked", {
+      group: group.name,
+      epoch: group.epoch,
+      present: present.filter(Boolean).length,
+      listed: group.members.length,
+      expected: size,
+    });
+    if (!isWhole) {
+      await this.#dissolve(group, signal);
+    }
+  }
+
+  async #isPresent(
+    { name, epoch }: Group,
+    member: Instance,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const report = await this.#orders.ask(member, signal);
+    if (report === undefined) {
+      this.#noteMissing(member);
+    }
+    return isMemberOf(report?.engine.membership, name, epoch);
+  }
+
+  /** Lets a group with a leaving member finish, then frees the others. */
+  async #drain(group: Group, signal: AbortSignal): Promise<void> {
+    const { name, epoch, lead } = group;
+    if (lead === undefined) {
+      return;
+    }
+    if (group.state === "open") {
+      await this.#orders.give(
+        lead.id,
+        { kind: "close", group: name, epoch, isImmediate: false },
+        ({ engine }) => engine.membership?.state !== "open",
+        signal,
+      );
+    }
+    const until = this.#clock.now() + CLOSE_WAIT_MS;
+    const isServing = () => {
+      const state = this.#groups.find(name, epoch)?.state;
+      return state === "open" || state === "closing";
+    };
+    while (isServing() && this.#clock.now() < until) {
+      await this.#clock.sleep(COLLECT_MS, signal);
+    }
+    await this.#dissolve(group, signal);
+  }
+
+  /**
+   * Takes the lead out of its group, so that no other member can be missed by
+   * an open lead when it joins elsewhere.
+   */
+  async #dissolve(group: Group, signal: AbortSignal): Promise<void> {
+    const { name, epoch, lead } = group;
+    if (lead === undefined || this.#instances.find(lead.id) === undefined) {
+      return;
+    }
+    await this.#orders.give(
+      lead.id,
+      { kind: "leave", group: name, epoch },
+      ({ engine }) => !isMemberOf(engine.membership, name, epoch),
+      signal,
+    );
+    this.#logger.info("group_dissolved", { group: name, epoch, lead: lead.id });
+    // The store shows the lead's leaving a moment later.
+    const until = this.#clock.now() + MISSING_RETRY_MS;
+    while (
+      this.#clock.now() < until &&
+      isMemberOf(
+        this.#instances.find(lead.id)?.engine?.membership,
+        name,
+        epoch,
+      )
+    ) {
+      await this.#clock.sleep(COLLECT_MS, signal);
+    }
+  }
+
+  async #findMissing(
+    members: readonly string[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    await Promise.all(members.map(async (id) => {
+      const instance = this.#instances.find(id);
+      if (instance === undefined) {
+        return;
+      }
+      if (await this.#orders.ask(instance, signal) === undefined) {
+        this.#noteMissing(instance);
+      }
+    }));
+  }
+
+  #noteMissing(instance: Instance): void {
+    if (!this.#isMissing(instance)) {
+      this.#logger.info("instance_missing", { instance: instance.id });
+    }
+    this.#missingUntil.set(
+      createProcessKey(instance),
+      this.#clock.now() + MISSING_RETRY_MS,
+    );
+  }
+
+  #isMissing(instance: Instance): boolean {
+    const until = this.#missingUntil.get(createProcessKey(instance));
+    return until !== undefined && this.#clock.now() < until;
+  }
+}
+
+function createProcessKey({ id, bornAt }: Instance): string {
+  return `${id}/${bornAt}`;
+}
+
+function findModel({ engine }: EngineService, name: string) {
+  return engine.models.find((model) => model.name === name);
+}
+
+function readDomain(instance: Instance | undefined): string {
+  return instance?.engine?.fabricDomain ?? "";
+}
--- /dev/null
+++ b/packages/relay/src/placement/formation.ts
@@ -0,0 +1,174 @@
+/**
+ * Forms one group: every member joins, all are seen ready, the lead opens.
+ *
+ * @module
+ */
+import { type Clock, type Logger, withDeadline } from "@zinniahill/kernel";
+import { createGroupName } from "../hosts/groups.ts";
+import type { Instances } from "../hosts/instances.ts";
+import type { EngineProfile, ModelProfile } from "../model/configuration.ts";
+import type { Instance, Membership } from "../model/instance.ts";
+import type { RelayKernel } from "../services.ts";
+import type { LoadLimit } from "./loads.ts";
+import { isMemberOf, Orders, PlacementError } from "./orders.ts";
+
+/** A group on its way to be opened. */
+export interface FormingGroup {
+  readonly name: string;
+  readonly epoch: number;
+  readonly model: ModelProfile;
+  readonly engine: EngineProfile;
+  /** Instance ids; the first is the lead. */
+  readonly members: readonly string[];
+  /** Members whose weights must be loaded. */
+  readonly loads: ReadonlySet<string>;
+}
+
+/** Several loads at once take longer than one. */
+const LOAD_TIMEOUT_FACTOR = 4;
+const JOIN_TIMEOUT_MS = 3000;
+const OPEN_TIMEOUT_MS = 2000;
+
+/** Carries out formations. */
+export class Formations {
+  #clock: Clock;
+  #logger: Logger;
+  #instances: Instances;
+  #orders: Orders;
+  #loads: LoadLimit;
+
+  constructor(kernel: RelayKernel, orders: Orders, loads: LoadLimit) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#instances = kernel.find("instances");
+    this.#orders = orders;
+    this.#loads = loads;
+  }
+
+  /** Joins the members of a new group and opens it. */
+  async form(group: FormingGroup, signal: AbortSignal): Promise<void> {
+    this.#logger.info("group_forming", {
+      group: group.name,
+      epoch: group.epoch,
+      lead: group.members[0],
+      members: group.members.length,
+      loads: group.loads.size,
+    });
+    const born = this.#readBirths(group);
+    const stop = new AbortController();
+    const joinSignal = AbortSignal.any([signal, stop.signal]);
+    try {
+      await Promise.all(
+        group.members.map((id) => this.#join(group, id, joinSignal)),
+      );
+    } finally {
+      // One member that cannot join ends the wait for the others.
+      stop.abort(new PlacementError("another member did not join"));
+    }
+    await this.open(group, born, signal);
+  }
+
+  /** Opens a group whose members have all joined. */
+  async open(
+    group: FormingGroup,
+    born: ReadonlyMap<string, number>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await Promise.all(
+      group.members.map((id) => this.#verifyReady(group, id, born, signal)),
+    );
+    const { name, epoch } = group;
+    const lead = group.members[0]!;
+    const isOpen = (membership: Membership | undefined) =>
+      isMemberOf(membership, name, epoch) && membership?.state === "open";
+    await this.#orders.give(
+      lead,
+      { kind: "open", group: name, epoch },
+      ({ engine }) => isOpen(engine.membership),
+      signal,
+    );
+    await this.#waitFor(
+      group.engine.openMs + OPEN_TIMEOUT_MS,
+      () => isOpen(this.#find(lead).engine?.membership),
+      signal,
+    );
+    this.#logger.info("group_opened", { group: name, epoch, lead });
+  }
+
+  /** When each member's process started. */
+  #readBirths({ members }: FormingGroup): Map<string, number> {
+    return new Map(members.map((id) => [id, this.#find(id).bornAt]));
+  }
+
+  async #join(
+    group: FormingGroup,
+    id: string,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { name, epoch, model, engine, members, loads } = group;
+    const isLoading = loads.has(id);
+    const release = isLoading
+      ? await this.#loads.acquire(engine, signal)
+      : () => {};
+    try {
+      await this.#orders.give(
+        id,
+        { kind: "join", group: name, epoch, model: model.name, members: [...members] },
+        (report) => isMemberOf(report.engine.membership, name, epoch),
+        signal,
+      );
+      const limitMs = isLoading
+        ? model.loadMs * LOAD_TIMEOUT_FACTOR
+        : model.warmMs + JOIN_TIMEOUT_MS;
+      await this.#waitFor(limitMs, () => this.#isReady(group, id), signal);
+    } finally {
+      release();
+    }
+  }
+
+  #isReady({ name, epoch }: FormingGroup, id: string): boolean {
+    const membership = this.#find(id).engine?.membership;
+    return isMemberOf(membership, name, epoch) &&
+      membership?.state === "ready";
+  }
+
+  /** No engine checks the other members, so each one is asked itself. */
+  async #verifyReady(
+    { name, epoch }: FormingGroup,
+    id: string,
+    born: ReadonlyMap<string, number>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const instance = this.#find(id);
+    const report = await this.#orders.ask(instance, signal);
+    const membership = report?.engine.membership;
+    const isReady = isMemberOf(membership, name, epoch) &&
+      membership?.state === "ready";
+    if (!isReady || instance.bornAt !== born.get(id)) {
+      throw new PlacementError(
+        `${id} is not ready: ${membership?.state ?? "no answer"}`,
+      );
+    }
+  }
+
+  #find(id: string): Instance {
+    const instance = this.#instances.find(id);
+    if (instance === undefined || instance.isDraining) {
+      throw new PlacementError(`${id} is gone or leaving`);
+    }
+    return instance;
+  }
+
+  async #waitFor(
+    limitMs: number,
+    isMet: () => boolean,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await withDeadline(
+      this.#clock,
+      limitMs,
+      signal,
+      (bounded) => this.#instances.changed.until(isMet, bounded),
+    );
+  }
+}
--- /dev/null
+++ b/packages/relay/src/placement/holder.ts
@@ -0,0 +1,149 @@
+/**
+ * Which node gives orders: one at a time, by membership at the store.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type Logger,
+  type Service,
+  TaskGroup,
+} from "@zinniahill/kernel";
+import { createMachine, interpret, state, transition } from "robot3";
+import type { Lifecycle } from "../lifecycle.ts";
+import type { Seat, Standing } from "../outside.ts";
+import type { RelayKernel } from "../services.ts";
+
+/** A member that has not renewed for this long loses its place. */
+const TERM_MS = 1500;
+const RENEWAL_MS = 400;
+const RETRY_MS = 150;
+/** Orders end this long before the store may give placement to another. */
+const TERM_MARGIN_MS = 200;
+
+const machine = createMachine({
+  member: state(transition("hold", "holder")),
+  holder: state(transition("lose", "member")),
+});
+
+/** Renews this node's membership and knows whether it may give orders. */
+export class Holder implements Service {
+  #clock: Clock;
+  #logger: Logger;
+  #seat: Seat;
+  #member: string;
+  #lifecycle: Lifecycle;
+  #tasks: TaskGroup;
+  #machine = interpret(machine, () => {});
+  #generation = 0;
+  #heldUntil = -Infinity;
+  #heldSince = -Infinity;
+
+  constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#seat = kernel.find("seat");
+    this.#lifecycle = kernel.find("lifecycle");
+    // A restarted process must not take its predecessor's place for granted.
+    this.#member = `${kernel.find("settings").node.name}/${
+      kernel.find("random").id()
+    }`;
+    this.#tasks = new TaskGroup(this.#clock, this.#logger);
+  }
+
+  start(): void {
+    this.#tasks.run("renew_membership", (signal) => this.#renewForever(signal));
+  }
+
+  async stop(): Promise<void> {
+    await this.#tasks.stop();
+  }
+
+  /** Whether this node may give orders now. */
+  get isHolder(): boolean {
+    return this.#machine.machine.current === "holder" &&
+      this.#clock.now() < this.#heldUntil;
+  }
+
+  /** How long this node has held placement. */
+  get heldMs(): number {
+    return this.isHolder ? this.#clock.now() - this.#heldSince : 0;
+  }
+
+  /** The fencing number of this node's orders. */
+  get fence(): number {
+    return this.#generation;
+  }
+
+  /** Notes that an engine has seen a later fencing number. */
+  noteFenced(): void {
+    this.#lose("fenced");
+  }
+
+  dump(): unknown {
+    return { isHolder: this.isHolder, generation: this.#generation };
+  }
+
+  async #renewForever(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.#lifecycle.isDraining) {
+      const began = this.#clock.now();
+      const renewed = await this.#seat.renew(
+        this.#member,
+        this.#generation,
+        TERM_MS,
+        signal,
+      );
+      if (signal.aborted) {
+        return;
+      }
+      renewed.match({
+        Ok: (standing) => this.#apply(standing, began),
+        Err: ({ message }) => this.#noteFailure(message),
+      });
+      const pauseMs = renewed.isOk ? RENEWAL_MS : RETRY_MS;
+      await this.#clock.sleep(pauseMs, signal);
+    }
+    await this.#leave(signal);
+  }
+
+  async #leave(signal: AbortSignal): Promise<void> {
+    this.#lose("stopping");
+    const left = await this.#seat.leave(this.#member, signal);
+    if (left.isErr) {
+      this.#logger.warn("membership_leave_failed", {
+        error: left.error.message,
+      });
+    }
+  }
+
+  /** The term counts from before the renewal was sent. */
+  #apply({ generation, isHolder }: Standing, began: number): void {
+    this.#generation = generation;
+    if (!isHolder) {
+      this.#lose("another node holds placement");
+      return;
+    }
+    const wasHolder = this.isHolder;
+    this.#heldUntil = began + TERM_MS - TERM_MARGIN_MS;
+    this.#machine.send("hold");
+    if (!wasHolder) {
+      this.#heldSince = this.#clock.now();
+      this.#logger.info("placement_held", { fence: generation });
+    }
+  }
+
+  #noteFailure(error: string): void {
+    this.#logger.debug("membership_renewal_failed", { error });
+    if (this.#clock.now() >= this.#heldUntil) {
+      this.#lose("the term ended without a renewal");
+    }
+  }
+
+  #lose(reason: string): void {
+    if (this.#machine.machine.current === "holder") {
+      this.#machine.send("lose");
+      this.#heldUntil = -Infinity;
+      this.#logger.info("placement_lost", { fence: this.#generation, reason });
+    }
+  }
+}
--- /dev/null
+++ b/packages/relay/src/placement/orders.ts
@@ -0,0 +1,176 @@
+/**
+ * Orders to engines: fenced, conditional, and read back when unanswered.
+ *
+ * @module
+ */
+import type { Clock, Logger } from "@zinniahill/kernel";
+import type { Instances } from "../hosts/instances.ts";
+import type { Instance, Membership, Report } from "../model/instance.ts";
+import type { Order, OrderReply } from "../model/order.ts";
+import type { Engines } from "../outside.ts";
+import type { RelayKernel } from "../services.ts";
+import type { Holder } from "./holder.ts";
+
+/** A formation or dissolution cannot go on. */
+export class PlacementError extends Error {
+  override name = "PlacementError";
+}
+
+/** A report or an order is answered within some ms, or the host is away. */
+const REPLY_TIMEOUT_MS = 300;
+const ATTEMPTS = 3;
+const REPEAT_PAUSE_MS = 50;
+
+/** Gives orders in the name of the node that holds placement. */
+export class Orders {
+  #clock: Clock;
+  #logger: Logger;
+  #engines: Engines;
+  #holder: Holder;
+  #instances: Instances;
+
+  constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#engines = kernel.find("engines");
+    this.#holder = kernel.find("holder");
+    this.#instances = kernel.find("instances");
+  }
+
+  /** Asks an instance for its state; undefined when it does not answer. */
+  async ask(
+    instance: Instance,
+    signal: AbortSignal,
+  ): Promise<Report | undefined> {
+    for (let attempt = 1; attempt <= ATTEMPTS - 1; attempt++) {
+      const report = await this.#engines.report(
+        instance,
+        REPLY_TIMEOUT_MS,
+        signal,
+      );
+      signal.throwIfAborted();
+      if (report.isOk) {
+        return isSameProcess(instance, report.value) ? report.value : undefined;
+      }
+      this.#logger.info("report_failed", {
+        instance: instance.id,
+        error: report.error.message,
+      });
+    }
+    return undefined;
+  }
+
+  /**
+   * Gives an order until `isDone` holds of the instance. An order without a
+   * reply may be carried out later, so the state is read before a repeat, and
+   * a repeat is accepted only if no order was carried out in between.
+   */
+  async give(
+    id: string,
+    order: Order,
+    isDone: (report: Report) => boolean,
+    signal: AbortSignal,
+  ): Promise<void> {
+    let orderCount = this.#find(id).engine?.orderCount;
+    for (let attempt = 1; attempt <= ATTEMPTS; attempt++) {
+      const reply = await this.#send(id, order, orderCount, signal);
+      if (reply === "accepted" || reply === "done") {
+        return;
+      }
+      if (reply === "fenced") {
+        this.#holder.noteFenced();
+        throw new PlacementError(`${id} has seen a later fencing number`);
+      }
+      const report = await this.ask(this.#find(id), signal);
+      if (report === undefined) {
+        throw new PlacementError(`${id} does not answer`);
+      }
+      if (isDone(report)) {
+        return;
+      }
+      orderCount = report.engine.orderCount;
+      await this.#clock.sleep(REPEAT_PAUSE_MS, signal);
+    }
+    throw new PlacementError(`${id} did not carry out ${order.kind}`);
+  }
+
+  /**
+   * Tells a lead that the store no longer lists to leave its group; false when
+   * it does not answer.
+   */
+  async release(
+    lead: Instance,
+    group: string,
+    epoch: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    for (let attempt = 1; attempt <= ATTEMPTS - 1; attempt++) {
+      const reply = await this.#engines.order(
+        lead,
+        { kind: "leave", group, epoch },
+        { fence: this.#holder.fence },
+        REPLY_TIMEOUT_MS,
+        signal,
+      );
+      signal.throwIfAborted();
+      if (reply.isOk) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  #find(id: string): Instance {
+    const instance = this.#instances.find(id);
+    if (instance === undefined) {
+      throw new PlacementError(`${id} is gone`);
+    }
+    return instance;
+  }
+
+  async #send(
+    id: string,
+    order: Order,
+    orderCount: number | undefined,
+    signal: AbortSignal,
+  ): Promise<OrderReply | "no-reply"> {
+    if (!this.#holder.isHolder) {
+      throw new PlacementError("this node no longer holds placement");
+    }
+    const { fence } = this.#holder;
+    const reply = await this.#engines.order(
+      this.#find(id),
+      order,
+      { fence, orderCount },
+      REPLY_TIMEOUT_MS,
+      signal,
+    );
+    signal.throwIfAborted();
+    const outcome = reply.isOk ? reply.value : "no-reply";
+    this.#logger.info("order_given", {
+      instance: id,
+      order: order.kind,
+      group: "group" in order ? order.group : undefined,
+      model: "model" in order ? order.model : undefined,
+      fence,
+      order_count: orderCount,
+      outcome,
+      error: reply.isErr ? reply.error.message : undefined,
+    });
+    return outcome;
+  }
+}
+
+/** Whether a report comes from the process that the store lists. */
+export function isSameProcess(instance: Instance, report: Report): boolean {
+  return report.bornAt === undefined || report.bornAt === instance.bornAt;
+}
+
+/** Whether a member belongs to a group of that name and epoch. */
+export function isMemberOf(
+  membership: Membership | undefined,
+  group: string,
+  epoch: number,
+): boolean {
+  return membership?.group === group && membership.epoch === epoch;
+}
--- /dev/null
+++ b/packages/relay/src/placement/plan.ts
@@ -0,0 +1,182 @@
+/**
+ * Which free hosts form which groups, and what spares keep staged.
+ *
+ * @module
+ */
+import type { EngineProfile, ModelProfile } from "../model/configuration.ts";
+
+/** A host that belongs to no living group. */
+export interface FreeHost {
+  readonly id: string;
+  readonly fabricDomain: string;
+  /** The model of its last group, which it joins again soonest. */
+  readonly lastModel: string | undefined;
+  readonly staged: readonly string[];
+}
+
+/** A group to be formed; the first member leads. */
+export interface Formation {
+  readonly model: string;
+  readonly members: readonly string[];
+  /** Members whose weights must be loaded. */
+  readonly loads: ReadonlySet<string>;
+}
+
+/** Weights to be loaded onto a spare's host. */
+export interface Staging {
+  readonly host: string;
+  readonly model: string;
+}
+
+/** What is to be done with the free hosts. */
+export interface Plan {
+  readonly formations: readonly Formation[];
+  readonly stagings: readonly Staging[];
+}
+
+/** What a plan is based on. */
+export interface PlanBasis {
+  readonly engine: EngineProfile;
+  readonly free: readonly FreeHost[];
+  /** Groups of each model that stand or are being formed. */
+  readonly groupCounts: ReadonlyMap<string, number>;
+  /** Models of the groups that stand in each fabric domain. */
+  readonly domainModels: ReadonlyMap<string, readonly string[]>;
+  /** Share of the work of each model, as it is now. */
+  readonly demand: ReadonlyMap<string, number>;
+}
+
+/** Spares that a domain keeps when a group would have to load weights. */
+const MIN_SPARES_AFTER_LOAD = 1;
+
+/** Plans formations domain by domain, the neediest model first. */
+export function createPlan(basis: PlanBasis): Plan {
+  const counts = new Map(basis.groupCounts);
+  const domainModels = new Map(
+    [...basis.domainModels].map(([domain, models]) => [domain, [...models]]),
+  );
+  const free = groupByDomain(basis.free);
+  const formations: Formation[] = [];
+  for (let isDone = false; !isDone;) {
+    isDone = true;
+    for (const [domain, hosts] of free) {
+      const formation = formGroup(basis, counts, hosts);
+      if (formation === undefined) {
+        continue;
+      }
+      const { model, members } = formation;
+      formations.push(formation);
+      counts.set(model, (counts.get(model) ?? 0) + 1);
+      domainModels.set(domain, [...domainModels.get(domain) ?? [], model]);
+      free.set(domain, hosts.filter(({ id }) => !members.includes(id)));
+      isDone = false;
+    }
+  }
+  const stagings = [...free].flatMap(([domain, hosts]) =>
+    planStagings(basis.engine, domainModels.get(domain) ?? [], hosts)
+  );
+  return { formations, stagings };
+}
+
+function groupByDomain(hosts: readonly FreeHost[]): Map<string, FreeHost[]> {
+  const domains = new Map<string, FreeHost[]>();
+  for (const host of hosts) {
+    const others = domains.get(host.fabricDomain) ?? [];
+    domains.set(host.fabricDomain, [...others, host]);
+  }
+  return domains;
+}
+
+/** The group that is most wanted of those that the hosts can form. */
+function formGroup(
+  basis: PlanBasis,
+  counts: ReadonlyMap<string, number>,
+  hosts: readonly FreeHost[],
+): Formation | undefined {
+  const options = basis.engine.models
+    .filter((model) => model.hosts <= hosts.length)
+    .map((model) => ({ model, formation: chooseMembers(model, hosts) }))
+    .filter(({ formation }) =>
+      formation.loads.size === 0 ||
+      hosts.length - formation.members.length >= MIN_SPARES_AFTER_LOAD
+    )
+    .map(({ model, formation }) => ({
+      formation,
+      isWarm: formation.loads.size === 0,
+      need: computeNeed(model, basis.demand, counts),
+    }))
+    .sort((a, b) =>
+      Number(b.isWarm) - Number(a.isWarm) || b.need - a.need
+    );
+  return options[0]?.formation;
+}
+
+/** Work for each group of a model, with one more group. */
+function computeNeed(
+  model: ModelProfile,
+  demand: ReadonlyMap<string, number>,
+  counts: ReadonlyMap<string, number>,
+): number {
+  const work = demand.get(model.name) ?? model.share;
+  return work / ((counts.get(model.name) ?? 0) + 1);
+}
+
+/** Takes the hosts that can join soonest. */
+function chooseMembers(
+  model: ModelProfile,
+  hosts: readonly FreeHost[],
+): Formation {
+  const chosen = [...hosts]
+    .sort((a, b) => rankHost(a, model.name) - rankHost(b, model.name))
+    .slice(0, model.hosts);
+  const loads = chosen.filter((host) => !isWarm(host, model.name));
+  return {
+    model: model.name,
+    members: chosen.map(({ id }) => id),
+    loads: new Set(loads.map(({ id }) => id)),
+  };
+}
+
+/** The lower, the sooner a host can serve a model. */
+function rankHost({ lastModel, staged }: FreeHost, model: string): number {
+  if (lastModel === model) {
+    return 0;
+  }
+  if (staged.includes(model)) {
+    return 1;
+  }
+  return lastModel === undefined && staged.length === 0 ? 2 : 3;
+}
+
+function isWarm(host: FreeHost, model: string): boolean {
+  return rankHost(host, model) <= 1;
+}
+
+/**
+ * Spares of a domain stage the models of its groups, the largest group first,
+ * as it loses a member most often.
+ */
+function planStagings(
+  engine: EngineProfile,
+  domainModels: readonly string[],
+  spares: readonly FreeHost[],
+): Staging[] {
+  const wanted = engine.models
+    .filter(({ name }) => domainModels.includes(name))
+    .sort((a, b) => b.hosts - a.hosts)
+    .map(({ name }) => name);
+  const unused = new Set(spares);
+  const stagings: Staging[] = [];
+  const missing = wanted.filter((model) => {
+    const holder = [...unused].find(({ staged }) => staged.includes(model));
+    return holder === undefined || !unused.delete(holder);
+  });
+  for (const model of missing) {
+    const [host] = unused;
+    if (host !== undefined) {
+      unused.delete(host);
+      stagings.push({ host: host.id, model });
+    }
+  }
+  return stagings;
+}
--- /dev/null
+++ b/packages/relay/src/relay-metrics.ts
@@ -0,0 +1,94 @@
+/**
+ * Counters and latency histograms, as text for a collector that reads them.
+ *
+ * @module
+ */
+import type { Service } from "@zinniahill/kernel";
+import type { Refusal } from "@zinniahill/schema";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { Route } from "./model/configuration.ts";
+import type { Answer } from "./serving/answers.ts";
+
+const MS_PER_SECOND = 1000;
+const LATENCY_BUCKETS_S = [
+  0.025,
+  0.05,
+  0.1,
+  0.15,
+  0.25,
+  0.4,
+  0.8,
+  1.5,
+  3,
+  8,
+];
+
+/** Metrics of the relay. */
+export class RelayMetrics implements Service {
+  #registry = new Registry();
+  #answers = new Counter({
+    name: "zinniahill_answers_total",
+    help: "Answers by kind of request, rank and status",
+    labelNames: ["kind", "rank", "status"],
+    registers: [this.#registry],
+  });
+  #refusals = new Counter({
+    name: "zinniahill_refusals_total",
+    help: "Refusals by code and verdict",
+    labelNames: ["code", "verdict"],
+    registers: [this.#registry],
+  });
+  #firstByte = new Histogram({
+    name: "zinniahill_first_byte_seconds",
+    help: "Time from the request's head to the first byte of the answer",
+    labelNames: ["kind", "rank"],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  #total = new Histogram({
+    name: "zinniahill_answer_seconds",
+    help: "Time from the request's head to the last byte of the answer",
+    labelNames: ["kind", "rank"],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
+
+  /** Counts an answer and its times. */
+  noteAnswer(
+    { kind, rank }: Route,
+    { status, firstByteAt }: Answer,
+    receivedAt: number,
+    endedAt: number,
+  ): void {
+    const labels = { kind, rank: String(rank) };
+    this.#answers.inc({ ...labels, status: String(status) });
+    this.#firstByte.observe(labels, (firstByteAt - receivedAt) / MS_PER_SECOND);
+    this.#total.observe(labels, (endedAt - receivedAt) / MS_PER_SECOND);
+  }
+
+  /** Counts a refusal. */
+  noteRefusal({ code, verdict }: Refusal): void {
+    this.#refusals.inc({ code, verdict });
+  }
+
+  /** Adds a value that is read whenever the metrics are. */
+  addGauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name: `zinniahill_${name}`,
+      help,
+      registers: [this.#registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  stop(): void {
+    this.#registry.clear();
+  }
+
+  /** All metrics in the usual text format. */
+  render(): Promise<string> {
+    return this.#registry.metrics();
+  }
+}
--- /dev/null
+++ b/packages/relay/src/routing/current-configuration.ts
@@ -0,0 +1,80 @@
+/**
+ * The configuration in force at this node.
+ *
+ * @module
+ */
+import type { Logger, Service } from "@zinniahill/kernel";
+import type { Feeds } from "../feeds/feeds.ts";
+import type { Configuration } from "../model/configuration.ts";
+import type { KeyRecord } from "../model/peer-message.ts";
+import type { RecordDecoder } from "../outside.ts";
+import type { RelayKernel } from "../services.ts";
+import { RouteTable } from "./route-table.ts";
+
+/** Takes over each newer configuration; never goes back to an older one. */
+export class CurrentConfiguration implements Service {
+  #logger: Logger;
+  #decoder: RecordDecoder;
+  #feeds: Feeds;
+  #table: RouteTable | undefined;
+  #listeners = new Set<(configuration: Configuration) => void>();
+
+  constructor(kernel: RelayKernel) {
+    this.#logger = kernel.find("logger");
+    this.#decoder = kernel.find("decoder");
+    this.#feeds = kernel.find("feeds");
+    this.#feeds.onChange("configuration", (records) => this.#apply(records));
+  }
+
+  /** Routes and accounts in force; undefined before the first version. */
+  get table(): RouteTable | undefined {
+    return this.#table;
+  }
+
+  get current(): Configuration | undefined {
+    return this.#table?.configuration;
+  }
+
+  /** Calls a listener after each change. */
+  onChange(listener: (configuration: Configuration) => void): void {
+    this.#listeners.add(listener);
+  }
+
+  dump(): unknown {
+    return {
+      version: this.current?.version,
+      routes: this.current?.routes.length,
+      ageMs: Math.round(this.#feeds.ageMs("configuration")),
+    };
+  }
+
+  #apply(records: readonly KeyRecord[]): void {
+    for (const { value, offset } of records) {
+      if (value === undefined) {
+        this.#logger.warn("configuration_deleted", { offset });
+        continue;
+      }
+      this.#decoder.configuration(value).match({
+        Ok: (configuration) => this.#adopt(configuration, offset),
+        Err: (error) => {
+          this.#logger.warn("configuration_unreadable", { offset, error });
+        },
+      });
+    }
+  }
+
+  #adopt(configuration: Configuration, offset: number): void {
+    const before = this.current?.version;
+    if (before !== undefined && configuration.version <= before) {
+      return;
+    }
+    this.#table = new RouteTable(configuration);
+    this.#logger.info("configuration_adopted", {
+      version: configuration.version,
+      before,
+      offset,
+      routes: configuration.routes.length,
+    });
+    this.#listeners.forEach((listener) => listener(configuration));
+  }
+}
--- /dev/null
+++ b/packages/relay/src/routing/dispatcher.ts
@@ -0,0 +1,155 @@
+/**
+ * Chooses the upstream instance of each request, or refuses it.
+ *
+ * @module
+ */
+import type { Clock, Random, Service } from "@zinniahill/kernel";
+import { Refusal } from "@zinniahill/schema";
+import { Result } from "true-myth";
+import type { Group, Groups } from "../hosts/groups.ts";
+import type { Instances } from "../hosts/instances.ts";
+import type {
+  EngineProfile,
+  Service as ServiceProfile,
+} from "../model/configuration.ts";
+import type { Instance } from "../model/instance.ts";
+import type { RelayKernel } from "../services.ts";
+import type { LedGroup, Outstanding } from "./outstanding.ts";
+
+/** What a choice depends on. */
+export interface Wish {
+  readonly service: ServiceProfile;
+  readonly model: string | undefined;
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  readonly targetMs: number;
+  /** Instances that this request was already given to. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** The instance that a request is given to. */
+export interface Choice {
+  readonly instance: Instance;
+  readonly group: LedGroup | undefined;
+  /** Requests at the instance before this one. */
+  readonly load: number;
+}
+
+/** Requests may wait at an engine for as many places as come free in time. */
+const QUEUE_SHARE_OF_TARGET = 0.5;
+/** Places come free at about this pace in a full batch. */
+const MS_PER_FREE_SLOT = 70;
+const RETRY_AFTER_MS = 250;
+/** An instance that refused a connection is left alone for this time. */
+const UNREACHABLE_MS = 1000;
+
+/** Chooses by requests in progress over all nodes. */
+export class Dispatcher implements Service {
+  #clock: Clock;
+  #random: Random;
+  #instances: Instances;
+  #groups: Groups;
+  #outstanding: Outstanding;
+  #unreachableUntil = new Map<string, number>();
+
+  constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
+    this.#random = kernel.find("random");
+    this.#instances = kernel.find("instances");
+    this.#groups = kernel.find("groups");
+    this.#outstanding = kernel.find("outstanding");
+  }
+
+  /** Chooses an instance with room. */
+  choose(wish: Wish): Result<Choice, Refusal> {
+    const { engine } = wish.service;
+    return engine === undefined
+      ? this.#choosePlain(wish)
+      : this.#chooseGroup(wish, engine);
+  }
+
+  /** Leaves an instance alone for some time. */
+  noteUnreachable({ id }: Instance): void {
+    this.#unreachableUntil.set(id, this.#clock.now() + UNREACHABLE_MS);
+  }
+
+  dump(): unknown {
+    return { unreachable: [...this.#unreachableUntil.keys()] };
+  }
+
+  #choosePlain(wish: Wish): Result<Choice, Refusal> {
+    const listed = this.#instances.listReady(wish.service.name);
+    const reachable = listed.filter((instance) => this.#isReachable(instance));
+    const candidates = reachable.length > 0 ? reachable : listed;
+    const choices = candidates
+      .filter(({ id }) => !wish.excluded.has(id))
+      .map((instance) => this.#createChoice(instance, undefined));
+    const chosen = this.#pickLeastLoaded(choices);
+    return chosen === undefined
+      ? Result.err(refuseWithoutUpstream(wish))
+      : Result.ok(chosen);
+  }
+
+  #chooseGroup(wish: Wish, engine: EngineProfile): Result<Choice, Refusal> {
+    const groups = this.#groups.listServable(
+      wish.service.name,
+      wish.model ?? engine.models[0]?.name ?? "",
+    );
+    const choices = groups.flatMap((group) => this.#listLead(group, wish));
+    const chosen = this.#pickLeastLoaded(choices);
+    if (chosen === undefined) {
+      return Result.err(refuseWithoutUpstream(wish));
+    }
+    const queue = wish.targetMs * QUEUE_SHARE_OF_TARGET / MS_PER_FREE_SLOT;
+    return chosen.load < engine.slots + queue
+      ? Result.ok(chosen)
+      : Result.err(
+        new Refusal(
+          "overloaded",
+          "not-run",
+          `the least loaded group has ${chosen.load} requests`,
+          RETRY_AFTER_MS,
+        ),
+      );
+  }
+
+  #listLead(group: Group, { excluded }: Wish): Choice[] {
+    const { lead } = group;
+    return lead === undefined || excluded.has(lead.id) ||
+        !this.#isReachable(lead)
+      ? []
+      : [this.#createChoice(lead, { name: group.name, epoch: group.epoch })];
+  }
+
+  #createChoice(instance: Instance, group: LedGroup | undefined): Choice {
+    return { instance, group, load: this.#outstanding.count(instance.id) };
+  }
+
+  #pickLeastLoaded(choices: readonly Choice[]): Choice | undefined {
+    const least = Math.min(...choices.map(({ load }) => load));
+    const best = choices.filter(({ load }) => load === least);
+    return best[this.#random.below(Math.max(1, best.length))];
+  }
+
+  #isReachable({ id }: Instance): boolean {
+    const until = this.#unreachableUntil.get(id);
+    if (until === undefined) {
+      return true;
+    }
+    if (this.#clock.now() < until) {
+      return false;
+    }
+    this.#unreachableUntil.delete(id);
+    return true;
+  }
+}
+
+function refuseWithoutUpstream({ service, model }: Wish): Refusal {
+  const what = model === undefined ? service.name : `${service.name} ${model}`;
+  return new Refusal(
+    "no-upstream",
+    "not-run",
+    `no instance of ${what} takes requests`,
+    RETRY_AFTER_MS,
+  );
+}
--- /dev/null
+++ b/packages/relay/src/routing/outstanding.ts
@@ -0,0 +1,185 @@
+/**
+ * Requests in progress at each upstream instance, and whether they move.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type Logger,
+  type Service,
+  TaskGroup,
+} from "@zinniahill/kernel";
+import type { Groups } from "../hosts/groups.ts";
+import type { Mesh } from "../peers/mesh.ts";
+import type { PlacementController } from "../placement/controller.ts";
+import type { RelayKernel } from "../services.ts";
+
+/** A request that one instance works on. */
+export interface Ticket {
+  /** Something came from the instance for this request. */
+  noteProgress(): void;
+  /** Called once when nothing moves at the instance any more. */
+  onStall(listener: () => void): void;
+  end(): void;
+}
+
+/** The group that an instance leads. */
+export interface LedGroup {
+  readonly name: string;
+  readonly epoch: number;
+}
+
+interface Work {
+  readonly group: LedGroup | undefined;
+  readonly tickets: Set<TicketState>;
+  progressAt: number;
+}
+
+interface TicketState {
+  readonly startedAt: number;
+  isStalled: boolean;
+  listener: () => void;
+}
+
+const CHECK_INTERVAL_MS = 50;
+/** A pass of a busy engine with long prompts stays below this time. */
+const STALL_MS = 350;
+/** A single request may wait for a long prompt alone. */
+const SINGLE_STALL_MS = 700;
+
+/** Counts this node's requests by instance and notices groups that stall. */
+export class Outstanding implements Service {
+  #clock: Clock;
+  #logger: Logger;
+  #groups: Groups;
+  #mesh: Mesh;
+  #placement: PlacementController;
+  #tasks: TaskGroup;
+  #work = new Map<string, Work>();
+
+  constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#groups = kernel.find("groups");
+    this.#mesh = kernel.find("mesh");
+    this.#placement = kernel.find("placement");
+    this.#tasks = new TaskGroup(this.#clock, this.#logger);
+  }
+
+  start(): void {
+    this.#mesh.reportOutstanding(() =>
+      [...this.#work].map(([id, { tickets }]) => [id, tickets.size] as const)
+    );
+    this.#tasks.repeat("find_stalls", CHECK_INTERVAL_MS, () => {
+      this.#findStalls();
+      return Promise.resolve();
+    });
+  }
+
+  stop(): Promise<void> {
+    return this.#tasks.stop();
+  }
+
+  /** Requests at an instance, those of other nodes included. */
+  count(instance: string): number {
+    const own = this.#work.get(instance)?.tickets.size ?? 0;
+    return this.#mesh.list().reduce(
+      (sum, { outstanding }) => sum + (outstanding.get(instance) ?? 0),
+      own,
+    );
+  }
+
+  /** Counts a request until its ticket ends. */
+  begin(instance: string, group: LedGroup | undefined): Ticket {
+    const now = this.#clock.now();
+    const work = this.#findWork(instance, group, now);
+    const state: TicketState = {
+      startedAt: now,
+      isStalled: false,
+      listener: () => {},
+    };
+    work.tickets.add(state);
+    return {
+      noteProgress: () => this.#noteProgress(work),
+      onStall: (listener) => {
+        state.listener = listener;
+      },
+      end: () => {
+        work.tickets.delete(state);
+        if (work.tickets.size === 0 && this.#work.get(instance) === work) {
+          this.#work.delete(instance);
+        }
+      },
+    };
+  }
+
+  dump(): unknown {
+    return [...this.#work].map(([instance, { tickets, progressAt }]) => ({
+      instance,
+      requests: tickets.size,
+      quietMs: Math.round(this.#clock.now() - progressAt),
+    }));
+  }
+
+  #findWork(
+    instance: string,
+    group: LedGroup | undefined,
+    now: number,
+  ): Work {
+    const known = this.#work.get(instance);
+    if (known !== undefined && known.group?.name === group?.name) {
+      return known;
+    }
+    const work: Work = { group, tickets: new Set(), progressAt: now };
+    this.#work.set(instance, work);
+    return work;
+  }
+
+  #noteProgress(work: Work): void {
+    work.progressAt = this.#clock.now();
+    if (work.group !== undefined && this.#groups.isSuspected(work.group)) {
+      this.#groups.clear(work.group.name, work.group.epoch);
+    }
+  }
+
+  #findStalls(): void {
+    const now = this.#clock.now();
+    for (const [instance, work] of this.#work) {
+      if (work.group === undefined) {
+        continue;
+      }
+      const limitMs = work.tickets.size > 1 ? STALL_MS : SINGLE_STALL_MS;
+      const [oldest] = work.tickets;
+      const since = Math.max(work.progressAt, oldest?.startedAt ?? now);
+      if (now - since >= limitMs) {
+        this.#reportStall(instance, work, work.group, now - since);
+      }
+    }
+  }
+
+  #reportStall(
+    instance: string,
+    work: Work,
+    { name, epoch }: LedGroup,
+    quietMs: number,
+  ): void {
+    const fresh = [...work.tickets].filter(({ isStalled }) => !isStalled);
+    if (fresh.length === 0) {
+      return;
+    }
+    this.#logger.warn("group_stalled", {
+      group: name,
+      epoch,
+      lead: instance,
+      requests: work.tickets.size,
+      quiet_ms: Math.round(quietMs),
+    });
+    this.#groups.suspect(name, epoch, "own requests");
+    this.#mesh.broadcast({ kind: "suspect", instance, group: name, epoch });
+    this.#placement.check(name, epoch);
+    for (const ticket of fresh) {
+      ticket.isStalled = true;
+      ticket.listener();
+    }
+  }
+}
--- /dev/null
+++ b/packages/relay/src/routing/route-table.ts
@@ -0,0 +1,68 @@
+/**
+ * Finds the route and the account of a request.
+ *
+ * @module
+ */
+import type { Random } from "@zinniahill/kernel";
+import type {
+  Account,
+  Configuration,
+  Route,
+  Service,
+} from "../model/configuration.ts";
+
+/** Indexes of one configuration. */
+export class RouteTable {
+  readonly configuration: Configuration;
+  /** Routes of each host, the longest prefix first. */
+  #routes = new Map<string, Route[]>();
+  #services: ReadonlyMap<string, Service>;
+  #accounts = new Map<string, Account>();
+
+  constructor(configuration: Configuration) {
+    this.configuration = configuration;
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      this.#routes.set(host, [...this.#routes.get(host) ?? [], route]);
+    }
+    for (const routes of this.#routes.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    this.#services = new Map(
+      configuration.services.map((service) => [service.name, service]),
+    );
+    for (const account of configuration.accounts ?? []) {
+      account.keys.forEach((key) => this.#accounts.set(key, account));
+    }
+  }
+
+  /** The route with the longest prefix of the path. */
+  findRoute(host: string, path: string): Route | undefined {
+    const name = host.toLowerCase();
+    const routes = this.#routes.get(name) ??
+      this.#routes.get(name.replace(/:\d+$/, ""));
+    return routes?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+  }
+
+  /** The account that holds a key. */
+  findAccount(key: string): Account | undefined {
+    return this.#accounts.get(key);
+  }
+
+  findService(name: string): Service | undefined {
+    return this.#services.get(name);
+  }
+
+  /** Draws one of a route's services by weight. */
+  drawService(route: Route, random: Random): Service | undefined {
+    const total = route.destinations.reduce((sum, { weight }) => sum + weight, 0);
+    let left = random.fraction() * total;
+    for (const { service, weight } of route.destinations) {
+      left -= weight;
+      if (left < 0) {
+        return this.findService(service);
+      }
+    }
+    return this.findService(route.destinations[0]?.service ?? "");
+  }
+}
--- /dev/null
+++ b/packages/relay/src/services.ts
@@ -0,0 +1,70 @@
+/**
+ * The services of a relay node, by name.
+ *
+ * @module
+ */
+import type { PeerTransport } from "@zinniahill/clients";
+import type { Clock, Kernel, Logger, Random } from "@zinniahill/kernel";
+import type { Lookup } from "./entry/lookup.ts";
+import type { Readiness } from "./entry/readiness.ts";
+import type { Feeds } from "./feeds/feeds.ts";
+import type { Groups } from "./hosts/groups.ts";
+import type { Instances } from "./hosts/instances.ts";
+import type { Lifecycle } from "./lifecycle.ts";
+import type {
+  Engines,
+  RecordDecoder,
+  RequestFormat,
+  Seat,
+  Topics,
+} from "./outside.ts";
+import type { Mesh } from "./peers/mesh.ts";
+import type { PlacementController } from "./placement/controller.ts";
+import type { Demand } from "./placement/demand.ts";
+import type { Holder } from "./placement/holder.ts";
+import type { RelayMetrics } from "./relay-metrics.ts";
+import type { RelaySettings } from "./relay-settings.ts";
+import type { CurrentConfiguration } from "./routing/current-configuration.ts";
+import type { Dispatcher } from "./routing/dispatcher.ts";
+import type { Outstanding } from "./routing/outstanding.ts";
+import type { Answers } from "./serving/answers.ts";
+import type { Attempts } from "./serving/attempts.ts";
+import type { Front } from "./serving/front.ts";
+
+/** What an adapter provides. */
+export interface OutsideServices {
+  topics: Topics;
+  seat: Seat;
+  engines: Engines;
+  decoder: RecordDecoder;
+  format: RequestFormat;
+}
+
+/** Service types by name. */
+export interface RelayServices extends OutsideServices {
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  settings: RelaySettings;
+  metrics: RelayMetrics;
+  lifecycle: Lifecycle;
+  peerTransport: PeerTransport;
+  feeds: Feeds;
+  configuration: CurrentConfiguration;
+  instances: Instances;
+  groups: Groups;
+  mesh: Mesh;
+  holder: Holder;
+  demand: Demand;
+  placement: PlacementController;
+  outstanding: Outstanding;
+  dispatcher: Dispatcher;
+  attempts: Attempts;
+  answers: Answers;
+  lookup: Lookup;
+  readiness: Readiness;
+  front: Front;
+}
+
+/** The kernel of a relay node. */
+export type RelayKernel = Kernel<RelayServices>;
--- /dev/null
+++ b/packages/relay/src/serving/exchange.ts
@@ -0,0 +1,145 @@
+/**
+ * One request to one upstream instance, on a connection of its own.
+ *
+ * A kept connection may hold the late answer of an earlier request, or be
+ * dropped by the upstream just when a request is sent that must not run twice.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import { type Clock, describeError } from "@zinniahill/kernel";
+import type { Verdict } from "@zinniahill/schema";
+import { Result } from "true-myth";
+import { Client } from "undici";
+
+/** What is sent to an upstream. */
+export interface UpstreamRequest {
+  readonly address: string;
+  readonly method: string;
+  readonly target: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
+/** The head of an upstream's response, and its body as it comes. */
+export interface UpstreamReply {
+  readonly status: number;
+  /** Names and values in turn, as they were received. */
+  readonly rawHeaders: readonly string[];
+  /** The last value of each header, by lower-case name. */
+  readonly headers: ReadonlyMap<string, string>;
+  /** Ends without a failure only if the body is complete. */
+  readonly body: AsyncIterable<Buffer>;
+}
+
+/** An attempt that got no usable response. */
+export interface AttemptFault {
+  readonly verdict: Verdict;
+  readonly message: string;
+}
+
+/** Connections are made within a few ms, or the upstream is away. */
+const CONNECT_TIMEOUT_MS = 250;
+
+/** One attempt; it must be closed. */
+export class Exchange {
+  #client: Client;
+  #controller = new AbortController();
+  #isConnected = false;
+
+  constructor(address: string) {
+    this.#client = new Client(`http://${address}`, {
+      connectTimeout: CONNECT_TIMEOUT_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      pipelining: 1,
+    });
+    this.#client.on("connect", () => {
+      this.#isConnected = true;
+    });
+  }
+
+  /** Whether the upstream may have received the request. */
+  get isSent(): boolean {
+    return this.#isConnected;
+  }
+
+  /** Sends a request and waits for the head of the response. */
+  async send(
+    request: UpstreamRequest,
+  ): Promise<Result<UpstreamReply, AttemptFault>> {
+    try {
+      const reply = await this.#client.request({
+        method: request.method as "GET",
+        path: request.target,
+        headers: [...request.headers],
+        body: request.body.length > 0 ? request.body : null,
+        reset: true,
+        responseHeaders: "raw",
+        signal: this.#controller.signal,
+      });
+      const rawHeaders = readRawHeaders(reply.headers);
+      // A body that is abandoned before it is read fails on its own.
+      reply.body.on("error", () => {});
+      return Result.ok({
+        status: reply.statusCode,
+        rawHeaders,
+        headers: indexHeaders(rawHeaders),
+        body: reply.body,
+      });
+    } catch (failure) {
+      return Result.err(this.createFault(failure));
+    }
+  }
+
+  /** The fault that a failure of this attempt stands for. */
+  createFault(failure: unknown): AttemptFault {
+    return {
+      verdict: this.#isConnected ? "may-have-run" : "not-run",
+      message: describeError(failure),
+    };
+  }
+
+  /** Ends the connection at once, which also ends the upstream's work. */
+  close(reason: Error): void {
+    if (!this.#controller.signal.aborted) {
+      this.#controller.abort(reason);
+      // The outcome of the destruction says nothing that is not known yet.
+      this.#client.destroy(reason).catch(() => {});
+    }
+  }
+}
+
+/** With `responseHeaders: "raw"`, the library gives a list, not a record. */
+function readRawHeaders(headers: unknown): string[] {
+  return Array.isArray(headers) ? headers.map(String) : [];
+}
+
+function indexHeaders(raw: readonly string[]): Map<string, string> {
+  const headers = new Map<string, string>();
+  for (let at = 0; at + 1 < raw.length; at += 2) {
+    headers.set(raw[at]!.toLowerCase(), raw[at + 1]!);
+  }
+  return headers;
+}
+
+/** Reads a whole body; fails where the upstream broke off. */
+export async function collectBody(
+  body: AsyncIterable<Buffer>,
+): Promise<Buffer[]> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of body) {
+    chunks.push(chunk);
+  }
+  return chunks;
+}
+
+/** Runs `onDue` at a moment unless cancelled before. */
+export function scheduleAt(
+  clock: Clock,
+  dueAt: number,
+  onDue: () => void,
+): () => void {
+  return clock.schedule(dueAt - clock.now(), onDue);
+}
--- a/stand-ins/src/memory/network.ts
+++ b/stand-ins/src/memory/network.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "@zinniahill/kernel";
-import type { Fault } from "@zinniahill/platform";
+import type { Fault } from "@zinniahill/clients";
 import { Result } from "true-myth";
 
 /** What a link does with a call. */
--- a/stand-ins/src/memory/platform.ts
+++ b/stand-ins/src/memory/platform.ts
@@ -12,7 +12,7 @@
   Log,
   PlainServices,
   WeightStore,
-} from "@zinniahill/platform";
+} from "@zinniahill/clients";
 import type { EngineOrder, GenerateRequest, Host } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import { EngineModel, type EngineOptions } from "../engine-model.ts";
--- a/stand-ins/src/memory/record-model.ts
+++ b/stand-ins/src/memory/record-model.ts
@@ -5,7 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { Clock } from "@zinniahill/kernel";
-import type { Fault, PlainCall, PlainReply } from "@zinniahill/platform";
+import type { Fault, PlainCall, PlainReply } from "@zinniahill/clients";
 import { Result } from "true-myth";
 
 /** One write that the service has carried out. */
--- a/stand-ins/src/memory/stream.ts
+++ b/stand-ins/src/memory/stream.ts
@@ -5,7 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import { type Clock, Condition } from "@zinniahill/kernel";
-import type { EngineStream } from "@zinniahill/platform";
+import type { EngineStream } from "@zinniahill/clients";
 import type { EventSink } from "../engine-model.ts";
 
 /** Faults that a test can switch on for every stream. */
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,6 +8,7 @@
   test: {
     include: [
       "packages/*/test/**/*.test.ts",
+      "platform/test/**/*.test.ts",
       "stand-ins/test/**/*.test.ts",
       "bench/test/**/*.test.ts",
     ],
