Form the larger model first while hosts register, and read order counts from reports

Cause: hosts register three by three, so only groups of three were formed; the store's sequence number counts heartbeats, not orders, so each first order was refused. Reports lag behind the store, so a member that the store shows ready is not asked to report it too.

--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  type Clock,
   Condition,
   type Logger,
   type Service,
@@ -20,13 +21,16 @@
 export class Instances implements Service {
   /** Notified after each change of the list. */
   readonly changed = new Condition();
+  #clock: Clock;
   #logger: Logger;
   #decoder: RecordDecoder;
   #instances = new Map<string, Instance>();
   #departed = new Map<string, Instance>();
   #version = 0;
+  #grownAt = -Infinity;
 
   constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#decoder = kernel.find("decoder");
     kernel.find("feeds").onChange("instances", (records) => this.#apply(records));
@@ -37,6 +41,11 @@
     return this.#version;
   }
 
+  /** When an instance was listed that was not known before. */
+  get grownAt(): number {
+    return this.#grownAt;
+  }
+
   /** All instances that are listed. */
   list(): Instance[] {
     return [...this.#instances.values()];
@@ -88,6 +97,7 @@
     this.#instances.set(instance.id, instance);
     this.#departed.delete(instance.id);
     if (known === undefined) {
+      this.#grownAt = this.#clock.now();
       this.#logger.info("instance_listed", {
         instance: instance.id,
         service: instance.service,
--- a/packages/relay/src/model/instance.ts
+++ b/packages/relay/src/model/instance.ts
@@ -35,8 +35,6 @@
   /** The model in memory. */
   model: z.string().optional(),
   membership: Membership.optional(),
-  /** Orders accepted since the start. */
-  orderCount: z.number(),
 });
 /** What an instance says of its engine. */
 export type EngineState = z.infer<typeof EngineState>;
@@ -60,6 +58,8 @@
 export const Report = z.object({
   bornAt: z.number().optional(),
   engine: EngineState,
+  /** Orders accepted since the start. */
+  orderCount: z.number(),
   isBusy: z.boolean(),
   running: z.number(),
   waiting: z.number(),
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -36,6 +36,8 @@
 const CHECK_INTERVAL_MS = 500;
 /** Changes that come together are looked at together. */
 const COLLECT_MS = 40;
+/** Without a new host for this long, the list counts as complete. */
+const GROWTH_MS = 500;
 /** After placement moves, the first orders wait for a read of the store. */
 const SETTLE_MS = 300;
 /** Epochs of a later holder are always higher, whatever it has read. */
@@ -270,6 +272,7 @@
       groupCounts: counts,
       domainModels,
       demand: this.#demand.readShares(service.engine),
+      isGrowing: this.#clock.now() - this.#instances.grownAt < GROWTH_MS,
     });
   }
 
--- a/packages/relay/src/placement/formation.ts
+++ b/packages/relay/src/placement/formation.ts
@@ -132,19 +132,24 @@
       membership?.state === "ready";
   }
 
-  /** No engine checks the other members, so each one is asked itself. */
+  /**
+   * No engine checks the other members, so each one is asked itself. A report
+   * lags behind: that a member became ready is what the store says.
+   */
   async #verifyReady(
-    { name, epoch }: FormingGroup,
+    group: FormingGroup,
     id: string,
     born: ReadonlyMap<string, number>,
     signal: AbortSignal,
   ): Promise<void> {
+    const { name, epoch } = group;
     const instance = this.#find(id);
     const report = await this.#orders.ask(instance, signal);
     const membership = report?.engine.membership;
-    const isReady = isMemberOf(membership, name, epoch) &&
-      membership?.state === "ready";
-    if (!isReady || instance.bornAt !== born.get(id)) {
+    if (
+      !isMemberOf(membership, name, epoch) ||
+      instance.bornAt !== born.get(id) || !this.#isReady(group, id)
+    ) {
       throw new PlacementError(
         `${id} is not ready: ${membership?.state ?? "no answer"}`,
       );
--- a/packages/relay/src/placement/orders.ts
+++ b/packages/relay/src/placement/orders.ts
@@ -63,7 +63,8 @@
   /**
    * Gives an order until `isDone` holds of the instance. An order without a
    * reply may be carried out later, so the state is read before a repeat, and
-   * a repeat is accepted only if no order was carried out in between.
+   * a repeat is accepted only if no order was carried out in between. A first
+   * order needs no such condition: its epoch is newer than all others.
    */
   async give(
     id: string,
@@ -71,7 +72,7 @@
     isDone: (report: Report) => boolean,
     signal: AbortSignal,
   ): Promise<void> {
-    let orderCount = this.#find(id).engine?.orderCount;
+    let orderCount: number | undefined;
     for (let attempt = 1; attempt <= ATTEMPTS; attempt++) {
       const reply = await this.#send(id, order, orderCount, signal);
       if (reply === "accepted" || reply === "done") {
@@ -88,7 +89,7 @@
       if (isDone(report)) {
         return;
       }
-      orderCount = report.engine.orderCount;
+      orderCount = report.orderCount;
       await this.#clock.sleep(REPEAT_PAUSE_MS, signal);
     }
     throw new PlacementError(`${id} did not carry out ${order.kind}`);
--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -44,6 +44,8 @@
   readonly domainModels: ReadonlyMap<string, readonly string[]>;
   /** Share of the work of each model, as it is now. */
   readonly demand: ReadonlyMap<string, number>;
+  /** Whether more hosts are just coming, as after the start of everything. */
+  readonly isGrowing: boolean;
 }
 
 /** Spares that a domain keeps when a group would have to load weights. */
@@ -94,21 +96,24 @@
   hosts: readonly FreeHost[],
 ): Formation | undefined {
   const options = basis.engine.models
-    .filter((model) => model.hosts <= hosts.length)
-    .map((model) => ({ model, formation: chooseMembers(model, hosts) }))
-    .filter(({ formation }) =>
-      formation.loads.size === 0 ||
-      hosts.length - formation.members.length >= MIN_SPARES_AFTER_LOAD
-    )
-    .map(({ model, formation }) => ({
-      formation,
-      isWarm: formation.loads.size === 0,
+    .map((model) => ({
+      model,
       need: computeNeed(model, basis.demand, counts),
+      formation: chooseMembers(model, hosts),
     }))
-    .sort((a, b) =>
-      Number(b.isWarm) - Number(a.isWarm) || b.need - a.need
-    );
-  return options[0]?.formation;
+    .sort((a, b) => b.need - a.need);
+  const formable = options.filter(({ model, formation }) =>
+    formation.members.length === model.hosts &&
+    (formation.loads.size === 0 ||
+      hosts.length - model.hosts >= MIN_SPARES_AFTER_LOAD)
+  );
+  const warm = formable.find(({ formation }) => formation.loads.size === 0);
+  if (warm !== undefined) {
+    return warm.formation;
+  }
+  // Hosts that are still to come may complete a group that is needed more.
+  const isWaiting = basis.isGrowing && formable[0] !== options[0];
+  return isWaiting ? undefined : formable[0]?.formation;
 }
 
 /** Work for each group of a model, with one more group. */
