Stage spares before the last groups, and plan with spares that are staging

Cause: all groups were loaded before any spare, so the first losses found no spare with the model staged, and hosts that were staging were left out of plans, which formed small groups with loads instead of the larger one without. Loads now wait by priority: the first groups of each model, a spare for the larger one, the rest.

--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -72,6 +72,10 @@
   /** Groups and hosts that a task is working on. */
   #busyGroups = new Set<string>();
   #busyHosts = new Set<string>();
+  /** Hosts whose staging has begun or waits for permission to load. */
+  #stagingRequested = new Set<string>();
+  /** Models that spares are staging, by host. */
+  #staging = new Map<string, string>();
   /** Members of groups that are being formed, by group name. */
   #forming = new Map<string, FormingGroup>();
   /** Hosts that did not answer, and until when they are left alone. */
@@ -131,6 +135,7 @@
       isHolder: this.#holder.isHolder,
       forming: [...this.#forming.keys()],
       busyHosts: [...this.#busyHosts],
+      staging: Object.fromEntries(this.#staging),
       missing: [...this.#missingUntil.keys()],
       loads: this.#loads.running,
     };
@@ -226,6 +231,8 @@
       engine: service.engine,
       members: group.members.map(({ id }) => id),
       loads: new Set(),
+      stagingHosts: new Set(),
+      loadPriority: 0,
     };
     const born = new Map(group.members.map(({ id, bornAt }) => [id, bornAt]));
     const areReady = group.members.every(({ engine }) =>
@@ -243,9 +250,7 @@
   #fill(service: EngineService): void {
     const plan = this.#createPlan(service);
     plan.formations.forEach((formation) => this.#form(service, formation));
-    if (this.#forming.size === 0) {
-      plan.stagings.forEach((staging) => this.#stage(service, staging));
-    }
+    plan.stagings.forEach((staging) => this.#stage(service, staging));
   }
 
   #createPlan(service: EngineService): Plan {
@@ -326,6 +331,7 @@
         fabricDomain: engine!.fabricDomain,
         lastModel: engine!.model,
         staged: engine!.staged,
+        staging: this.#staging.get(id),
       }));
   }
 
@@ -337,6 +343,9 @@
       epoch,
       model: findModel(service, formation.model)!,
       engine: service.engine,
+      stagingHosts: new Set(
+        formation.members.filter((id) => this.#staging.has(id)),
+      ),
     };
     this.#runFormation(
       forming,
@@ -369,12 +378,27 @@
     });
   }
 
-  #stage(service: EngineService, { host, model }: Staging): void {
-    this.#busyHosts.add(host);
+  #stage(
+    service: EngineService,
+    { host, model, loadPriority }: Staging,
+  ): void {
+    if (this.#stagingRequested.has(host)) {
+      return;
+    }
+    this.#stagingRequested.add(host);
     const { loadMs } = findModel(service, model)!;
     this.#tasks.run(`stage_${host}`, async (signal) => {
-      const release = await this.#loads.acquire(service.engine, signal);
+      let release = () => {};
       try {
+        release = await this.#loads.acquire(
+          service.engine,
+          loadPriority,
+          signal,
+        );
+        if (this.#busyHosts.has(host)) {
+          return;
+        }
+        this.#staging.set(host, model);
         const hasModel = (staged: readonly string[]) => staged.includes(model);
         await this.#orders.give(
           host,
@@ -397,7 +421,8 @@
         });
       } finally {
         release();
-        this.#busyHosts.delete(host);
+        this.#staging.delete(host);
+        this.#stagingRequested.delete(host);
       }
     });
   }
--- a/packages/relay/src/placement/formation.ts
+++ b/packages/relay/src/placement/formation.ts
@@ -22,6 +22,9 @@
   readonly members: readonly string[];
   /** Members whose weights must be loaded. */
   readonly loads: ReadonlySet<string>;
+  /** Members that join when a staging that has begun is done. */
+  readonly stagingHosts: ReadonlySet<string>;
+  readonly loadPriority: number;
 }
 
 /** Several loads at once take longer than one. */
@@ -108,7 +111,7 @@
     const { name, epoch, model, engine, members, loads } = group;
     const isLoading = loads.has(id);
     const release = isLoading
-      ? await this.#loads.acquire(engine, signal)
+      ? await this.#loads.acquire(engine, group.loadPriority, signal)
       : () => {};
     try {
       await this.#orders.give(
@@ -117,7 +120,7 @@
         (report) => isMemberOf(report.engine.membership, name, epoch),
         signal,
       );
-      const limitMs = isLoading
+      const limitMs = isLoading || group.stagingHosts.has(id)
         ? model.loadMs * LOAD_TIMEOUT_FACTOR
         : model.warmMs + JOIN_TIMEOUT_MS;
       await this.#waitFor(limitMs, () => this.#isReady(group, id), signal);
--- a/packages/relay/src/placement/holder.ts
+++ b/packages/relay/src/placement/holder.ts
@@ -118,6 +118,13 @@
 
   /** The term counts from before the renewal was sent. */
   #apply({ generation, isHolder }: Standing, began: number): void {
+    if (generation !== this.#generation) {
+      this.#logger.info("membership_changed", {
+        generation,
+        before: this.#generation,
+        is_holder: isHolder,
+      });
+    }
     this.#generation = generation;
     if (!isHolder) {
       this.#lose("another node holds placement");
--- a/packages/relay/src/placement/loads.ts
+++ b/packages/relay/src/placement/loads.ts
@@ -8,9 +8,14 @@
 
 /** Part of the allowed rate that is used, as another node may load too. */
 const RATE_SHARE = 0.8;
-const CHECK_MS = 50;
 const MS_PER_SECOND = 1000;
 
+interface Waiter {
+  readonly engine: EngineProfile;
+  readonly priority: number;
+  begin(): void;
+}
+
 /**
  * Gives permission for loads: a number at once, as more would slow each other
  * down, and a rate once callers are served.
@@ -18,8 +23,10 @@
 export class LoadLimit {
   #clock: Clock;
   #isRateLimited: () => boolean;
+  #waiting: Waiter[] = [];
   #running = 0;
   #lastBegunAt = -Infinity;
+  #cancelWake = () => {};
 
   constructor(clock: Clock, isRateLimited: () => boolean) {
     this.#clock = clock;
@@ -31,14 +38,59 @@
     return this.#running;
   }
 
-  /** Waits for permission; the result gives it back and may be repeated. */
-  async acquire(
+  /**
+   * Waits for permission, the lowest priority first; the result gives it back
+   * and may be repeated.
+   */
+  acquire(
     engine: EngineProfile,
+    priority: number,
     signal: AbortSignal,
   ): Promise<() => void> {
-    while (!this.#mayBegin(engine)) {
-      await this.#clock.sleep(CHECK_MS, signal);
+    return new Promise((resolve, reject) => {
+      const onAbort = () => {
+        this.#waiting = this.#waiting.filter((other) => other !== waiter);
+        reject(signal.reason);
+      };
+      const waiter: Waiter = {
+        engine,
+        priority,
+        begin: () => {
+          signal.removeEventListener("abort", onAbort);
+          resolve(this.#begin());
+        },
+      };
+      if (signal.aborted) {
+        reject(signal.reason);
+        return;
+      }
+      signal.addEventListener("abort", onAbort, { once: true });
+      this.#waiting.push(waiter);
+      this.#waiting.sort((a, b) => a.priority - b.priority);
+      this.#admit();
+    });
+  }
+
+  /** Lets waiting loads begin, and looks again when the rate allows one more. */
+  #admit(): void {
+    this.#cancelWake();
+    this.#cancelWake = () => {};
+    for (let first = this.#waiting[0]; first; first = this.#waiting[0]) {
+      const { engine } = first;
+      if (this.#running >= engine.concurrentLoads) {
+        return;
+      }
+      const pauseMs = this.#computePauseMs(engine);
+      if (pauseMs > 0) {
+        this.#cancelWake = this.#clock.schedule(pauseMs, () => this.#admit());
+        return;
+      }
+      this.#waiting.shift();
+      first.begin();
     }
+  }
+
+  #begin(): () => void {
     this.#running++;
     this.#lastBegunAt = this.#clock.now();
     let isReleased = false;
@@ -46,16 +98,16 @@
       if (!isReleased) {
         isReleased = true;
         this.#running--;
+        this.#admit();
       }
     };
   }
 
-  #mayBegin(engine: EngineProfile): boolean {
-    if (this.#running >= engine.concurrentLoads) {
-      return false;
+  #computePauseMs({ loadsPerSecond }: EngineProfile): number {
+    if (!this.#isRateLimited()) {
+      return 0;
     }
-    const intervalMs = MS_PER_SECOND / (engine.loadsPerSecond * RATE_SHARE);
-    return !this.#isRateLimited() ||
-      this.#clock.now() - this.#lastBegunAt >= intervalMs;
+    const intervalMs = MS_PER_SECOND / (loadsPerSecond * RATE_SHARE);
+    return this.#lastBegunAt + intervalMs - this.#clock.now();
   }
 }
--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -12,6 +12,8 @@
   /** The model of its last group, which it joins again soonest. */
   readonly lastModel: string | undefined;
   readonly staged: readonly string[];
+  /** The model that is being staged now. */
+  readonly staging: string | undefined;
 }
 
 /** A group to be formed; the first member leads. */
@@ -20,12 +22,15 @@
   readonly members: readonly string[];
   /** Members whose weights must be loaded. */
   readonly loads: ReadonlySet<string>;
+  /** Groups of the model before this one; its loads wait for theirs. */
+  readonly loadPriority: number;
 }
 
 /** Weights to be loaded onto a spare's host. */
 export interface Staging {
   readonly host: string;
   readonly model: string;
+  readonly loadPriority: number;
 }
 
 /** What is to be done with the free hosts. */
@@ -48,6 +53,9 @@
   readonly isGrowing: boolean;
 }
 
+/** The spare that a domain needs most goes before the model's later groups. */
+const FIRST_STAGING_PRIORITY = 3.5;
+const LATER_STAGING_PRIORITY = 100;
 /** Spares that a domain keeps when a group would have to load weights. */
 const MIN_SPARES_AFTER_LOAD = 1;
 
@@ -99,7 +107,7 @@
     .map((model) => ({
       model,
       need: computeNeed(model, basis.demand, counts),
-      formation: chooseMembers(model, hosts),
+      formation: chooseMembers(model, hosts, counts.get(model.name) ?? 0),
     }))
     .sort((a, b) => b.need - a.need);
   const formable = options.filter(({ model, formation }) =>
@@ -130,31 +138,47 @@
 function chooseMembers(
   model: ModelProfile,
   hosts: readonly FreeHost[],
+  loadPriority: number,
 ): Formation {
   const chosen = [...hosts]
     .sort((a, b) => rankHost(a, model.name) - rankHost(b, model.name))
     .slice(0, model.hosts);
-  const loads = chosen.filter((host) => !isWarm(host, model.name));
+  const loads = chosen.filter((host) =>
+    rankHost(host, model.name) > HostRank.staging
+  );
   return {
     model: model.name,
     members: chosen.map(({ id }) => id),
     loads: new Set(loads.map(({ id }) => id)),
+    loadPriority,
   };
 }
 
-/** The lower, the sooner a host can serve a model. */
-function rankHost({ lastModel, staged }: FreeHost, model: string): number {
+/** How soon a host can serve a model, soonest first. */
+const HostRank = {
+  lastModel: 0,
+  staged: 1,
+  staging: 2,
+  empty: 3,
+  otherModel: 4,
+} as const;
+
+function rankHost(
+  { lastModel, staged, staging }: FreeHost,
+  model: string,
+): number {
   if (lastModel === model) {
-    return 0;
+    return HostRank.lastModel;
   }
   if (staged.includes(model)) {
-    return 1;
+    return HostRank.staged;
   }
-  return lastModel === undefined && staged.length === 0 ? 2 : 3;
-}
-
-function isWarm(host: FreeHost, model: string): boolean {
-  return rankHost(host, model) <= 1;
+  if (staging === model) {
+    return HostRank.staging;
+  }
+  const isEmpty = lastModel === undefined && staged.length === 0 &&
+    staging === undefined;
+  return isEmpty ? HostRank.empty : HostRank.otherModel;
 }
 
 /**
@@ -173,14 +197,19 @@
   const unused = new Set(spares);
   const stagings: Staging[] = [];
   const missing = wanted.filter((model) => {
-    const holder = [...unused].find(({ staged }) => staged.includes(model));
+    const holder = [...unused].find(({ staged, staging }) =>
+      (staging ?? staged[0]) === model
+    );
     return holder === undefined || !unused.delete(holder);
   });
   for (const model of missing) {
-    const [host] = unused;
+    const host = [...unused].find(({ staging }) => staging === undefined);
     if (host !== undefined) {
       unused.delete(host);
-      stagings.push({ host: host.id, model });
+      const loadPriority = model === wanted[0]
+        ? FIRST_STAGING_PRIORITY
+        : LATER_STAGING_PRIORITY;
+      stagings.push({ host: host.id, model, loadPriority });
     }
   }
   return stagings;
