--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -7,10 +7,11 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
 import { type Clock, describeError } from "@zinniahill/kernel";
 import type { Verdict } from "@zinniahill/schema";
 import { Result } from "true-myth";
-import { Client } from "undici";
+import { buildConnector, Client } from "undici";
 
 /** What is sent to an upstream. */
 export interface UpstreamRequest {
@@ -47,16 +48,23 @@
   #client: Client;
   #controller = new AbortController();
   #isConnected = false;
+  #isReset = false;
 
   constructor(address: string) {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     this.#client = new Client(`http://${address}`, {
-      connectTimeout: CONNECT_TIMEOUT_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
       pipelining: 1,
-    });
-    this.#client.on("connect", () => {
-      this.#isConnected = true;
+      connect: (target, callback) => {
+        connect(target, (...result) => {
+          // The library gives no socket, not even null, with a failure.
+          if (result[0] === null && result[1] !== null) {
+            this.#watch(result[1]);
+          }
+          callback(...result);
+        });
+      },
     });
   }
 
@@ -80,19 +88,39 @@
         signal: this.#controller.signal,
       });
       const rawHeaders = readRawHeaders(reply.headers);
+      const headers = indexHeaders(rawHeaders);
       // A body that is abandoned before it is read fails on its own.
       reply.body.on("error", () => {});
       return Result.ok({
         status: reply.statusCode,
         rawHeaders,
-        headers: indexHeaders(rawHeaders),
-        body: reply.body,
+        headers,
+        body: hasFraming(headers) ? reply.body : this.#readToEnd(reply.body),
       });
     } catch (failure) {
       return Result.err(this.createFault(failure));
     }
   }
 
+  #watch(socket: Socket): void {
+    this.#isConnected = true;
+    // The library also ends a connection with errors of its own.
+    socket.on("error", (failure) => {
+      this.#isReset ||= "syscall" in failure;
+    });
+  }
+
+  /**
+   * A body without a length ends with its connection. The library takes it for
+   * complete also when the connection was reset.
+   */
+  async *#readToEnd(body: AsyncIterable<Buffer>): AsyncGenerator<Buffer> {
+    yield* body;
+    if (this.#isReset) {
+      throw new Error("the connection was reset inside the body");
+    }
+  }
+
   /** The fault that a failure of this attempt stands for. */
   createFault(failure: unknown): AttemptFault {
     return {
@@ -111,6 +139,11 @@
   }
 }
 
+/** Whether a body says itself where it ends. */
+function hasFraming(headers: ReadonlyMap<string, string>): boolean {
+  return headers.has("content-length") || headers.has("transfer-encoding");
+}
+
 /** With `responseHeaders: "raw"`, the library gives a list, not a record. */
 function readRawHeaders(headers: unknown): string[] {
   return Array.isArray(headers) ? headers.map(String) : [];
