--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -189,10 +189,14 @@
         continue;
       }
       const size = findModel(service, group.model)?.hosts ?? 0;
-      const isWhole = group.members.length === size;
+      const isWhole = group.members.length === size &&
+        group.members.every((member) => !this.#isMissing(member));
       if (group.state === "open" || group.state === "closing") {
         this.#repairServing(group, isWhole);
-      } else if (isWhole && group.state !== "broken") {
+      } else if (
+        isWhole && group.state !== "broken" &&
+        group.members.every(({ isDraining }) => !isDraining)
+      ) {
         this.#adopt(service, group);
       } else {
         this.#runOnGroup(
--- a/packages/relay/src/placement/demand.ts
+++ b/packages/relay/src/placement/demand.ts
@@ -46,11 +46,18 @@
     this.#work.set(model.name, work);
   }
 
-  /** Each model's share of the work. */
+  /**
+   * Each model's share of the work. The profile's share counts hosts, so a
+   * group's part of it is the work that is assumed at the start.
+   */
   readShares(engine: EngineProfile): ReadonlyMap<string, number> {
-    const work = engine.models.map(({ name, share }) => ({
+    const priorTotal = engine.models.reduce(
+      (sum, { share, hosts }) => sum + share / hosts,
+      0,
+    );
+    const work = engine.models.map(({ name, share, hosts }) => ({
       name,
-      ms: this.#decay(name).ms + share * PRIOR_WORK_MS,
+      ms: this.#decay(name).ms + share / hosts / priorTotal * PRIOR_WORK_MS,
     }));
     const total = work.reduce((sum, { ms }) => sum + ms, 0);
     return new Map(work.map(({ name, ms }) => [name, ms / total]));
--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -53,9 +53,8 @@
   readonly isGrowing: boolean;
 }
 
-/** The spare that a domain needs most goes before the model's later groups. */
-const FIRST_STAGING_PRIORITY = 3.5;
-const LATER_STAGING_PRIORITY = 100;
+/** Loads of spares come after the first four groups of each model. */
+const STAGING_PRIORITY = 3.5;
 /** Spares that a domain keeps when a group would have to load weights. */
 const MIN_SPARES_AFTER_LOAD = 1;
 
@@ -124,14 +123,19 @@
   return isWaiting ? undefined : formable[0]?.formation;
 }
 
-/** Work for each group of a model, with one more group. */
+/**
+ * Work for each group of a model, with one more group. A group of many hosts
+ * must be needed more, but not in proportion: a model with few groups loses a
+ * large part of its capacity with each of them.
+ */
 function computeNeed(
   model: ModelProfile,
   demand: ReadonlyMap<string, number>,
   counts: ReadonlyMap<string, number>,
 ): number {
-  const work = demand.get(model.name) ?? model.share;
-  return work / ((counts.get(model.name) ?? 0) + 1);
+  const work = demand.get(model.name) ?? 0;
+  const groups = (counts.get(model.name) ?? 0) + 1;
+  return work / groups / Math.sqrt(model.hosts);
 }
 
 /** Takes the hosts that can join soonest. */
@@ -206,9 +210,7 @@
     const host = [...unused].find(({ staging }) => staging === undefined);
     if (host !== undefined) {
       unused.delete(host);
-      const loadPriority = model === wanted[0]
-        ? FIRST_STAGING_PRIORITY
-        : LATER_STAGING_PRIORITY;
+      const loadPriority = STAGING_PRIORITY;
       stagings.push({ host: host.id, model, loadPriority });
     }
   }
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -43,6 +43,9 @@
 /** Connections are made within a few ms, or the upstream is away. */
 const CONNECT_TIMEOUT_MS = 250;
 
+/** An empty line between requests, which an upstream ignores. */
+const END_PROBE = "\r\n";
+
 /** One attempt; it must be closed. */
 export class Exchange {
   #client: Client;
@@ -108,6 +111,12 @@
     socket.on("error", (failure) => {
       this.#isReset ||= "syscall" in failure;
     });
+    // A reset that comes together with the last bytes is reported as a plain
+    // end. Only a write tells the two apart: after a reset it fails at once.
+    socket.on("end", () => {
+      socket.write(END_PROBE);
+      this.#isReset ||= socket.errored !== null;
+    });
   }
 
   /**
