--- a/packages/relay/src/placement/orders.ts
+++ b/packages/relay/src/placement/orders.ts
@@ -17,7 +17,7 @@
 }
 
 /** A report or an order is answered within some ms, or the host is away. */
-const REPLY_TIMEOUT_MS = 300;
+const REPLY_TIMEOUT_MS = 200;
 const ATTEMPTS = 3;
 const REPEAT_PAUSE_MS = 50;
 
--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -111,7 +111,7 @@
     .sort((a, b) => b.need - a.need);
   const formable = options.filter(({ model, formation }) =>
     formation.members.length === model.hosts &&
-    (formation.loads.size === 0 ||
+    (isRepair(model, formation) ||
       hosts.length - model.hosts >= MIN_SPARES_AFTER_LOAD)
   );
   const warm = formable.find(({ formation }) => formation.loads.size === 0);
@@ -119,10 +119,27 @@
     return warm.formation;
   }
   // Hosts that are still to come may complete a group that is needed more.
-  const isWaiting = basis.isGrowing && formable[0] !== options[0];
+  const isWaiting = formable[0] !== options[0] &&
+    (basis.isGrowing || isAlmostWhole(options[0]!.model, hosts));
   return isWaiting ? undefined : formable[0]?.formation;
 }
 
+/** Whether most members keep the weights of the group that they were in. */
+function isRepair(model: ModelProfile, { loads }: Formation): boolean {
+  return loads.size * 2 <= model.hosts;
+}
+
+/** Whether the hosts of a group that lost one member wait for another host. */
+function isAlmostWhole(
+  model: ModelProfile,
+  hosts: readonly FreeHost[],
+): boolean {
+  const warm = hosts.filter((host) =>
+    rankHost(host, model.name) <= HostRank.staging
+  );
+  return warm.length >= model.hosts - 1;
+}
+
 /**
  * Work for each group of a model, with one more group. A group of many hosts
  * must be needed more, but not in proportion: a model with few groups loses a
@@ -185,6 +202,10 @@
   return isEmpty ? HostRank.empty : HostRank.otherModel;
 }
 
+function countHeld({ staged }: FreeHost, wanted: readonly string[]): number {
+  return staged.filter((model) => wanted.includes(model)).length;
+}
+
 /**
  * Spares of a domain stage the models of its groups, the largest group first,
  * as it loses a member most often.
@@ -198,20 +219,22 @@
     .filter(({ name }) => domainModels.includes(name))
     .sort((a, b) => b.hosts - a.hosts)
     .map(({ name }) => name);
+  const holds = ({ staged, staging }: FreeHost, model: string) =>
+    (staging ?? staged[0]) === model;
   const unused = new Set(spares);
   const stagings: Staging[] = [];
-  const missing = wanted.filter((model) => {
-    const holder = [...unused].find(({ staged, staging }) =>
-      (staging ?? staged[0]) === model
-    );
-    return holder === undefined || !unused.delete(holder);
-  });
-  for (const model of missing) {
-    const host = [...unused].find(({ staging }) => staging === undefined);
-    if (host !== undefined) {
-      unused.delete(host);
-      const loadPriority = STAGING_PRIORITY;
-      stagings.push({ host: host.id, model, loadPriority });
+  for (const model of wanted) {
+    const holder = [...unused].find((spare) => holds(spare, model));
+    // A spare that holds no wanted model goes first.
+    const host = holder ?? [...unused]
+      .filter(({ staging }) => staging === undefined)
+      .sort((a, b) => countHeld(a, wanted) - countHeld(b, wanted))[0];
+    if (host === undefined) {
+      break;
+    }
+    unused.delete(host);
+    if (holder === undefined) {
+      stagings.push({ host: host.id, model, loadPriority: STAGING_PRIORITY });
     }
   }
   return stagings;
--- a/packages/relay/src/routing/dispatcher.ts
+++ b/packages/relay/src/routing/dispatcher.ts
@@ -39,6 +39,9 @@
 const QUEUE_SHARE_OF_TARGET = 0.5;
 /** Places come free at about this pace in a full batch. */
 const MS_PER_FREE_SLOT = 70;
+/** Ranks from this one on leave places to the others. */
+const DEFERRABLE_RANK = 2;
+const RESERVED_SHARE = 0.12;
 const RETRY_AFTER_MS = 250;
 /** An instance that refused a connection is left alone for this time. */
 const UNREACHABLE_MS = 1000;
@@ -100,8 +103,7 @@
     if (chosen === undefined) {
       return Result.err(refuseWithoutUpstream(wish));
     }
-    const queue = wish.targetMs * QUEUE_SHARE_OF_TARGET / MS_PER_FREE_SLOT;
-    return chosen.load < engine.slots + queue
+    return chosen.load < computeLoadLimit(wish, engine)
       ? Result.ok(chosen)
       : Result.err(
         new Refusal(
@@ -144,6 +146,19 @@
   }
 }
 
+/**
+ * Requests that a group may have when one more is given to it. Urgent ones may
+ * wait for places that come free in time; the least urgent leave some free.
+ */
+function computeLoadLimit(
+  { rank, targetMs }: Wish,
+  { slots }: EngineProfile,
+): number {
+  return rank >= DEFERRABLE_RANK
+    ? slots * (1 - RESERVED_SHARE)
+    : slots + targetMs * QUEUE_SHARE_OF_TARGET / MS_PER_FREE_SLOT;
+}
+
 function refuseWithoutUpstream({ service, model }: Wish): Refusal {
   const what = model === undefined ? service.name : `${service.name} ${model}`;
   return new Refusal(
