--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -4,7 +4,7 @@
  * @module
  */
 export { createCoreNode, createNode, type Replacements } from "./node.ts";
-export { type PeerConnection, type PeerTransport } from "./peers/transport.ts";
+export { type PeerConnection, type PeerTransport } from "@zinniahill/clients";
 export { stopAsPlanned } from "./planned-stop.ts";
 export { type NodeKernel, type Services } from "./services.ts";
 export { type RoutedRequest } from "./serving/http.ts";
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -15,8 +15,8 @@
   LogClient,
   PlainServiceClient,
   Traffic,
-  WeightStoreClient,
   WebSocketTransport,
+  WeightStoreClient,
 } from "@zinniahill/clients";
 import type { Settings } from "@zinniahill/schema";
 import { Administration } from "./administration/administration.ts";
--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -33,7 +33,10 @@
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#decoder = kernel.find("decoder");
-    kernel.find("feeds").onChange("instances", (records) => this.#apply(records));
+    kernel.find("feeds").onChange(
+      "instances",
+      (records) => this.#apply(records),
+    );
   }
 
   /** Rises with each change of the list. */
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -17,14 +17,14 @@
   EngineProfile,
   Service as ServiceProfile,
 } from "../model/configuration.ts";
-import type { Instance } from "../model/instance.ts";
+import type { Instance, Report } from "../model/instance.ts";
 import type { Mesh } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
 import type { Demand } from "./demand.ts";
-import { type FormingGroup, Formations } from "./formation.ts";
+import { Formations, type FormingGroup } from "./formation.ts";
 import type { Holder } from "./holder.ts";
 import { LoadLimit } from "./loads.ts";
-import { isMemberOf, Orders, PlacementError } from "./orders.ts";
+import { isMemberOf, Orders } from "./orders.ts";
 import {
   createPlan,
   type Formation,
@@ -44,6 +44,9 @@
 const EPOCHS_PER_FENCE = 10_000;
 /** A host that did not answer is asked again after this time. */
 const MISSING_RETRY_MS = 1500;
+/** An engine that is this many times slower than its profile is replaced. */
+const SLOW_PACE = 2;
+const SLOW_RETRY_MS = 6000;
 const CLOSE_WAIT_MS = 10_000;
 /** Time between two checks of the members of one suspected group. */
 const RECHECK_MS = 400;
@@ -80,6 +83,8 @@
   #forming = new Map<string, FormingGroup>();
   /** Hosts that did not answer, and until when they are left alone. */
   #missingUntil = new Map<string, number>();
+  /** Hosts that were seen to be slow, and until when others go first. */
+  #slowUntil = new Map<string, number>();
   #checkedAt = new Map<string, number>();
   /** Groups whose lead has gone and was told to leave. */
   #releasedLeads = new Set<string>();
@@ -336,6 +341,7 @@
         lastModel: engine!.model,
         staged: engine!.staged,
         staging: this.#staging.get(id),
+        isSlow: this.#isSlow(id),
       }));
   }
 
@@ -458,32 +464,56 @@
     const service = this.#listEngineServices()
       .find(({ name }) => name === group.service);
     const size = service && findModel(service, group.model)?.hosts;
-    const present = await Promise.all(
-      group.members.map((member) => this.#isPresent(group, member, signal)),
+    const reports = await Promise.all(
+      group.members.map((member) => this.#ask(member, signal)),
     );
-    const isWhole = present.every(Boolean) && group.members.length === size;
+    const present = reports.filter((report) =>
+      isMemberOf(report?.engine.membership, group.name, group.epoch)
+    );
+    const isWhole = present.length === size;
+    const slow = reports.filter((report) => (report?.pace ?? 1) >= SLOW_PACE);
+    const canReplace = slow.length > 0 && service !== undefined &&
+      slow.length <= this.#countSpares(service, group);
     this.#logger.info("group_checked", {
       group: group.name,
       epoch: group.epoch,
-      present: present.filter(Boolean).length,
+      present: present.length,
       listed: group.members.length,
       expected: size,
+      slow: slow.length,
+      can_replace_slow: canReplace,
     });
-    if (!isWhole) {
+    if (!isWhole || canReplace) {
       await this.#dissolve(group, signal);
     }
   }
 
-  async #isPresent(
-    { name, epoch }: Group,
+  /** Asks a member for its state and remembers if it is away or slow. */
+  async #ask(
     member: Instance,
     signal: AbortSignal,
-  ): Promise<boolean> {
+  ): Promise<Report | undefined> {
     const report = await this.#orders.ask(member, signal);
     if (report === undefined) {
       this.#noteMissing(member);
+    } else if (report.pace >= SLOW_PACE) {
+      this.#slowUntil.set(
+        createProcessKey(member),
+        this.#clock.now() + SLOW_RETRY_MS,
+      );
     }
-    return isMemberOf(report?.engine.membership, name, epoch);
+    return report;
+  }
+
+  /** Spares of the group's domain that can join without a load. */
+  #countSpares(service: EngineService, { model, lead }: Group): number {
+    const standing = this.#groups.list().filter((group) =>
+      group.service === service.name && this.#isStanding(group)
+    );
+    return this.#listFree(service, standing).filter((host) =>
+      host.fabricDomain === readDomain(lead) && !host.isSlow &&
+      host.staged.includes(model)
+    ).length;
   }
 
   /** Lets a group with a leaving member finish, then frees the others. */
@@ -566,6 +596,12 @@
     );
   }
 
+  #isSlow(id: string): boolean {
+    const instance = this.#instances.find(id);
+    const until = instance && this.#slowUntil.get(createProcessKey(instance));
+    return until !== undefined && this.#clock.now() < until;
+  }
+
   #isMissing(instance: Instance): boolean {
     const until = this.#missingUntil.get(createProcessKey(instance));
     return until !== undefined && this.#clock.now() < until;
--- a/packages/relay/src/placement/formation.ts
+++ b/packages/relay/src/placement/formation.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { type Clock, type Logger, withDeadline } from "@zinniahill/kernel";
-import { createGroupName } from "../hosts/groups.ts";
 import type { Instances } from "../hosts/instances.ts";
 import type { EngineProfile, ModelProfile } from "../model/configuration.ts";
 import type { Instance, Membership } from "../model/instance.ts";
@@ -116,7 +115,13 @@
     try {
       await this.#orders.give(
         id,
-        { kind: "join", group: name, epoch, model: model.name, members: [...members] },
+        {
+          kind: "join",
+          group: name,
+          epoch,
+          model: model.name,
+          members: [...members],
+        },
         (report) => isMemberOf(report.engine.membership, name, epoch),
         signal,
       );
--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -14,6 +14,8 @@
   readonly staged: readonly string[];
   /** The model that is being staged now. */
   readonly staging: string | undefined;
+  /** Whether its engine was seen to be much slower than its profile. */
+  readonly isSlow: boolean;
 }
 
 /** A group to be formed; the first member leads. */
@@ -162,7 +164,10 @@
   loadPriority: number,
 ): Formation {
   const chosen = [...hosts]
-    .sort((a, b) => rankHost(a, model.name) - rankHost(b, model.name))
+    .sort((a, b) =>
+      Number(a.isSlow) - Number(b.isSlow) ||
+      rankHost(a, model.name) - rankHost(b, model.name)
+    )
     .slice(0, model.hosts);
   const loads = chosen.filter((host) =>
     rankHost(host, model.name) > HostRank.staging
--- a/packages/relay/src/routing/dispatcher.ts
+++ b/packages/relay/src/routing/dispatcher.ts
@@ -42,7 +42,11 @@
 /** Ranks from this one on leave places to the others. */
 const DEFERRABLE_RANK = 2;
 const RESERVED_SHARE = 0.12;
-const RETRY_AFTER_MS = 250;
+/** A caller that returns later than its target is served late in any case. */
+const EARLY_RETRY_MS = 250;
+const LATE_RETRY_MS = 1500;
+/** Callers that were refused together do not return together. */
+const RETRY_JITTER = 0.3;
 /** An instance that refused a connection is left alone for this time. */
 const UNREACHABLE_MS = 1000;
 
@@ -71,6 +75,14 @@
       : this.#chooseGroup(wish, engine);
   }
 
+  /** A lead that refuses as misdirected no longer leads its group. */
+  noteMisdirected({ instance, group }: Choice): void {
+    this.noteUnreachable(instance);
+    if (group !== undefined) {
+      this.#groups.suspect(group.name, group.epoch, "misdirected request");
+    }
+  }
+
   /** Leaves an instance alone for some time. */
   noteUnreachable({ id }: Instance): void {
     this.#unreachableUntil.set(id, this.#clock.now() + UNREACHABLE_MS);
@@ -89,7 +101,7 @@
       .map((instance) => this.#createChoice(instance, undefined));
     const chosen = this.#pickLeastLoaded(choices);
     return chosen === undefined
-      ? Result.err(refuseWithoutUpstream(wish))
+      ? Result.err(this.#refuseWithoutUpstream(wish))
       : Result.ok(chosen);
   }
 
@@ -101,7 +113,7 @@
     const choices = groups.flatMap((group) => this.#listLead(group, wish));
     const chosen = this.#pickLeastLoaded(choices);
     if (chosen === undefined) {
-      return Result.err(refuseWithoutUpstream(wish));
+      return Result.err(this.#refuseWithoutUpstream(wish));
     }
     return chosen.load < computeLoadLimit(wish, engine)
       ? Result.ok(chosen)
@@ -110,11 +122,31 @@
           "overloaded",
           "not-run",
           `the least loaded group has ${chosen.load} requests`,
-          RETRY_AFTER_MS,
+          this.#drawRetryAfterMs(wish),
         ),
       );
   }
 
+  #refuseWithoutUpstream(wish: Wish): Refusal {
+    const { service: { name }, model } = wish;
+    const what = model === undefined ? name : `${name} ${model}`;
+    return new Refusal(
+      "no-upstream",
+      "not-run",
+      `no instance of ${what} takes requests`,
+      this.#drawRetryAfterMs(wish),
+    );
+  }
+
+  /** Soon where the target can still be met, else when the peak may be over. */
+  #drawRetryAfterMs({ targetMs }: Wish): number {
+    const middleMs = targetMs > 2 * EARLY_RETRY_MS
+      ? EARLY_RETRY_MS
+      : LATE_RETRY_MS;
+    const jitter = (2 * this.#random.fraction() - 1) * RETRY_JITTER;
+    return middleMs * (1 + jitter);
+  }
+
   #listLead(group: Group, { excluded }: Wish): Choice[] {
     const { lead } = group;
     return lead === undefined || excluded.has(lead.id) ||
@@ -158,13 +190,3 @@
     ? slots * (1 - RESERVED_SHARE)
     : slots + targetMs * QUEUE_SHARE_OF_TARGET / MS_PER_FREE_SLOT;
 }
-
-function refuseWithoutUpstream({ service, model }: Wish): Refusal {
-  const what = model === undefined ? service.name : `${service.name} ${model}`;
-  return new Refusal(
-    "no-upstream",
-    "not-run",
-    `no instance of ${what} takes requests`,
-    RETRY_AFTER_MS,
-  );
-}
--- a/packages/relay/src/routing/route-table.ts
+++ b/packages/relay/src/routing/route-table.ts
@@ -55,7 +55,10 @@
 
   /** Draws one of a route's services by weight. */
   drawService(route: Route, random: Random): Service | undefined {
-    const total = route.destinations.reduce((sum, { weight }) => sum + weight, 0);
+    const total = route.destinations.reduce(
+      (sum, { weight }) => sum + weight,
+      0,
+    );
     let left = random.fraction() * total;
     for (const { service, weight } of route.destinations) {
       left -= weight;
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -182,6 +182,9 @@
     const facts = this.#format.readReply(reply.headers);
     const fault = findFault(relayed, reply, facts);
     if (fault !== undefined) {
+      if (reply.status === MISDIRECTED_STATUS) {
+        this.#dispatcher.noteMisdirected(choice);
+      }
       end(ATTEMPT_ENDED);
       return Result.err(fault);
     }
@@ -230,7 +233,11 @@
     { message }: AttemptFault,
   ): Refusal | undefined {
     if (relayed.gone.aborted) {
-      return new Refusal("deadline", readVerdict(relayed), "the caller has gone");
+      return new Refusal(
+        "deadline",
+        readVerdict(relayed),
+        "the caller has gone",
+      );
     }
     if (this.#clock.now() >= relayed.deadlineAt) {
       return relayed.mayHaveRun
--- a/packages/relay/src/serving/front.ts
+++ b/packages/relay/src/serving/front.ts
@@ -144,7 +144,13 @@
       response.setHeader("connection", "close");
     }
     try {
-      const relayed = await this.#read(id, facts, receivedAt, request, response);
+      const relayed = await this.#read(
+        id,
+        facts,
+        receivedAt,
+        request,
+        response,
+      );
       await this.#answer(relayed);
     } catch (failure) {
       this.#refuse(id, facts, receivedAt, request, response, failure);
--- a/packages/relay/src/serving/replies.ts
+++ b/packages/relay/src/serving/replies.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { STATUS_CODES, type ServerResponse } from "node:http";
+import { type ServerResponse, STATUS_CODES } from "node:http";
 import type { Refusal } from "@zinniahill/schema";
 import type { UpstreamReply } from "./exchange.ts";
 import { filterHeaders } from "./headers.ts";
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -1,5 +1,10 @@
 import { Buffer } from "node:buffer";
-import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
 import { collectBody, Exchange } from "../../src/serving/exchange.ts";
 
@@ -33,9 +38,11 @@
 async function read(address: string): Promise<string> {
   const { exchange, sent } = await send(address);
   try {
-    const chunks = await collectBody(sent.unwrapOrElse((fault) => {
-      throw new Error(fault.message);
-    }).body);
+    const chunks = await collectBody(
+      sent.unwrapOrElse((fault) => {
+        throw new Error(fault.message);
+      }).body,
+    );
     return Buffer.concat(chunks).toString();
   } finally {
     exchange.close(DONE);
