--- a/packages/relay/src/hosts/groups.ts
+++ b/packages/relay/src/hosts/groups.ts
@@ -22,19 +22,37 @@
   readonly state: MemberState | undefined;
 }
 
-/** Separates the model from the epoch in a group's name. */
+/** Separates the parts of a group's name. */
 const NAME_SEPARATOR = "~";
 /** A suspicion without new evidence is dropped after this time. */
 const SUSPICION_MS = 1500;
 
-/** A group's name says its model, also while members are still loading. */
-export function createGroupName(model: string, epoch: number): string {
-  return `${model}${NAME_SEPARATOR}${epoch}`;
+/** Where an instance is reached, whether it is listed or not. */
+export type Target = Pick<Instance, "id" | "address">;
+
+/**
+ * A group's name says its model, also while members are still loading, and its
+ * lead, also when the store no longer lists it.
+ */
+export function createGroupName(
+  model: string,
+  epoch: number,
+  { id, address }: Target,
+): string {
+  return [model, epoch, id, address].join(NAME_SEPARATOR);
 }
 
 /** The model that a group's name stands for. */
 export function readGroupModel(name: string): string {
-  return name.slice(0, name.lastIndexOf(NAME_SEPARATOR));
+  return name.split(NAME_SEPARATOR)[0]!;
+}
+
+/** The lead that a group's name says; undefined in a name of another form. */
+export function readGroupLead(name: string): Target | undefined {
+  const [, , id, address] = name.split(NAME_SEPARATOR);
+  return id === undefined || address === undefined
+    ? undefined
+    : { id, address };
 }
 
 /** Identifies a group over all nodes. */
--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -14,9 +14,6 @@
 import type { RecordDecoder } from "../outside.ts";
 import type { RelayKernel } from "../services.ts";
 
-/** Departed instances that are remembered. */
-const MAX_DEPARTED = 200;
-
 /** Knows every instance by id and by service. */
 export class Instances implements Service {
   /** Notified after each change of the list. */
@@ -25,7 +22,6 @@
   #logger: Logger;
   #decoder: RecordDecoder;
   #instances = new Map<string, Instance>();
-  #departed = new Map<string, Instance>();
   #version = 0;
   #grownAt = -Infinity;
 
@@ -61,14 +57,6 @@
     );
   }
 
-  /** The last known lead of a group, if the store no longer lists it. */
-  findDepartedLead(group: string, epoch: number): Instance | undefined {
-    return [...this.#departed.values()].find(({ engine }) =>
-      engine?.membership?.rank === 0 && engine.membership.group === group &&
-      engine.membership.epoch === epoch
-    );
-  }
-
   /** The instance of that id, if it is listed. */
   find(id: string): Instance | undefined {
     return this.#instances.get(id);
@@ -98,7 +86,6 @@
   #put(instance: Instance): void {
     const known = this.#instances.get(instance.id);
     this.#instances.set(instance.id, instance);
-    this.#departed.delete(instance.id);
     if (known === undefined) {
       this.#grownAt = this.#clock.now();
       this.#logger.info("instance_listed", {
@@ -129,19 +116,8 @@
   }
 
   #remove(id: string): void {
-    const instance = this.#instances.get(id);
-    if (instance !== undefined) {
-      this.#instances.delete(id);
-      this.#departed.set(id, instance);
-      this.#forgetDeparted();
+    if (this.#instances.delete(id)) {
       this.#logger.info("instance_gone", { instance: id });
     }
   }
-
-  #forgetDeparted(): void {
-    const [oldest] = this.#departed.keys();
-    if (this.#departed.size > MAX_DEPARTED && oldest !== undefined) {
-      this.#departed.delete(oldest);
-    }
-  }
 }
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -34,6 +34,14 @@
 /** Requests in progress that one node has given to one upstream instance. */
 export const OutstandingCount = z.tuple([z.string(), z.number()]);
 
+/** A lead that is to leave its group. */
+const LeadToRelease = z.object({
+  lead: z.string(),
+  address: z.string(),
+  group: z.string(),
+  epoch: z.number(),
+});
+
 /** A message between two nodes. */
 export const PeerMessage = z.discriminatedUnion("kind", [
   z.object({
@@ -61,6 +69,12 @@
     records: z.array(KeyRecord),
     next: z.number(),
   }),
+  LeadToRelease.extend({
+    kind: z.literal("release"),
+    /** The fencing number of the node that holds placement. */
+    fence: z.number(),
+  }),
+  LeadToRelease.extend({ kind: z.literal("released") }),
   z.object({
     kind: z.literal("suspect"),
     instance: z.string(),
--- a/packages/relay/src/outside.ts
+++ b/packages/relay/src/outside.ts
@@ -90,7 +90,7 @@
     signal: AbortSignal,
   ): Promise<Result<Report, Fault>>;
   order(
-    instance: Instance,
+    target: Pick<Instance, "id" | "address">,
     order: Order,
     condition: OrderCondition,
     timeoutMs: number,
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -41,6 +41,17 @@
   ) => void;
 };
 
+/** Messages that other services handle. */
+type ForwardedKind = "suspect" | "release" | "released";
+
+/** Listeners of other services, by kind of message. */
+type Listeners = {
+  [Kind in ForwardedKind]?: (
+    message: MessageOf<Kind>,
+    sender: NodeEntry,
+  ) => void;
+};
+
 /** A live connection to another node. */
 interface Link {
   readonly entry: NodeEntry;
@@ -91,7 +102,7 @@
   #links = new Map<string, Link>();
   #dialing = new Set<string>();
   #readOutstanding: BeatSource = () => [];
-  #onSuspect: (message: MessageOf<"suspect">) => void = () => {};
+  #listeners: Listeners = {};
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -152,9 +163,12 @@
     this.#readOutstanding = source;
   }
 
-  /** Calls a listener for each group that a peer holds for broken. */
-  onSuspect(listener: (message: MessageOf<"suspect">) => void): void {
-    this.#onSuspect = listener;
+  /** Sets what is done with messages that are not about the mesh itself. */
+  on<Kind extends ForwardedKind>(
+    kind: Kind,
+    listener: Listeners[Kind] & object,
+  ): void {
+    this.#listeners[kind] = listener;
   }
 
   /** Nodes that were heard lately, apart from this one. */
@@ -171,6 +185,14 @@
     return Math.max(this.#links.size, this.#directory.list().length) + 1;
   }
 
+  /** Sends a message to one peer, if it is connected. */
+  sendTo({ name }: NodeEntry, message: PeerMessage): void {
+    const link = this.#links.get(name);
+    if (link !== undefined) {
+      this.#send(link, message);
+    }
+  }
+
   /** Sends a message to every peer. */
   broadcast(message: PeerMessage): void {
     const bytes = encodeMessage(message);
@@ -395,7 +417,10 @@
       });
       this.#feeds.applyFromPeer(feed, records, next);
     },
-    suspect: (_link, message) => this.#onSuspect(message),
+    suspect: (link, message) => this.#listeners.suspect?.(message, link.entry),
+    release: (link, message) => this.#listeners.release?.(message, link.entry),
+    released: (link, message) =>
+      this.#listeners.released?.(message, link.entry),
   };
 
   /** Asks for records that the peer has and the store has not given. */
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -11,7 +11,12 @@
   TaskGroup,
 } from "@zinniahill/kernel";
 import type { CurrentConfiguration } from "../routing/current-configuration.ts";
-import { createGroupName, type Group, Groups } from "../hosts/groups.ts";
+import {
+  createGroupName,
+  type Group,
+  Groups,
+  readGroupLead,
+} from "../hosts/groups.ts";
 import type { Instances } from "../hosts/instances.ts";
 import type {
   EngineProfile,
@@ -23,6 +28,7 @@
 import type { Demand } from "./demand.ts";
 import { Formations, type FormingGroup } from "./formation.ts";
 import type { Holder } from "./holder.ts";
+import type { LeadRelease } from "./lead-release.ts";
 import { LoadLimit } from "./loads.ts";
 import { isMemberOf, Orders } from "./orders.ts";
 import {
@@ -67,6 +73,7 @@
   #mesh: Mesh;
   #holder: Holder;
   #demand: Demand;
+  #leadRelease: LeadRelease;
   #tasks: TaskGroup;
   #orders: Orders;
   #loads: LoadLimit;
@@ -98,6 +105,7 @@
     this.#mesh = kernel.find("mesh");
     this.#holder = kernel.find("holder");
     this.#demand = kernel.find("demand");
+    this.#leadRelease = kernel.find("leadRelease");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
     this.#orders = new Orders(kernel);
     this.#loads = new LoadLimit(this.#clock, () => this.#demand.hasBegun);
@@ -105,7 +113,7 @@
   }
 
   start(): void {
-    this.#mesh.onSuspect(({ group, epoch, instance }) => {
+    this.#mesh.on("suspect", ({ group, epoch, instance }) => {
       this.#groups.suspect(group, epoch, `peer about ${instance}`);
       this.check(group, epoch);
     });
@@ -299,33 +307,28 @@
     if (group.lead !== undefined || this.#busyGroups.has(group.name)) {
       return true;
     }
-    const lead = this.#instances.findDepartedLead(group.name, group.epoch);
-    if (lead === undefined || this.#releasedLeads.has(group.name)) {
+    const lead = readGroupLead(group.name);
+    const listed = lead && this.#instances.find(lead.id);
+    // A lead that is listed without the group has left it.
+    if (
+      lead === undefined || listed !== undefined ||
+      this.#releasedLeads.has(group.name)
+    ) {
       return false;
     }
     this.#runOnGroup(
       group,
       "release_lead",
-      (signal) => this.#releaseLead(group, lead, signal),
+      async (signal) => {
+        const { name, epoch } = group;
+        const { fence } = this.#holder;
+        await this.#leadRelease.release(lead, name, epoch, fence, signal);
+        this.#releasedLeads.add(name);
+      },
     );
     return true;
   }
 
-  async #releaseLead(
-    { name, epoch }: Group,
-    lead: Instance,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const isReleased = await this.#orders.release(lead, name, epoch, signal);
-    this.#logger.info("departed_lead_released", {
-      group: name,
-      epoch,
-      lead: lead.id,
-      answered: isReleased,
-    });
-    this.#releasedLeads.add(name);
-  }
-
   #listFree(service: EngineService, standing: readonly Group[]): FreeHost[] {
     const taken = new Set(
       standing.flatMap(({ members }) => members.map(({ id }) => id)),
@@ -347,9 +350,13 @@
 
   #form(service: EngineService, formation: Formation): void {
     const epoch = this.#takeEpoch();
+    const lead = this.#instances.find(formation.members[0]!);
+    if (lead === undefined) {
+      return;
+    }
     const forming: FormingGroup = {
       ...formation,
-      name: createGroupName(formation.model, epoch),
+      name: createGroupName(formation.model, epoch, lead),
       epoch,
       model: findModel(service, formation.model)!,
       engine: service.engine,
--- a/packages/relay/src/placement/orders.ts
+++ b/packages/relay/src/placement/orders.ts
@@ -95,32 +95,6 @@
     throw new PlacementError(`${id} did not carry out ${order.kind}`);
   }
 
-  /**
-   * Tells a lead that the store no longer lists to leave its group; false when
-   * it does not answer.
-   */
-  async release(
-    lead: Instance,
-    group: string,
-    epoch: number,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    for (let attempt = 1; attempt <= ATTEMPTS - 1; attempt++) {
-      const reply = await this.#engines.order(
-        lead,
-        { kind: "leave", group, epoch },
-        { fence: this.#holder.fence },
-        REPLY_TIMEOUT_MS,
-        signal,
-      );
-      signal.throwIfAborted();
-      if (reply.isOk) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   #find(id: string): Instance {
     const instance = this.#instances.find(id);
     if (instance === undefined) {
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -20,6 +20,7 @@
 import { PlacementController } from "./placement/controller.ts";
 import { Demand } from "./placement/demand.ts";
 import { Holder } from "./placement/holder.ts";
+import { LeadRelease } from "./placement/lead-release.ts";
 import { RelayMetrics } from "./relay-metrics.ts";
 import type { RelaySettings } from "./relay-settings.ts";
 import { CurrentConfiguration } from "./routing/current-configuration.ts";
@@ -105,6 +106,11 @@
       (services) => new Holder(services),
     )
     .provide("demand", CORE, (services) => new Demand(services))
+    .provide(
+      "leadRelease",
+      [...CORE, "engines", "mesh"],
+      (services) => new LeadRelease(services),
+    )
     .provide(
       "placement",
       [
@@ -116,6 +122,7 @@
         "holder",
         "demand",
         "engines",
+        "leadRelease",
       ],
       (services) => new PlacementController(services),
     );
--- a/packages/relay/src/services.ts
+++ b/packages/relay/src/services.ts
@@ -22,6 +22,7 @@
 import type { PlacementController } from "./placement/controller.ts";
 import type { Demand } from "./placement/demand.ts";
 import type { Holder } from "./placement/holder.ts";
+import type { LeadRelease } from "./placement/lead-release.ts";
 import type { RelayMetrics } from "./relay-metrics.ts";
 import type { RelaySettings } from "./relay-settings.ts";
 import type { CurrentConfiguration } from "./routing/current-configuration.ts";
@@ -56,6 +57,7 @@
   mesh: Mesh;
   holder: Holder;
   demand: Demand;
+  leadRelease: LeadRelease;
   placement: PlacementController;
   outstanding: Outstanding;
   dispatcher: Dispatcher;
