--- /dev/null
+++ b/stand-ins/src/fleet/fleet.ts
@@ -0,0 +1,162 @@
+/**
+ * A small deployment: a store, runners in fabric domains and a plain service.
+ *
+ * @module
+ */
+import { FleetRunner } from "./runner.ts";
+import { FleetStore } from "./store.ts";
+
+/** What a deployment consists of. */
+export interface FleetOptions {
+  readonly domains: number;
+  readonly runnersPerDomain: number;
+  /** Hosts of one replica. */
+  readonly modelHosts: number;
+  readonly loadMs?: number;
+}
+
+export const FLEET_HOST = "calls.example";
+export const FLEET_MODEL = "m1";
+export const FLEET_KEY = "key-of-north";
+const ENGINES = "engines";
+const RECORDS = "records";
+
+/** A deployment whose parts a test may break. */
+export class Fleet {
+  readonly store = new FleetStore();
+  readonly runners: FleetRunner[] = [];
+  readonly records: FleetRunner[] = [];
+  #options: FleetOptions;
+  #version = 0;
+  #keys = [FLEET_KEY];
+  #address = "";
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+  }
+
+  /** The store's address. */
+  get address(): string {
+    return this.#address;
+  }
+
+  async start(): Promise<void> {
+    this.#address = await this.store.start();
+    const { domains, runnersPerDomain, loadMs = 0 } = this.#options;
+    for (let domain = 0; domain < domains; domain++) {
+      for (let place = 0; place < runnersPerDomain; place++) {
+        await this.#add(this.runners, ENGINES, loadMs, `d${domain}`);
+      }
+    }
+    await this.#add(this.records, RECORDS, loadMs, undefined);
+    await this.#add(this.records, RECORDS, loadMs, undefined);
+    this.publish();
+  }
+
+  stop(): void {
+    [...this.runners, ...this.records].forEach((runner) => runner.stop());
+    this.store.stop();
+  }
+
+  /** Runners that lead an open group. */
+  listLeads(): FleetRunner[] {
+    return this.runners.filter(({ membership }) =>
+      membership?.rank === 0 && membership.State === "open"
+    );
+  }
+
+  /** Takes a key away and publishes the change. */
+  revoke(key: string): void {
+    this.#keys = this.#keys.filter((other) => other !== key);
+    this.publish();
+  }
+
+  /** Publishes a new version of the configuration. */
+  publish(): void {
+    this.#version += 3;
+    this.store.put("keyed.op", "config", this.#createConfiguration());
+  }
+
+  async #add(
+    list: FleetRunner[],
+    service: string,
+    loadMs: number,
+    domain: string | undefined,
+  ): Promise<void> {
+    const runner = new FleetRunner({
+      store: this.store,
+      service,
+      zone: "z1",
+      loadMs,
+      ...(domain === undefined ? {} : { domain }),
+    });
+    await runner.start();
+    list.push(runner);
+  }
+
+  #createConfiguration(): object {
+    const route = (
+      Name: string,
+      PathPrefix: string,
+      Kind: string,
+      Service: string,
+    ) => ({
+      Name,
+      Host: FLEET_HOST,
+      PathPrefix,
+      Kind,
+      Service,
+      TimeoutMs: 4000,
+      TargetLatencyMs: 400,
+      Priority: 0,
+      MaxAttempts: Kind === "unsafe" ? 1 : 2,
+      AllowAnonymous: false,
+      Resumable: Kind === "stream",
+    });
+    return {
+      Version: this.#version,
+      Routes: [
+        route("chat", "/chat/", "stream", ENGINES),
+        route("stamp", "/stamp/", "unsafe", RECORDS),
+        route("look", "/look/", "safe", RECORDS),
+      ],
+      Services: [
+        { Name: ENGINES, MaxConns: 100, Engine: this.#createEngine() },
+        { Name: RECORDS, MaxConns: 100 },
+      ],
+      Limits: {
+        MaxHeaderBytes: 16_384,
+        MaxBodyBytes: 65_536,
+        HeaderTimeoutMs: 3000,
+        IdleTimeoutMs: 15_000,
+      },
+      Tenants: [{ Name: "north", ApiKeys: this.#keys, Priority: 1 }],
+    };
+  }
+
+  #createEngine(): object {
+    const seconds = (this.#options.loadMs ?? 0) / 1000;
+    return {
+      Slots: 8,
+      KvCapacityTokens: 100_000,
+      Stride: 6,
+      step_ms: 6,
+      per_seq_ms: 0.1,
+      context_per_k: 0.004,
+      read_per_s: 56_000,
+      pairs_per_m: 0.3,
+      chunk: 2048,
+      LoadsPerS: 50,
+      loads_at_once: 8,
+      FormMs: 10,
+      Models: [{
+        Name: FLEET_MODEL,
+        size: this.#options.modelHosts,
+        Share: 1,
+        pace: 1,
+        LoadS: seconds,
+        WarmS: 0.02,
+      }],
+    };
+  }
+}
--- /dev/null
+++ b/stand-ins/src/fleet/runner.ts
@@ -0,0 +1,334 @@
+/**
+ * A stand-in of one runner: orders, groups, streams, and plain answers.
+ *
+ * @module
+ */
+import { randomBytes } from "node:crypto";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import type { FleetStore } from "./store.ts";
+
+/** What a runner is created with. */
+export interface RunnerOptions {
+  readonly store: FleetStore;
+  readonly service: string;
+  readonly zone: string;
+  /** Absent for a plain service. */
+  readonly domain?: string;
+  /** Time to load weights. */
+  readonly loadMs?: number;
+}
+
+/** The runner's place in a group. */
+interface Membership {
+  Name: string;
+  epoch: number;
+  rank: number;
+  State: "joining" | "ready" | "open" | "closing" | "broken";
+}
+
+/** One request that a runner began to work on. */
+export interface RunRecord {
+  readonly attempt: string;
+  readonly account: string | undefined;
+  readonly target: string;
+  readonly deadlineMs: number;
+  readonly hasKey: boolean;
+}
+
+/** The body of an order. */
+interface OrderBody {
+  readonly Op: string;
+  readonly group?: string;
+  readonly epoch?: number;
+  readonly Model?: string;
+  readonly Members?: readonly string[];
+  readonly Fence?: number;
+  readonly Precondition?: number;
+}
+
+type OrderHandler = (order: OrderBody) => number;
+
+const HOST = "127.0.0.1";
+const WARM_JOIN_MS = 20;
+const OPEN_MS = 10;
+const EVENT_MS = 5;
+const EVENTS = 6;
+const REFUSED_HEADERS = { "x-not-executed": "1" };
+
+/** Serves one runner's interface over HTTP and registers it in the store. */
+export class FleetRunner {
+  readonly id = `i-${randomBytes(4).toString("hex")}`;
+  /** Requests that began to run, in order. */
+  readonly runs: RunRecord[] = [];
+  /** Orders that were accepted, in order. */
+  readonly orders: OrderBody[] = [];
+  /** Whether connections are accepted but nothing is answered. */
+  isSilent = false;
+  /** Whether the member that streams depend on is away. */
+  isStalled = false;
+  /** Events after which a stream breaks off, if it is set. */
+  breaksAfter: number | undefined;
+  #options: RunnerOptions;
+  #server: Server;
+  #address = "";
+  #born = Date.now();
+  #state: "ready" | "draining" = "ready";
+  #orderCount = 0;
+  #fence = 0;
+  #epoch = 0;
+  #model: string | undefined;
+  #staged: string[] = [];
+  #membership: Membership | undefined;
+
+  constructor(options: RunnerOptions) {
+    this.#options = options;
+    this.#server = createServer((request, response) => {
+      void this.#serve(request, response);
+    });
+  }
+
+  get address(): string {
+    return this.#address;
+  }
+
+  get membership(): Readonly<Membership> | undefined {
+    return this.#membership;
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(0, HOST, resolve));
+    this.#address = `${HOST}:${(this.#server.address() as AddressInfo).port}`;
+    this.register();
+  }
+
+  /** Ends the process; the store lists it until `unregister`. */
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** Writes the runner's entry. */
+  register(): void {
+    const { store, service, zone, domain } = this.#options;
+    store.put("keyed.servers", this.id, {
+      Service: service,
+      Address: this.#address,
+      Zone: zone,
+      Version: "v1",
+      Slots: 8,
+      State: this.#state,
+      ColdLeftMs: 0,
+      SeqNo: 1,
+      born: this.#born,
+      ...(domain === undefined ? {} : this.#describeEngine()),
+    });
+  }
+
+  unregister(): void {
+    this.#options.store.put("keyed.servers", this.id, undefined);
+  }
+
+  drain(): void {
+    this.#state = "draining";
+    this.register();
+  }
+
+  #describeEngine(): object {
+    return {
+      Stage: "unified",
+      Models: this.#model === undefined
+        ? []
+        : [{ Name: this.#model, Version: 1, Adapters: [] }],
+      Domain: this.#options.domain,
+      Staged: this.#staged,
+      group: this.#membership ?? null,
+    };
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Uint8Array[] = [];
+    for await (const chunk of request) {
+      chunks.push(chunk as Uint8Array);
+    }
+    if (this.isSilent) {
+      return;
+    }
+    const expected = request.headers["x-target-instance"];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421, REFUSED_HEADERS).end();
+      return;
+    }
+    const handle = this.#routes[request.url ?? ""];
+    if (handle === undefined) {
+      this.#run(request, response);
+    } else {
+      handle(response, Buffer.concat(chunks).toString());
+    }
+  }
+
+  readonly #routes: Readonly<
+    Record<string, (response: ServerResponse, body: string) => void>
+  > = {
+    "/zinniahill/report": (response) => {
+      response.writeHead(200, { "content-type": "application/json" });
+      response.end(JSON.stringify({
+        ...this.#describeEngine(),
+        Busy: false,
+        SeqNo: this.#orderCount,
+        Queued: 0,
+        Running: 0,
+        pace: 1,
+        born: this.#born,
+      }));
+    },
+    "/zinniahill/order": (response, body) => {
+      response.writeHead(this.#order(JSON.parse(body))).end();
+    },
+  };
+
+  #order(order: OrderBody): number {
+    if (order.Fence !== undefined && order.Fence < this.#fence) {
+      return 412;
+    }
+    const isOther = order.Precondition !== undefined &&
+      order.Precondition !== this.#orderCount;
+    if (isOther) {
+      return 409;
+    }
+    this.#fence = Math.max(this.#fence, order.Fence ?? 0);
+    const status = this.#handlers[order.Op]?.(order) ?? 400;
+    if (status === 202) {
+      this.#orderCount++;
+      this.orders.push(order);
+    }
+    return status;
+  }
+
+  readonly #handlers: Readonly<Record<string, OrderHandler>> = {
+    join: (order) => this.#join(order),
+    open: (order) => {
+      if (!this.#isIn(order) || this.#membership?.State !== "ready") {
+        return 409;
+      }
+      setTimeout(() => this.#setState(order, "open"), OPEN_MS);
+      return 202;
+    },
+    close: (order) => {
+      if (!this.#isIn(order)) {
+        return 409;
+      }
+      this.#setState(order, "ready");
+      return 202;
+    },
+    leave: (order) => {
+      if (!this.#isIn(order)) {
+        return 200;
+      }
+      this.#membership = undefined;
+      this.register();
+      return 202;
+    },
+    Stage: ({ Model }) => {
+      setTimeout(() => {
+        this.#staged = [Model!];
+        this.register();
+      }, this.#options.loadMs ?? 0);
+      return 202;
+    },
+  };
+
+  #join(order: OrderBody): number {
+    const { group, epoch, Model, Members } = order;
+    if (epoch! < this.#epoch) {
+      return 412;
+    }
+    const isWarm = this.#model === Model || this.#staged.includes(Model!);
+    this.#epoch = epoch!;
+    this.#model = Model;
+    this.#staged = [Model!];
+    this.#membership = {
+      Name: group!,
+      epoch: epoch!,
+      rank: Members!.indexOf(this.id),
+      State: "joining",
+    };
+    this.register();
+    const ms = isWarm ? WARM_JOIN_MS : this.#options.loadMs ?? WARM_JOIN_MS;
+    setTimeout(() => this.#setState(order, "ready"), ms);
+    return 202;
+  }
+
+  #isIn({ group, epoch }: OrderBody): boolean {
+    return this.#membership?.Name === group &&
+      this.#membership?.epoch === epoch;
+  }
+
+  #setState(order: OrderBody, state: Membership["State"]): void {
+    if (this.#isIn(order)) {
+      this.#membership!.State = state;
+      this.register();
+    }
+  }
+
+  /** Runs a request: a stream on a lead, a whole answer on a plain service. */
+  #run(request: IncomingMessage, response: ServerResponse): void {
+    const isEngine = this.#options.domain !== undefined;
+    const isLead = this.#membership?.rank === 0 &&
+      this.#membership.State === "open";
+    if (isEngine && !isLead) {
+      response.writeHead(503, REFUSED_HEADERS).end();
+      return;
+    }
+    const attempt = String(request.headers["x-attempt-id"] ?? "");
+    this.runs.push({
+      attempt,
+      account: request.headers["x-tenant"] as string | undefined,
+      target: request.url ?? "",
+      deadlineMs: Number(request.headers["x-deadline-ms"]),
+      hasKey: request.headers.authorization !== undefined,
+    });
+    const headers = {
+      "x-attempt-id": attempt,
+      "x-response-seal": `seal-${this.id}`,
+    };
+    if (!isEngine) {
+      response.writeHead(200, headers).end(`answer to ${attempt}`);
+      return;
+    }
+    response.writeHead(200, {
+      ...headers,
+      "content-type": "text/event-stream",
+    });
+    void this.#stream(request, response);
+  }
+
+  async #stream(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    let sent = 0;
+    const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+    for (let id = first; id <= EVENTS; id++) {
+      await new Promise((resolve) => setTimeout(resolve, EVENT_MS));
+      if (this.isStalled) {
+        return;
+      }
+      if (this.breaksAfter === sent) {
+        response.write(`id: ${id}\nda`, () => response.destroy());
+        return;
+      }
+      response.write(`id: ${id}\ndata: piece ${id}\n\n`);
+      sent++;
+    }
+    response.end();
+  }
+}
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -18,6 +18,15 @@
 } from "./engine-model.ts";
 export { createToken, hashMessages } from "./engine-text.ts";
 export { EngineStandIn } from "./engine.ts";
+export {
+  Fleet,
+  FLEET_HOST,
+  FLEET_KEY,
+  FLEET_MODEL,
+  type FleetOptions,
+} from "./fleet/fleet.ts";
+export { FleetRunner, type RunRecord } from "./fleet/runner.ts";
+export { FleetStore, type StoreMode } from "./fleet/store.ts";
 export { HostListStandIn } from "./host-list.ts";
 export {
   type AppendedEntry,
