--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -116,9 +116,11 @@
     (isRepair(model, formation) ||
       hosts.length - model.hosts >= MIN_SPARES_AFTER_LOAD)
   );
-  const warm = formable.find(({ formation }) => formation.loads.size === 0);
-  if (warm !== undefined) {
-    return warm.formation;
+  const soonest =
+    formable.find(({ formation }) => formation.loads.size === 0) ??
+      formable.find(({ model, formation }) => isRepair(model, formation));
+  if (soonest !== undefined) {
+    return soonest.formation;
   }
   // Hosts that are still to come may complete a group that is needed more.
   const isWaiting = formable[0] !== options[0] &&
--- /dev/null
+++ b/packages/relay/test/feeds/key-table.test.ts
@@ -0,0 +1,64 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { KeyTable } from "../../src/feeds/key-table.ts";
+import type { KeyRecord } from "../../src/index.ts";
+
+const anyLog: fc.Arbitrary<KeyRecord[]> = fc.array(
+  fc.record({
+    key: fc.constantFrom("a", "b", "c"),
+    value: fc.option(fc.string({ minLength: 1 }), { nil: undefined }),
+  }),
+  { maxLength: 20 },
+).map((records) => records.map((record, offset) => ({ ...record, offset })));
+
+function readValues(table: KeyTable): Record<string, string | undefined> {
+  return Object.fromEntries(
+    table.list().map(({ key, value }) => [key, value]),
+  );
+}
+
+describe("KeyTable", () => {
+  describe("records in any order", () => {
+    it("never lets an older record replace a newer one", () => {
+      fc.assert(fc.property(
+        anyLog.chain((log) =>
+          fc.tuple(
+            fc.constant(log),
+            fc.shuffledSubarray(log, { minLength: log.length }),
+          )
+        ),
+        ([log, shuffled]) => {
+          const inOrder = new KeyTable();
+          inOrder.apply(log, log.length);
+          const mixed = new KeyTable();
+          shuffled.forEach((record) => mixed.apply([record], 0));
+          expect(readValues(mixed)).toEqual(readValues(inOrder));
+        },
+      ));
+    });
+
+    it("reports only records that changed something", () => {
+      const table = new KeyTable();
+      table.apply([{ key: "a", offset: 5, value: "new" }], 6);
+      expect(table.apply([{ key: "a", offset: 3, value: "old" }], 6))
+        .toEqual([]);
+    });
+  });
+
+  describe("snapshots", () => {
+    it("delete keys that they do not name", () => {
+      const table = new KeyTable();
+      table.apply([{ key: "gone", offset: 1, value: "x" }], 2);
+      table.applySnapshot([{ key: "kept", offset: 4, value: "y" }], 9);
+      expect(readValues(table)).toEqual({ kept: "y" });
+    });
+
+    it("do not delete a key whose record is newer", () => {
+      const table = new KeyTable();
+      table.apply([{ key: "new", offset: 12, value: "x" }], 13);
+      table.applySnapshot([], 9);
+      expect(readValues(table)).toEqual({ new: "x" });
+      expect(table.next).toBe(13);
+    });
+  });
+});
--- /dev/null
+++ b/packages/relay/test/placement/plan.test.ts
@@ -0,0 +1,178 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+  createPlan,
+  type FreeHost,
+  type PlanBasis,
+} from "../../src/placement/plan.ts";
+import { ENGINE, LARGE, SMALL } from "../engine.ts";
+
+function createHost(id: string, fields: Partial<FreeHost> = {}): FreeHost {
+  return {
+    id,
+    fabricDomain: "d1",
+    lastModel: undefined,
+    staged: [],
+    staging: undefined,
+    isSlow: false,
+    ...fields,
+  };
+}
+
+function createHosts(
+  count: number,
+  fields: Partial<FreeHost> = {},
+  prefix = "h",
+): FreeHost[] {
+  return Array.from(
+    { length: count },
+    (_, index) => createHost(`${prefix}${index}`, fields),
+  );
+}
+
+function createBasis(
+  free: readonly FreeHost[],
+  fields: Partial<PlanBasis> = {},
+): PlanBasis {
+  return {
+    engine: ENGINE,
+    free,
+    groupCounts: new Map(),
+    domainModels: new Map(),
+    demand: new Map([[LARGE.name, 0.5], [SMALL.name, 0.5]]),
+    isGrowing: false,
+    ...fields,
+  };
+}
+
+const anyHost = fc.record({
+  fabricDomain: fc.constantFrom("d1", "d2", "d3"),
+  lastModel: fc.constantFrom(undefined, LARGE.name, SMALL.name),
+  staged: fc.constantFrom([], [LARGE.name], [SMALL.name]),
+  staging: fc.constantFrom(undefined, LARGE.name, SMALL.name),
+  isSlow: fc.boolean(),
+});
+const anyFree = fc.array(anyHost, { maxLength: 40 })
+  .map((hosts) => hosts.map((host, index) => createHost(`h${index}`, host)));
+
+describe("createPlan", () => {
+  describe("for any free hosts", () => {
+    it("never puts a host into two groups, nor a group into two domains", () => {
+      fc.assert(fc.property(anyFree, (free) => {
+        const domains = new Map(
+          free.map((host) => [host.id, host.fabricDomain]),
+        );
+        const { formations } = createPlan(createBasis(free));
+        const all = formations.flatMap(({ members }) => members);
+        expect(new Set(all).size).toBe(all.length);
+        for (const { members } of formations) {
+          expect(new Set(members.map((id) => domains.get(id))).size).toBe(1);
+        }
+      }));
+    });
+
+    it("never forms a group of another size than its model's", () => {
+      fc.assert(fc.property(anyFree, (free) => {
+        const { formations } = createPlan(createBasis(free));
+        for (const { model, members } of formations) {
+          const { hosts } = ENGINE.models.find(({ name }) => name === model)!;
+          expect(members).toHaveLength(hosts);
+        }
+      }));
+    });
+
+    it("stages weights only on hosts that no group takes", () => {
+      fc.assert(fc.property(anyFree, (free) => {
+        const { formations, stagings } = createPlan(createBasis(free));
+        const taken = new Set(formations.flatMap(({ members }) => members));
+        expect(stagings.every(({ host }) => !taken.has(host))).toBe(true);
+      }));
+    });
+  });
+
+  describe("after a loss", () => {
+    const rest = createHosts(5, {
+      lastModel: LARGE.name,
+      staged: [LARGE.name],
+    });
+
+    it("completes the group with the spare that has the model staged", () => {
+      const spares = [
+        createHost("other", { staged: [SMALL.name] }),
+        createHost("spare", { staged: [LARGE.name] }),
+      ];
+      const { formations } = createPlan(createBasis([...rest, ...spares]));
+      expect(formations[0]).toMatchObject({ model: LARGE.name });
+      expect(formations[0]!.members).toContain("spare");
+      expect(formations[0]!.loads.size).toBe(0);
+    });
+
+    it("takes the last spare although its weights must be loaded", () => {
+      const { formations } = createPlan(
+        createBasis([...rest, createHost("spare")]),
+      );
+      expect(formations.map(({ model }) => model)).toEqual([LARGE.name]);
+      expect([...formations[0]!.loads]).toEqual(["spare"]);
+    });
+
+    it("does not split the rest of a needed group into small groups", () => {
+      const { formations } = createPlan(
+        createBasis(rest, {
+          groupCounts: new Map([[LARGE.name, 3], [SMALL.name, 8]]),
+        }),
+      );
+      expect(formations).toEqual([]);
+    });
+
+    it("counts a spare that is staging as one that needs no load", () => {
+      const { formations } = createPlan(
+        createBasis([...rest, createHost("spare", { staging: LARGE.name })]),
+      );
+      expect(formations[0]!.loads.size).toBe(0);
+    });
+
+    it("leaves a slow host out while there are enough others", () => {
+      const slow = createHost("slow", {
+        lastModel: LARGE.name,
+        isSlow: true,
+      });
+      const spare = createHost("spare", { staged: [LARGE.name] });
+      const { formations } = createPlan(createBasis([slow, ...rest, spare]));
+      expect(formations[0]!.members).not.toContain("slow");
+    });
+  });
+
+  describe("while hosts register", () => {
+    it("waits for the hosts of the model that is needed most", () => {
+      const basis = createBasis(createHosts(4), {
+        demand: new Map([[LARGE.name, 0.8], [SMALL.name, 0.2]]),
+        isGrowing: true,
+      });
+      expect(createPlan(basis).formations).toEqual([]);
+    });
+  });
+
+  describe("spares", () => {
+    it("stage each model of their domain, the larger one first", () => {
+      const basis = createBasis(createHosts(2), {
+        domainModels: new Map([["d1", [SMALL.name, LARGE.name]]]),
+      });
+      expect(createPlan(basis).stagings.map(({ model }) => model))
+        .toEqual([LARGE.name, SMALL.name]);
+    });
+
+    it("change to the larger model when only one is left", () => {
+      const spare = createHost("spare", { staged: [SMALL.name] });
+      const basis = createBasis([spare], {
+        domainModels: new Map([["d1", [SMALL.name, LARGE.name]]]),
+      });
+      expect(createPlan(basis).stagings)
+        .toMatchObject([{ host: "spare", model: LARGE.name }]);
+    });
+
+    it("are kept where a group would have to load most of its hosts", () => {
+      const { formations } = createPlan(createBasis(createHosts(3)));
+      expect(formations).toEqual([]);
+    });
+  });
+});
--- /dev/null
+++ b/packages/relay/test/routing/route-table.test.ts
@@ -0,0 +1,80 @@
+import { SeededRandom } from "@zinniahill/kernel";
+import { describe, expect, it } from "vitest";
+import type { Configuration, Route } from "../../src/index.ts";
+import { RouteTable } from "../../src/routing/route-table.ts";
+
+function createRoute(name: string, pathPrefix: string): Route {
+  return {
+    name,
+    host: "Calls.Example",
+    pathPrefix,
+    kind: "idempotent",
+    timeoutMs: 1000,
+    targetMs: 100,
+    rank: 0,
+    maxAttempts: 2,
+    isAnonymous: false,
+    isResumable: false,
+    destinations: [
+      { service: "old", weight: 90 },
+      { service: "new", weight: 10 },
+    ],
+  };
+}
+
+const CONFIGURATION: Configuration = {
+  version: 1,
+  routes: [createRoute("short", "/a/"), createRoute("long", "/a/b/")],
+  services: [
+    { name: "old", maxConnections: 1 },
+    { name: "new", maxConnections: 1 },
+  ],
+  accounts: [{ name: "north", keys: ["k1", "k2"] }],
+  limits: {
+    headerBytes: 1,
+    bodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+};
+
+describe("RouteTable", () => {
+  const table = new RouteTable(CONFIGURATION);
+
+  describe("findRoute", () => {
+    it("takes the longest prefix that begins the path", () => {
+      expect(table.findRoute("calls.example", "/a/b/c")?.name).toBe("long");
+      expect(table.findRoute("calls.example", "/a/c")?.name).toBe("short");
+    });
+
+    it("compares hosts without case and without the port", () => {
+      expect(table.findRoute("CALLS.example:8080", "/a/")?.name).toBe("short");
+    });
+
+    it("finds nothing for a path that is only the prefix's beginning", () => {
+      expect(table.findRoute("calls.example", "/a")).toBeUndefined();
+      expect(table.findRoute("other.example", "/a/")).toBeUndefined();
+    });
+  });
+
+  describe("drawService", () => {
+    it("divides requests by weight", () => {
+      const random = new SeededRandom(7);
+      const route = table.findRoute("calls.example", "/a/")!;
+      const drawn = Array.from(
+        { length: 1000 },
+        () => table.drawService(route, random)?.name,
+      );
+      const share = drawn.filter((name) => name === "new").length / 1000;
+      expect(share).toBeGreaterThan(0.05);
+      expect(share).toBeLessThan(0.15);
+    });
+  });
+
+  describe("findAccount", () => {
+    it("knows every key of an account and no other", () => {
+      expect(table.findAccount("k2")?.name).toBe("north");
+      expect(table.findAccount("k3")).toBeUndefined();
+    });
+  });
+});
