--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -22,12 +22,14 @@
   EngineProfile,
   Service as ServiceProfile,
 } from "../model/configuration.ts";
-import type { Instance, Report } from "../model/instance.ts";
+import type { Instance } from "../model/instance.ts";
 import type { Mesh } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
 import type { Demand } from "./demand.ts";
 import { Formations, type FormingGroup } from "./formation.ts";
+import { GroupEndings } from "./group-endings.ts";
 import type { Holder } from "./holder.ts";
+import { HostHealth, isSlowReport } from "./host-health.ts";
 import type { LeadRelease } from "./lead-release.ts";
 import { LoadLimit } from "./loads.ts";
 import { isMemberOf, Orders } from "./orders.ts";
@@ -36,8 +38,8 @@
   type Formation,
   type FreeHost,
   type Plan,
-  type Staging,
 } from "./plan.ts";
+import { Stagings } from "./stagings.ts";
 
 const CHECK_INTERVAL_MS = 500;
 /** Changes that come together are looked at together. */
@@ -48,12 +50,6 @@
 const SETTLE_MS = 300;
 /** Epochs of a later holder are always higher, whatever it has read. */
 const EPOCHS_PER_FENCE = 10_000;
-/** A host that did not answer is asked again after this time. */
-const MISSING_RETRY_MS = 1500;
-/** An engine that is this many times slower than its profile is replaced. */
-const SLOW_PACE = 2;
-const SLOW_RETRY_MS = 6000;
-const CLOSE_WAIT_MS = 10_000;
 /** Time between two checks of the members of one suspected group. */
 const RECHECK_MS = 400;
 
@@ -76,22 +72,17 @@
   #leadRelease: LeadRelease;
   #tasks: TaskGroup;
   #orders: Orders;
+  #health: HostHealth;
   #loads: LoadLimit;
   #formations: Formations;
+  #stagings: Stagings;
+  #endings: GroupEndings;
   #highestEpoch = 0;
   /** Groups and hosts that a task is working on. */
   #busyGroups = new Set<string>();
   #busyHosts = new Set<string>();
-  /** Hosts whose staging has begun or waits for permission to load. */
-  #stagingRequested = new Set<string>();
-  /** Models that spares are staging, by host. */
-  #staging = new Map<string, string>();
   /** Members of groups that are being formed, by group name. */
   #forming = new Map<string, FormingGroup>();
-  /** Hosts that did not answer, and until when they are left alone. */
-  #missingUntil = new Map<string, number>();
-  /** Hosts that were seen to be slow, and until when others go first. */
-  #slowUntil = new Map<string, number>();
   #checkedAt = new Map<string, number>();
   /** Groups whose lead has gone and was told to leave. */
   #releasedLeads = new Set<string>();
@@ -108,8 +99,11 @@
     this.#leadRelease = kernel.find("leadRelease");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
     this.#orders = new Orders(kernel);
+    this.#health = new HostHealth(kernel, this.#orders);
     this.#loads = new LoadLimit(this.#clock, () => this.#demand.hasBegun);
     this.#formations = new Formations(kernel, this.#orders, this.#loads);
+    this.#stagings = new Stagings(kernel, this.#orders, this.#loads);
+    this.#endings = new GroupEndings(kernel, this.#orders);
   }
 
   start(): void {
@@ -148,8 +142,8 @@
       isHolder: this.#holder.isHolder,
       forming: [...this.#forming.keys()],
       busyHosts: [...this.#busyHosts],
-      staging: Object.fromEntries(this.#staging),
-      missing: [...this.#missingUntil.keys()],
+      staging: this.#stagings.dump(),
+      health: this.#health.dump(),
       loads: this.#loads.running,
     };
   }
@@ -203,7 +197,7 @@
       }
       const size = findModel(service, group.model)?.hosts ?? 0;
       const isWhole = group.members.length === size &&
-        group.members.every((member) => !this.#isMissing(member));
+        group.members.every((member) => !this.#health.isMissing(member));
       if (group.state === "open" || group.state === "closing") {
         this.#repairServing(group, isWhole);
       } else if (
@@ -215,7 +209,7 @@
         this.#runOnGroup(
           group,
           "dissolve",
-          (signal) => this.#dissolve(group, signal),
+          (signal) => this.#endings.dissolve(group, signal),
         );
       }
     }
@@ -226,7 +220,7 @@
       this.#runOnGroup(
         group,
         "drain",
-        (signal) => this.#drain(group, signal),
+        (signal) => this.#endings.drain(group, signal),
       );
     } else if (!isWhole) {
       this.check(group.name, group.epoch);
@@ -235,7 +229,7 @@
 
   /** Whether the lead can be given orders. */
   #isLed({ lead }: Group): boolean {
-    return lead !== undefined && !this.#isMissing(lead);
+    return lead !== undefined && !this.#health.isMissing(lead);
   }
 
   /** Opens a group that another holder had begun to form. */
@@ -267,7 +261,17 @@
   #fill(service: EngineService): void {
     const plan = this.#createPlan(service);
     plan.formations.forEach((formation) => this.#form(service, formation));
-    plan.stagings.forEach((staging) => this.#stage(service, staging));
+    for (const staging of plan.stagings) {
+      const { host } = staging;
+      if (!this.#stagings.has(host)) {
+        const isBusy = () => this.#busyHosts.has(host);
+        this.#tasks.run(
+          `stage_${host}`,
+          (signal) =>
+            this.#stagings.stage(service.engine, staging, isBusy, signal),
+        );
+      }
+    }
   }
 
   #createPlan(service: EngineService): Plan {
@@ -336,15 +340,15 @@
     return this.#instances.listReady(service.name)
       .filter((instance) =>
         instance.engine !== undefined && !taken.has(instance.id) &&
-        !this.#busyHosts.has(instance.id) && !this.#isMissing(instance)
+        !this.#busyHosts.has(instance.id) && !this.#health.isMissing(instance)
       )
-      .map(({ id, engine }) => ({
-        id,
-        fabricDomain: engine!.fabricDomain,
-        lastModel: engine!.model,
-        staged: engine!.staged,
-        staging: this.#staging.get(id),
-        isSlow: this.#isSlow(id),
+      .map((instance) => ({
+        id: instance.id,
+        fabricDomain: readDomain(instance),
+        lastModel: instance.engine!.model,
+        staged: instance.engine!.staged,
+        staging: this.#stagings.find(instance.id),
+        isSlow: this.#health.isSlow(instance),
       }));
   }
 
@@ -361,7 +365,7 @@
       model: findModel(service, formation.model)!,
       engine: service.engine,
       stagingHosts: new Set(
-        formation.members.filter((id) => this.#staging.has(id)),
+        formation.members.filter((id) => this.#stagings.find(id) !== undefined),
       ),
     };
     this.#runFormation(
@@ -386,7 +390,7 @@
           epoch,
           error: describeError(failure),
         });
-        await this.#findMissing(members, signal);
+        await this.#health.askAll(members, signal);
       } finally {
         this.#forming.delete(name);
         members.forEach((id) => this.#busyHosts.delete(id));
@@ -395,55 +399,6 @@
     });
   }
 
-  #stage(
-    service: EngineService,
-    { host, model, loadPriority }: Staging,
-  ): void {
-    if (this.#stagingRequested.has(host)) {
-      return;
-    }
-    this.#stagingRequested.add(host);
-    const { loadMs } = findModel(service, model)!;
-    this.#tasks.run(`stage_${host}`, async (signal) => {
-      let release = () => {};
-      try {
-        release = await this.#loads.acquire(
-          service.engine,
-          loadPriority,
-          signal,
-        );
-        if (this.#busyHosts.has(host)) {
-          return;
-        }
-        this.#staging.set(host, model);
-        const hasModel = (staged: readonly string[]) => staged.includes(model);
-        await this.#orders.give(
-          host,
-          { kind: "stage", model },
-          ({ engine }) => hasModel(engine.staged),
-          signal,
-        );
-        const until = this.#clock.now() + loadMs * 2;
-        while (
-          this.#clock.now() < until &&
-          !hasModel(this.#instances.find(host)?.engine?.staged ?? [model])
-        ) {
-          await this.#clock.sleep(CHECK_INTERVAL_MS, signal);
-        }
-      } catch (failure) {
-        this.#logger.warn("staging_failed", {
-          instance: host,
-          model,
-          error: describeError(failure),
-        });
-      } finally {
-        release();
-        this.#staging.delete(host);
-        this.#stagingRequested.delete(host);
-      }
-    });
-  }
-
   #runOnGroup(
     group: Group,
     name: string,
@@ -472,13 +427,15 @@
       .find(({ name }) => name === group.service);
     const size = service && findModel(service, group.model)?.hosts;
     const reports = await Promise.all(
-      group.members.map((member) => this.#ask(member, signal)),
+      group.members.map((member) => this.#health.ask(member, signal)),
     );
     const present = reports.filter((report) =>
       isMemberOf(report?.engine.membership, group.name, group.epoch)
     );
     const isWhole = present.length === size;
-    const slow = reports.filter((report) => (report?.pace ?? 1) >= SLOW_PACE);
+    const slow = reports.filter((report) =>
+      report !== undefined && isSlowReport(report)
+    );
     const canReplace = slow.length > 0 && service !== undefined &&
       slow.length <= this.#countSpares(service, group);
     this.#logger.info("group_checked", {
@@ -491,25 +448,8 @@
       can_replace_slow: canReplace,
     });
     if (!isWhole || canReplace) {
-      await this.#dissolve(group, signal);
-    }
-  }
-
-  /** Asks a member for its state and remembers if it is away or slow. */
-  async #ask(
-    member: Instance,
-    signal: AbortSignal,
-  ): Promise<Report | undefined> {
-    const report = await this.#orders.ask(member, signal);
-    if (report === undefined) {
-      this.#noteMissing(member);
-    } else if (report.pace >= SLOW_PACE) {
-      this.#slowUntil.set(
-        createProcessKey(member),
-        this.#clock.now() + SLOW_RETRY_MS,
-      );
+      await this.#endings.dissolve(group, signal);
     }
-    return report;
   }
 
   /** Spares of the group's domain that can join without a load. */
@@ -522,101 +462,6 @@
       host.staged.includes(model)
     ).length;
   }
-
-  /** Lets a group with a leaving member finish, then frees the others. */
-  async #drain(group: Group, signal: AbortSignal): Promise<void> {
-    const { name, epoch, lead } = group;
-    if (lead === undefined) {
-      return;
-    }
-    if (group.state === "open") {
-      await this.#orders.give(
-        lead.id,
-        { kind: "close", group: name, epoch, isImmediate: false },
-        ({ engine }) => engine.membership?.state !== "open",
-        signal,
-      );
-    }
-    const until = this.#clock.now() + CLOSE_WAIT_MS;
-    const isServing = () => {
-      const state = this.#groups.find(name, epoch)?.state;
-      return state === "open" || state === "closing";
-    };
-    while (isServing() && this.#clock.now() < until) {
-      await this.#clock.sleep(COLLECT_MS, signal);
-    }
-    await this.#dissolve(group, signal);
-  }
-
-  /**
-   * Takes the lead out of its group, so that no other member can be missed by
-   * an open lead when it joins elsewhere.
-   */
-  async #dissolve(group: Group, signal: AbortSignal): Promise<void> {
-    const { name, epoch, lead } = group;
-    if (lead === undefined || this.#instances.find(lead.id) === undefined) {
-      return;
-    }
-    await this.#orders.give(
-      lead.id,
-      { kind: "leave", group: name, epoch },
-      ({ engine }) => !isMemberOf(engine.membership, name, epoch),
-      signal,
-    );
-    this.#logger.info("group_dissolved", { group: name, epoch, lead: lead.id });
-    // The store shows the lead's leaving a moment later.
-    const until = this.#clock.now() + MISSING_RETRY_MS;
-    while (
-      this.#clock.now() < until &&
-      isMemberOf(
-        this.#instances.find(lead.id)?.engine?.membership,
-        name,
-        epoch,
-      )
-    ) {
-      await this.#clock.sleep(COLLECT_MS, signal);
-    }
-  }
-
-  async #findMissing(
-    members: readonly string[],
-    signal: AbortSignal,
-  ): Promise<void> {
-    await Promise.all(members.map(async (id) => {
-      const instance = this.#instances.find(id);
-      if (instance === undefined) {
-        return;
-      }
-      if (await this.#orders.ask(instance, signal) === undefined) {
-        this.#noteMissing(instance);
-      }
-    }));
-  }
-
-  #noteMissing(instance: Instance): void {
-    if (!this.#isMissing(instance)) {
-      this.#logger.info("instance_missing", { instance: instance.id });
-    }
-    this.#missingUntil.set(
-      createProcessKey(instance),
-      this.#clock.now() + MISSING_RETRY_MS,
-    );
-  }
-
-  #isSlow(id: string): boolean {
-    const instance = this.#instances.find(id);
-    const until = instance && this.#slowUntil.get(createProcessKey(instance));
-    return until !== undefined && this.#clock.now() < until;
-  }
-
-  #isMissing(instance: Instance): boolean {
-    const until = this.#missingUntil.get(createProcessKey(instance));
-    return until !== undefined && this.#clock.now() < until;
-  }
-}
-
-function createProcessKey({ id, bornAt }: Instance): string {
-  return `${id}/${bornAt}`;
 }
 
 function findModel({ engine }: EngineService, name: string) {
--- /dev/null
+++ b/packages/relay/src/placement/host-health.ts
@@ -0,0 +1,102 @@
+/**
+ * Which hosts did not answer lately, and which were seen to be slow.
+ *
+ * @module
+ */
+import type { Clock, Logger } from "@zinniahill/kernel";
+import type { Instances } from "../hosts/instances.ts";
+import type { Instance, Report } from "../model/instance.ts";
+import type { RelayKernel } from "../services.ts";
+import type { Orders } from "./orders.ts";
+
+/** A host that did not answer is asked again after this time. */
+const MISSING_RETRY_MS = 1500;
+/** An engine that is this many times slower than its profile is replaced. */
+const SLOW_PACE = 2;
+const SLOW_RETRY_MS = 6000;
+
+/** Asks hosts and remembers what came of it, by process. */
+export class HostHealth {
+  #clock: Clock;
+  #logger: Logger;
+  #instances: Instances;
+  #orders: Orders;
+  #missingUntil = new Map<string, number>();
+  #slowUntil = new Map<string, number>();
+
+  constructor(kernel: RelayKernel, orders: Orders) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#instances = kernel.find("instances");
+    this.#orders = orders;
+  }
+
+  /** Asks a host for its state and remembers if it is away or slow. */
+  async ask(
+    instance: Instance,
+    signal: AbortSignal,
+  ): Promise<Report | undefined> {
+    const report = await this.#orders.ask(instance, signal);
+    if (report === undefined) {
+      this.#noteMissing(instance);
+    } else if (isSlowReport(report)) {
+      this.#slowUntil.set(
+        createProcessKey(instance),
+        this.#clock.now() + SLOW_RETRY_MS,
+      );
+    }
+    return report;
+  }
+
+  /** Asks all hosts that are listed. */
+  async askAll(ids: readonly string[], signal: AbortSignal): Promise<void> {
+    const listed = ids.flatMap((id) => this.#instances.find(id) ?? []);
+    await Promise.all(listed.map((instance) => this.ask(instance, signal)));
+  }
+
+  /** Whether a host did not answer lately. */
+  isMissing(instance: Instance): boolean {
+    return this.#isBefore(this.#missingUntil, instance);
+  }
+
+  /** Whether a host was seen to be slow lately. */
+  isSlow(instance: Instance): boolean {
+    return this.#isBefore(this.#slowUntil, instance);
+  }
+
+  dump(): unknown {
+    return {
+      missing: [...this.#missingUntil.keys()],
+      slow: [...this.#slowUntil.keys()],
+    };
+  }
+
+  #noteMissing(instance: Instance): void {
+    if (!this.isMissing(instance)) {
+      this.#logger.info("instance_missing", { instance: instance.id });
+    }
+    this.#missingUntil.set(
+      createProcessKey(instance),
+      this.#clock.now() + MISSING_RETRY_MS,
+    );
+  }
+
+  #isBefore(limits: Map<string, number>, instance: Instance): boolean {
+    const key = createProcessKey(instance);
+    const until = limits.get(key);
+    if (until !== undefined && this.#clock.now() >= until) {
+      limits.delete(key);
+      return false;
+    }
+    return until !== undefined;
+  }
+}
+
+/** Whether an engine is much slower than its profile. */
+export function isSlowReport({ pace }: Report): boolean {
+  return pace >= SLOW_PACE;
+}
+
+function createProcessKey({ id, bornAt }: Instance): string {
+  return `${id}/${bornAt}`;
+}
--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -144,11 +144,7 @@
   return warm.length >= model.hosts - 1;
 }
 
-/**
- * Work for each group of a model, with one more group. A group of many hosts
- * must be needed more, but not in proportion: a model with few groups loses a
- * large part of its capacity with each of them.
- */
+/** Work for each group of a model, with one more group. */
 function computeNeed(
   model: ModelProfile,
   demand: ReadonlyMap<string, number>,
@@ -156,7 +152,7 @@
 ): number {
   const work = demand.get(model.name) ?? 0;
   const groups = (counts.get(model.name) ?? 0) + 1;
-  return work / groups / Math.sqrt(model.hosts);
+  return work / groups;
 }
 
 /** Takes the hosts that can join soonest. */
--- a/packages/relay/src/serving/front.ts
+++ b/packages/relay/src/serving/front.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
@@ -22,32 +21,27 @@
 import { Refusal } from "@zinniahill/schema";
 import type { Feeds } from "../feeds/feeds.ts";
 import type { Lifecycle } from "../lifecycle.ts";
-import type { Account, Configuration, Route } from "../model/configuration.ts";
+import type { Configuration } from "../model/configuration.ts";
 import type { RequestFacts, RequestFormat } from "../outside.ts";
-import type { Demand } from "../placement/demand.ts";
 import type { CurrentConfiguration } from "../routing/current-configuration.ts";
-import type { RouteTable } from "../routing/route-table.ts";
 import type { RelayMetrics } from "../relay-metrics.ts";
 import type { RelayKernel } from "../services.ts";
 import type { Answer, Answers } from "./answers.ts";
-import { countHeaderBytes } from "./headers.ts";
 import type { RelayedRequest } from "./relayed-request.ts";
 import { writeRefusal } from "./replies.ts";
+import { RequestReader } from "./request-reader.ts";
 
 /** The library's own limit; the configured one is checked for each request. */
 const MAX_HEADER_BYTES = 128 * 1024;
 const CHECK_INTERVAL_MS = 500;
 const DEFAULT_IDLE_MS = 15_000;
 const UNREAD_LINGER_MS = 500;
-const NO_CONFIGURATION_RETRY_MS = 200;
 const MAX_QUEUED_CONNECTIONS = 1024;
 /** What the library's own faults of requests are answered with. */
 const CLIENT_ERROR_STATUSES: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
-/** Without a reason, each abort would record a stack of its own. */
-const CALLER_GONE = new Error("the caller has gone");
 
 /** Serves callers. */
 export class Front implements Service {
@@ -60,7 +54,7 @@
   #configuration: CurrentConfiguration;
   #feeds: Feeds;
   #format: RequestFormat;
-  #demand: Demand;
+  #reader: RequestReader;
   #answers: Answers;
   #server: Server;
   #inFlight = 0;
@@ -75,7 +69,7 @@
     this.#configuration = kernel.find("configuration");
     this.#feeds = kernel.find("feeds");
     this.#format = kernel.find("format");
-    this.#demand = kernel.find("demand");
+    this.#reader = new RequestReader(kernel);
     this.#answers = kernel.find("answers");
     this.#configuration.onChange(({ limits }) => this.#applyLimits(limits));
     this.#server = createServer({
@@ -144,7 +138,10 @@
       response.setHeader("connection", "close");
     }
     try {
-      const relayed = await this.#read(
+      if (this.#lifecycle.isClosing) {
+        throw new Refusal("stopping", "not-run", "the node stops", 0);
+      }
+      const relayed = await this.#reader.read(
         id,
         facts,
         receivedAt,
@@ -159,152 +156,6 @@
     }
   }
 
-  /** Reads a request and finds what it is about. */
-  async #read(
-    id: string,
-    facts: RequestFacts,
-    receivedAt: number,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<RelayedRequest> {
-    if (this.#lifecycle.isClosing) {
-      throw new Refusal("stopping", "not-run", "the node stops", 0);
-    }
-    const table = this.#findTable();
-    const { limits } = table.configuration;
-    if (countHeaderBytes(request.rawHeaders) > limits.headerBytes) {
-      throw new Refusal("head-too-large", "not-run", "the head is too large");
-    }
-    const route = this.#findRoute(table, facts);
-    const account = this.#findAccount(table, route, facts);
-    const service = table.drawService(route, this.#random);
-    if (service === undefined) {
-      throw new Refusal("no-upstream", "not-run", "the service is not known");
-    }
-    this.#noteDemand(service, facts);
-    const deadlineAt = receivedAt +
-      Math.min(facts.deadlineMs ?? route.timeoutMs, route.timeoutMs);
-    const body = await this.#readBody(request, limits.bodyBytes, deadlineAt);
-    return {
-      id,
-      request,
-      response,
-      facts,
-      body,
-      route,
-      service,
-      account,
-      rank: account?.rank ?? route.rank,
-      receivedAt,
-      deadlineAt,
-      gone: createGoneSignal(response),
-      sentTo: new Set(),
-      mayHaveRun: false,
-    };
-  }
-
-  #findTable(): RouteTable {
-    const { table } = this.#configuration;
-    if (table === undefined) {
-      throw new Refusal(
-        "no-configuration",
-        "not-run",
-        "no configuration was read yet",
-        NO_CONFIGURATION_RETRY_MS,
-      );
-    }
-    return table;
-  }
-
-  #findRoute(table: RouteTable, { host, target }: RequestFacts): Route {
-    const path = target.split("?", 1)[0]!;
-    const route = table.findRoute(host, path);
-    if (route === undefined) {
-      throw this.#refuseUnknown("not-found", "there is no such route");
-    }
-    return route;
-  }
-
-  #findAccount(
-    table: RouteTable,
-    route: Route,
-    { key }: RequestFacts,
-  ): Account | undefined {
-    const account = key === undefined ? undefined : table.findAccount(key);
-    const isNeeded = table.configuration.accounts !== undefined &&
-      !route.isAnonymous;
-    if (isNeeded && account === undefined) {
-      throw this.#refuseUnknown("unauthorized", "the key is not known");
-    }
-    return account;
-  }
-
-  /** What an old configuration does not know may be in a newer one. */
-  #refuseUnknown(code: "not-found" | "unauthorized", message: string): Refusal {
-    return this.#feeds.isStale("configuration")
-      ? new Refusal(
-        "stale-configuration",
-        "not-run",
-        `${message} in a configuration that may be out of date`,
-        NO_CONFIGURATION_RETRY_MS,
-      )
-      : new Refusal(code, "not-run", message);
-  }
-
-  #noteDemand(
-    { engine }: RelayedRequest["service"],
-    { model: name, promptTokens, outputTokens, outputHint }: RequestFacts,
-  ): void {
-    const model = engine?.models.find((model) => model.name === name);
-    if (engine !== undefined && model !== undefined) {
-      const tokens = outputHint ?? outputTokens;
-      this.#demand.note(engine, model, promptTokens, tokens);
-    }
-  }
-
-  /** Reads a body up to a limit, and no longer than the deadline. */
-  async #readBody(
-    request: IncomingMessage,
-    limitBytes: number,
-    deadlineAt: number,
-  ): Promise<Buffer> {
-    const announced = Number(request.headers["content-length"] ?? 0);
-    if (announced > limitBytes) {
-      throw refuseBody(limitBytes);
-    }
-    const isBodyless = announced === 0 &&
-      request.headers["transfer-encoding"] === undefined;
-    if (isBodyless) {
-      return Buffer.alloc(0);
-    }
-    let isLate = false;
-    const cancel = this.#clock.schedule(deadlineAt - this.#clock.now(), () => {
-      isLate = true;
-      request.destroy();
-    });
-    const chunks: Buffer[] = [];
-    let size = 0;
-    try {
-      for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-        size += (chunk as Buffer).length;
-        if (size > limitBytes) {
-          throw refuseBody(limitBytes);
-        }
-        chunks.push(chunk as Buffer);
-      }
-    } catch (failure) {
-      throw failure instanceof Refusal
-        ? failure
-        : new Refusal("unread-request", "not-run", describeError(failure));
-    } finally {
-      cancel();
-    }
-    if (isLate) {
-      throw new Refusal("unread-request", "not-run", "the body came too late");
-    }
-    return Buffer.concat(chunks);
-  }
-
   async #answer(relayed: RelayedRequest): Promise<void> {
     const answered = await this.#answers.answer(relayed);
     if (answered.isErr) {
@@ -382,11 +233,6 @@
   }
 }
 
-function refuseBody(limitBytes: number): Refusal {
-  const message = `the body is larger than ${limitBytes} bytes`;
-  return new Refusal("too-large", "not-run", message);
-}
-
 /**
  * Ends a connection whose body was not read, but not at once: bytes that are
  * still unread would reset it before the caller has read the reply.
@@ -399,17 +245,3 @@
     socket?.setTimeout(UNREAD_LINGER_MS, () => socket.destroy());
   });
 }
-
-/** Aborts when the caller goes before it has the whole reply. */
-function createGoneSignal(response: ServerResponse): AbortSignal {
-  const controller = new AbortController();
-  if (response.destroyed) {
-    controller.abort(CALLER_GONE);
-  }
-  response.on("close", () => {
-    if (!response.writableFinished) {
-      controller.abort(CALLER_GONE);
-    }
-  });
-  return controller.signal;
-}
