--- a/bench/src/demo.ts
+++ b/bench/src/demo.ts
@@ -14,6 +14,7 @@
   stopDeployment,
   waitForGroups,
 } from "./deployment.ts";
+import { runPlatformDemo } from "./platform-demo.ts";
 
 const RANKS = ["urgent", "normal", "batch"] as const;
 const REQUESTS_PER_RANK = 8;
@@ -23,6 +24,9 @@
 const LONG_STREAMS = 8;
 const RECORD_CALLS = 4;
 
+if (process.argv.includes("--platform")) {
+  process.exit(await runPlatformDemo() ? 0 : 1);
+}
 const deployment = await startDeployment(DEMO_SIZE);
 await waitForGroups(deployment, DEMO_SIZE.replicas);
 const run = process.argv.includes("--hold") ? hold : demonstrate;
--- /dev/null
+++ b/stand-ins/src/fleet/node-settings.ts
@@ -0,0 +1,39 @@
+/**
+ * Settings files of nodes in front of a fleet, on addresses of loopback.
+ *
+ * @module
+ */
+
+/** Where one node listens. */
+export interface NodePlace {
+  readonly name: string;
+  readonly ip: string;
+  /** The first of ten ports that the node may use. */
+  readonly port: number;
+  readonly store: string;
+}
+
+/** Writes a settings file in the platform's format. */
+export function createNodeSettings(
+  { name, ip, port, store }: NodePlace,
+): string {
+  return `
+NodeName = "${name}"
+Ip = "${ip}"
+Zone = "z1"
+Region = "r1"
+InternalPorts = [${port}, ${port + 5}]
+[Listen]
+Front = "${ip}:${port + 6}"
+Ready = "${ip}:${port + 7}"
+Directory = "${ip}:${port + 8}"
+[Limits]
+MemoryMb = 500
+[Bounds]
+GraceS = 6
+RetryBudgetRatio = 0.2
+RetryAllowance = 100
+[Provider]
+Address = "${store}"
+`;
+}
