--- a/packages/relay/test/serving/headers.test.ts
+++ b/packages/relay/test/serving/headers.test.ts
@@ -1,32 +1,34 @@
 import { describe, expect, it } from "vitest";
 import { countHeaderBytes, filterHeaders } from "../../src/serving/headers.ts";
 
-describe("filterHeaders", () => {
-  it("drops headers of one connection and those that Connection names", () => {
-    const raw = [
-      "Connection",
-      "close, X-Hop",
-      "X-Hop",
-      "1",
-      "Transfer-Encoding",
-      "chunked",
-      "X-Kept",
-      "a",
-      "X-Kept",
-      "b",
-    ];
-    expect(filterHeaders(raw, new Set()))
-      .toEqual(["X-Kept", "a", "X-Kept", "b"]);
-  });
+describe("headers", () => {
+  describe("filterHeaders", () => {
+    it("drops headers of one connection and those that Connection names", () => {
+      const raw = [
+        "Connection",
+        "close, X-Hop",
+        "X-Hop",
+        "1",
+        "Transfer-Encoding",
+        "chunked",
+        "X-Kept",
+        "a",
+        "X-Kept",
+        "b",
+      ];
+      expect(filterHeaders(raw, new Set()))
+        .toEqual(["X-Kept", "a", "X-Kept", "b"]);
+    });
 
-  it("drops what the relay sets itself, in any case", () => {
-    expect(filterHeaders(["X-TENANT", "forged"], new Set(["x-tenant"])))
-      .toEqual([]);
+    it("drops what the relay sets itself, in any case", () => {
+      expect(filterHeaders(["X-TENANT", "forged"], new Set(["x-tenant"])))
+        .toEqual([]);
+    });
   });
-});
 
-describe("countHeaderBytes", () => {
-  it("counts names and values with their separators", () => {
-    expect(countHeaderBytes(["ab", "cde"])).toBe(9);
+  describe("countHeaderBytes", () => {
+    it("counts names and values with their separators", () => {
+      expect(countHeaderBytes(["ab", "cde"])).toBe(9);
+    });
   });
 });
