Keep a deadline's timer from firing before the deadline

Cause: timers fire up to a millisecond early, and `setTimeout` cuts fractions off. What was done at a deadline then compared the clock with it, found time left and answered 502 as for a failed upstream instead of 504.

Ruled out: a repeat of the call; the test's check of attempt ids held each time.

--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -177,11 +177,21 @@
   return chunks;
 }
 
-/** Runs `onDue` at a moment unless cancelled before. */
+/**
+ * Runs `onDue` at a moment or just after it, unless cancelled before. Timers
+ * fire up to a millisecond early, and what is done at a deadline must not find
+ * by the clock that there is time left.
+ */
 export function scheduleAt(
-  clock: Clock,
+  clock: Pick<Clock, "now" | "schedule">,
   dueAt: number,
   onDue: () => void,
 ): () => void {
-  return clock.schedule(dueAt - clock.now(), onDue);
+  let cancel = () => {};
+  const wait = () => {
+    cancel = clock.schedule(Math.ceil(dueAt - clock.now()), onTimer);
+  };
+  const onTimer = () => clock.now() < dueAt ? wait() : onDue();
+  wait();
+  return () => cancel();
 }
