Count only failed reads of a second or more as an outage of the store

Cause: any failed read of the store, also one lost connection, started the wait before unlisted leads' members are free and before groups are repaired anew (2.5 s, or 5 s for a lead that no node reaches).

Ruled out: that entries lapse in a shorter outage; engines renew theirs every 1.2 s and an entry goes after three renewals that failed.

--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -41,6 +41,11 @@
 const MAX_RETRY_MS = 700;
 /** A feed without a successful read for this long is out of date. */
 const STALE_AFTER_MS = 3000;
+/**
+ * Reads that fail for this long are an outage. It is shorter than the interval
+ * at which engines renew their entries, so less lets no entry lapse.
+ */
+const OUTAGE_MS = 1000;
 
 /** Where one feed stands. */
 interface Progress {
@@ -50,8 +55,10 @@
   /** When all records up to then are known to have been read. */
   currentAt: number;
   isReachable: boolean;
-  /** Since when every read of the feed has succeeded. */
-  reachableSince: number;
+  /** When the last successful read ended. */
+  succeededAt: number;
+  /** When the last outage of the store ended. */
+  outageEndedAt: number;
 }
 
 /** Keeps a table of the newest records of each topic. */
@@ -133,10 +140,12 @@
     return this.#feeds[feed].isReachable;
   }
 
-  /** How long the store has answered every read of the feed. */
+  /** Time since the last outage of the store; zero during one. */
   reachableMs(feed: FeedName): number {
-    const { isReachable, reachableSince } = this.#feeds[feed];
-    return isReachable ? this.#clock.now() - reachableSince : 0;
+    const { isReachable, succeededAt, outageEndedAt } = this.#feeds[feed];
+    const now = this.#clock.now();
+    const isOutage = !isReachable && now - succeededAt >= OUTAGE_MS;
+    return isOutage ? 0 : now - outageEndedAt;
   }
 
   dump(): unknown {
@@ -228,9 +237,14 @@
     const progress = this.#feeds[feed];
     if (!progress.isReachable) {
       progress.isReachable = true;
-      progress.reachableSince = this.#clock.now();
       this.#logger.info("dependency_regained", { dependency: "store", feed });
     }
+    const now = this.#clock.now();
+    // A read may be held open for longer than an outage takes.
+    if (began - progress.succeededAt >= OUTAGE_MS) {
+      progress.outageEndedAt = now;
+    }
+    progress.succeededAt = now;
     progress.currentAt = Math.max(progress.currentAt, began);
   }
 
@@ -261,6 +275,7 @@
     isLoaded: false,
     currentAt: -Infinity,
     isReachable: false,
-    reachableSince: Infinity,
+    succeededAt: -Infinity,
+    outageEndedAt: Infinity,
   };
 }
