Keep a group whose member is only cut off from the store

Cause: a member that the store no longer lists counted as lost, though a host that is cut off from the store goes on working.

Instances that were listed lately are remembered, and a check of a group that is not whole asks them too.

--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -14,6 +14,18 @@
 import type { RecordDecoder } from "../outside.ts";
 import type { RelayKernel } from "../services.ts";
 
+/** An instance that the store lists no longer. */
+interface Departed {
+  readonly instance: Instance;
+  readonly at: number;
+}
+
+/**
+ * An instance that is only cut off from the store can be asked for this long.
+ * It covers the cuts of the users' deployments, which take up to 10 s.
+ */
+const DEPARTED_MS = 30_000;
+
 /** Knows every instance by id and by service. */
 export class Instances implements Service {
   /** Notified after each change of the list. */
@@ -22,6 +34,7 @@
   #logger: Logger;
   #decoder: RecordDecoder;
   #instances = new Map<string, Instance>();
+  #departed = new Map<string, Departed>();
   #version = 0;
   #grownAt = -Infinity;
 
@@ -62,8 +75,18 @@
     return this.#instances.get(id);
   }
 
+  /** Members of a group that were listed lately and had not begun to leave. */
+  listDeparted(group: string, epoch: number): Instance[] {
+    return [...this.#departed.values()]
+      .map(({ instance }) => instance)
+      .filter(({ engine, isDraining }) =>
+        engine?.membership?.group === group &&
+        engine.membership.epoch === epoch && !isDraining
+      );
+  }
+
   dump(): unknown {
-    return this.list();
+    return { listed: this.list(), departed: [...this.#departed.values()] };
   }
 
   #apply(records: readonly KeyRecord[]): void {
@@ -86,6 +109,7 @@
   #put(instance: Instance): void {
     const known = this.#instances.get(instance.id);
     this.#instances.set(instance.id, instance);
+    this.#departed.delete(instance.id);
     if (known === undefined) {
       this.#grownAt = this.#clock.now();
       this.#logger.info("instance_listed", {
@@ -116,8 +140,21 @@
   }
 
   #remove(id: string): void {
-    if (this.#instances.delete(id)) {
+    const instance = this.#instances.get(id);
+    if (instance !== undefined) {
+      this.#instances.delete(id);
+      this.#noteDeparture(instance);
       this.#logger.info("instance_gone", { instance: id });
     }
   }
+
+  #noteDeparture(instance: Instance): void {
+    const now = this.#clock.now();
+    for (const [id, { at }] of this.#departed) {
+      if (now - at >= DEPARTED_MS) {
+        this.#departed.delete(id);
+      }
+    }
+    this.#departed.set(instance.id, { instance, at: now });
+  }
 }
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -465,8 +465,11 @@
     const service = this.#listEngineServices()
       .find(({ name }) => name === group.service);
     const size = service && findModel(service, group.model)?.hosts;
+    // A member that is only cut off from the store goes on working.
+    const departed = this.#instances.listDeparted(group.name, group.epoch);
     const reports = await Promise.all(
-      group.members.map((member) => this.#health.ask(member, signal)),
+      [...group.members, ...departed]
+        .map((member) => this.#health.ask(member, signal)),
     );
     const present = reports.filter((report) =>
       isMemberOf(report?.engine.membership, group.name, group.epoch)
@@ -482,6 +485,7 @@
       epoch: group.epoch,
       present: present.length,
       listed: group.members.length,
+      departed: departed.length,
       expected: size,
       slow: slow.length,
       can_replace_slow: canReplace,
