Let nodes stand by while a peer says that it holds placement

Cause: every node was a member of the placement group, and each start or stop of a node could move placement; orders and formations in progress ended with it.

Beats say whether a node holds placement. Nodes without it join only when no connected peer says so, and leave when one does.

Ruled out: a slower failover; a killed holder's connection ends at once, a silent one counts as lost after 0.9 s, before its term at the store ends.

--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -57,6 +57,8 @@
   z.object({
     kind: z.literal("beat"),
     isServing: z.boolean(),
+    /** Whether the node gives the orders. */
+    holdsPlacement: z.boolean(),
     /** Next offset of each shared feed that the node has not read. */
     offsets: z.record(SharedFeed, z.number()),
     /** How long ago each shared feed was known to be complete. */
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -66,6 +66,7 @@
 export interface Peer {
   readonly entry: NodeEntry;
   readonly isServing: boolean;
+  readonly holdsPlacement: boolean;
   readonly outstanding: ReadonlyMap<string, number>;
 }
 
@@ -102,6 +103,7 @@
   #links = new Map<string, Link>();
   #dialing = new Set<string>();
   #readOutstanding: BeatSource = () => [];
+  #holdsPlacement = () => false;
   #listeners: Listeners = {};
 
   constructor(kernel: RelayKernel) {
@@ -163,6 +165,11 @@
     this.#readOutstanding = source;
   }
 
+  /** Sets what beats say of this node's giving orders. */
+  reportPlacement(source: () => boolean): void {
+    this.#holdsPlacement = source;
+  }
+
   /** Sets what is done with messages that are not about the mesh itself. */
   on<Kind extends ForwardedKind>(
     kind: Kind,
@@ -176,6 +183,7 @@
     return [...this.#links.values()].map(({ entry, beat }) => ({
       entry,
       isServing: beat?.isServing ?? false,
+      holdsPlacement: beat?.holdsPlacement ?? false,
       outstanding: new Map(beat?.outstanding ?? []),
     }));
   }
@@ -247,6 +255,7 @@
     return {
       kind: "beat",
       isServing: this.#lifecycle.isServing,
+      holdsPlacement: this.#holdsPlacement(),
       offsets,
       agesMs,
       outstanding: [...this.#readOutstanding()],
--- a/packages/relay/src/placement/holder.ts
+++ b/packages/relay/src/placement/holder.ts
@@ -12,12 +12,15 @@
 import { createMachine, interpret, state, transition } from "robot3";
 import type { Lifecycle } from "../lifecycle.ts";
 import type { Seat, Standing } from "../outside.ts";
+import type { Mesh } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
 
 /** A member that has not renewed for this long loses its place. */
 const TERM_MS = 1500;
 const RENEWAL_MS = 400;
 const RETRY_MS = 150;
+/** As often as peers say by their beats whether they hold placement. */
+const STANDBY_CHECK_MS = 150;
 /** Orders end this long before the store may give placement to another. */
 const TERM_MARGIN_MS = 200;
 
@@ -26,13 +29,19 @@
   holder: state(transition("lose", "member")),
 });
 
-/** Renews this node's membership and knows whether it may give orders. */
+/**
+ * Renews this node's membership and knows whether it may give orders. As long as
+ * a peer says that it holds placement, this node is no member: each change of
+ * the members may move placement, and orders in progress end with it.
+ */
 export class Holder implements Service {
   #clock: Clock;
   #logger: Logger;
   #seat: Seat;
   #member: string;
   #lifecycle: Lifecycle;
+  #mesh: Mesh;
+  #isMember = false;
   #tasks: TaskGroup;
   #machine = interpret(machine, () => {});
   #generation = 0;
@@ -44,6 +53,8 @@
     this.#logger = kernel.find("logger");
     this.#seat = kernel.find("seat");
     this.#lifecycle = kernel.find("lifecycle");
+    this.#mesh = kernel.find("mesh");
+    this.#mesh.reportPlacement(() => this.isHolder);
     // A restarted process must not take its predecessor's place for granted.
     this.#member = `${kernel.find("settings").node.name}/${
       kernel.find("random").id()
@@ -86,7 +97,12 @@
 
   async #renewForever(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.#lifecycle.isDraining) {
+      if (this.#hasHoldingPeer()) {
+        await this.#standBy(signal);
+        continue;
+      }
       const began = this.#clock.now();
+      this.#isMember = true;
       const renewed = await this.#seat.renew(
         this.#member,
         this.#generation,
@@ -103,11 +119,25 @@
       const pauseMs = renewed.isOk ? RENEWAL_MS : RETRY_MS;
       await this.#clock.sleep(pauseMs, signal);
     }
+    this.#lose("stopping");
+    await this.#leave(signal);
+  }
+
+  #hasHoldingPeer(): boolean {
+    return !this.isHolder &&
+      this.#mesh.list().some(({ holdsPlacement }) => holdsPlacement);
+  }
+
+  async #standBy(signal: AbortSignal): Promise<void> {
     await this.#leave(signal);
+    await this.#clock.sleep(STANDBY_CHECK_MS, signal);
   }
 
   async #leave(signal: AbortSignal): Promise<void> {
-    this.#lose("stopping");
+    if (!this.#isMember) {
+      return;
+    }
+    this.#isMember = false;
     const left = await this.#seat.leave(this.#member, signal);
     if (left.isErr) {
       this.#logger.warn("membership_leave_failed", {
@@ -136,6 +166,7 @@
     if (!wasHolder) {
       this.#heldSince = this.#clock.now();
       this.#logger.info("placement_held", { fence: generation });
+      this.#mesh.beatNow();
     }
   }
 
@@ -151,6 +182,7 @@
       this.#machine.send("lose");
       this.#heldUntil = -Infinity;
       this.#logger.info("placement_lost", { fence: this.#generation, reason });
+      this.#mesh.beatNow();
     }
   }
 }
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -108,7 +108,7 @@
     )
     .provide(
       "holder",
-      [...CORE, "seat", "lifecycle"],
+      [...CORE, "seat", "lifecycle", "mesh"],
       (services) => new Holder(services),
     )
     .provide("demand", CORE, (services) => new Demand(services))
