Free the members of a group that was never ordered to open

Ruled out: harm by an order to open that is carried out late; such a group was ordered to open, and only a group without that order, formed under the present fencing number, is freed.

The log of a formation also says its domain, its spares and what is staging.

--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -202,7 +202,8 @@
     for (const group of this.#groups.list()) {
       if (
         group.service !== service.name || this.#busyGroups.has(group.name) ||
-        this.#forming.has(group.name) || !this.#isLed(group)
+        this.#forming.has(group.name) || this.#isAbandoned(group) ||
+        !this.#isLed(group)
       ) {
         continue;
       }
@@ -315,12 +316,21 @@
     });
   }
 
+  /** Whether a group could not be formed and was never ordered to open. */
+  #isAbandoned({ name }: Group): boolean {
+    return !this.#forming.has(name) && this.#formations.isUnopened(name);
+  }
+
   /**
    * Whether a group's members are not free for another one. A lead that does
    * not answer may still serve; one that the store no longer lists is told to
-   * leave first, as it may only be cut off from the store.
+   * leave first, as it may only be cut off from the store. A group that was
+   * never ordered to open serves nobody, whatever has become of its lead.
    */
   #isStanding(group: Group): boolean {
+    if (this.#isAbandoned(group)) {
+      return false;
+    }
     if (group.lead !== undefined || this.#busyGroups.has(group.name)) {
       return true;
     }
@@ -409,7 +419,7 @@
     };
     this.#runFormation(
       forming,
-      (signal) => this.#formations.form(forming, signal),
+      (signal) => this.#formations.form(forming, formation, signal),
     );
   }
 
--- a/packages/relay/src/placement/formation.ts
+++ b/packages/relay/src/placement/formation.ts
@@ -8,8 +8,10 @@
 import type { EngineProfile, ModelProfile } from "../model/configuration.ts";
 import type { Instance, Membership } from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
+import type { Holder } from "./holder.ts";
 import type { LoadLimit } from "./loads.ts";
 import { isMemberOf, Orders, PlacementError } from "./orders.ts";
+import type { Formation } from "./plan.ts";
 
 /** A group on its way to be opened. */
 export interface FormingGroup {
@@ -33,6 +35,12 @@
 
 /** Carries out formations. */
 export class Formations {
+  /**
+   * Groups that this node began to form and did not order to open, with its
+   * fencing number at that time.
+   */
+  #unopened = new Map<string, number>();
+  #holder: Holder;
   #clock: Clock;
   #logger: Logger;
   #instances: Instances;
@@ -45,17 +53,34 @@
     this.#instances = kernel.find("instances");
     this.#orders = orders;
     this.#loads = loads;
+    this.#holder = kernel.find("holder");
+  }
+
+  /**
+   * Whether nobody has ordered a group to open. Another node may have done so
+   * if placement moved since its formation began.
+   */
+  isUnopened(name: string): boolean {
+    return this.#unopened.get(name) === this.#holder.fence;
   }
 
   /** Joins the members of a new group and opens it. */
-  async form(group: FormingGroup, signal: AbortSignal): Promise<void> {
+  async form(
+    group: FormingGroup,
+    { fabricDomain, spares }: Pick<Formation, "fabricDomain" | "spares">,
+    signal: AbortSignal,
+  ): Promise<void> {
     this.#logger.info("group_forming", {
       group: group.name,
       epoch: group.epoch,
       lead: group.members[0],
       members: group.members.length,
       loads: group.loads.size,
+      staging: group.stagingHosts.size,
+      domain: fabricDomain,
+      spares,
     });
+    this.#unopened.set(group.name, this.#holder.fence);
     const born = this.#readBirths(group);
     const stop = new AbortController();
     const joinSignal = AbortSignal.any([signal, stop.signal]);
@@ -83,6 +108,7 @@
     const lead = group.members[0]!;
     const isOpen = (membership: Membership | undefined) =>
       isMemberOf(membership, name, epoch) && membership?.state === "open";
+    this.#unopened.delete(name);
     await this.#orders.give(
       lead,
       { kind: "open", group: name, epoch },
--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -26,6 +26,9 @@
   readonly loads: ReadonlySet<string>;
   /** Groups of the model before this one; its loads wait for theirs. */
   readonly loadPriority: number;
+  readonly fabricDomain: string;
+  /** Free hosts of the domain that the group leaves. */
+  readonly spares: number;
 }
 
 /** Weights to be loaded onto a spare's host. */
@@ -175,6 +178,8 @@
     members: chosen.map(({ id }) => id),
     loads: new Set(loads.map(({ id }) => id)),
     loadPriority,
+    fabricDomain: hosts[0]?.fabricDomain ?? "",
+    spares: hosts.length - chosen.length,
   };
 }
 
--- /dev/null
+++ b/packages/relay/test/relay-metrics.test.ts
@@ -0,0 +1,43 @@
+import { describe, expect, it } from "vitest";
+import type { Route } from "../src/model/configuration.ts";
+import { RelayMetrics } from "../src/relay-metrics.ts";
+
+const STREAM = { kind: "stream", rank: 1 } as Route;
+const CALL = { kind: "once", rank: 2 } as Route;
+const ANSWER = { status: 200, firstByteAt: 120, instance: "i-1", events: 3 };
+
+describe("RelayMetrics", () => {
+  describe("answers", () => {
+    it("have their times counted from the head of the request, in seconds", async () => {
+      const metrics = new RelayMetrics();
+      metrics.noteAnswer(STREAM, { ...ANSWER, longestGapMs: 90 }, 20, 520);
+      const text = await metrics.render();
+      expect(text).toContain(
+        'zinniahill_first_byte_seconds_sum{kind="stream",rank="1"} 0.1',
+      );
+      expect(text).toContain(
+        'zinniahill_answer_seconds_sum{kind="stream",rank="1"} 0.5',
+      );
+      expect(text).toContain(
+        'zinniahill_longest_gap_seconds_sum{rank="1"} 0.09',
+      );
+    });
+
+    it("without events have no gap, which would hide the gaps of streams", async () => {
+      const metrics = new RelayMetrics();
+      metrics.noteAnswer(CALL, { ...ANSWER, longestGapMs: 0 }, 20, 520);
+      expect(await metrics.render()).not.toContain("longest_gap_seconds_sum");
+    });
+  });
+
+  describe("orders", () => {
+    it("are counted by kind and outcome", async () => {
+      const metrics = new RelayMetrics();
+      metrics.noteOrder("join", "accepted");
+      metrics.noteOrder("join", "no-reply");
+      expect(await metrics.render()).toContain(
+        'zinniahill_orders_total{order="join",outcome="no-reply"} 1',
+      );
+    });
+  });
+});
