Measure the longest gap of streams, orders by outcome and running loads

Counters and histograms for the on-call engineer: zinniahill_orders_total, zinniahill_longest_gap_seconds, zinniahill_loads_running. The line of an answered request says its longest gap. There is no admission wait to measure: a request is given to a group at once or refused at once.

--- a/packages/relay/src/gauges.ts
+++ b/packages/relay/src/gauges.ts
@@ -16,6 +16,7 @@
     const mesh = kernel.find("mesh");
     const holder = kernel.find("holder");
     const front = kernel.find("front");
+    const placement = kernel.find("placement");
     this.#readings = {
       configuration_age_ms: [
         "Time since the configuration was known to be the newest",
@@ -38,6 +39,10 @@
         "Whether this node gives the orders",
         () => Number(holder.isHolder),
       ],
+      loads_running: [
+        "Loads of weights that this node has permitted and that go on",
+        () => placement.loadsRunning,
+      ],
       requests_in_flight: [
         "Requests that have not ended",
         () => front.inFlight,
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -148,6 +148,11 @@
     this.#runOnGroup(group, "check", (signal) => this.#check(group, signal));
   }
 
+  /** Loads of weights that this node has permitted and that go on. */
+  get loadsRunning(): number {
+    return this.#loads.running;
+  }
+
   dump(): unknown {
     return {
       isHolder: this.#holder.isHolder,
--- a/packages/relay/src/placement/orders.ts
+++ b/packages/relay/src/placement/orders.ts
@@ -8,6 +8,7 @@
 import type { Instance, Membership, Report } from "../model/instance.ts";
 import type { Order, OrderReply } from "../model/order.ts";
 import type { Engines } from "../outside.ts";
+import type { RelayMetrics } from "../relay-metrics.ts";
 import type { RelayKernel } from "../services.ts";
 import type { Holder } from "./holder.ts";
 
@@ -28,6 +29,7 @@
   #engines: Engines;
   #holder: Holder;
   #instances: Instances;
+  #metrics: RelayMetrics;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -35,6 +37,7 @@
     this.#engines = kernel.find("engines");
     this.#holder = kernel.find("holder");
     this.#instances = kernel.find("instances");
+    this.#metrics = kernel.find("metrics");
   }
 
   /** Asks an instance for its state; undefined when it does not answer. */
@@ -122,6 +125,7 @@
     );
     signal.throwIfAborted();
     const outcome = reply.isOk ? reply.value : "no-reply";
+    this.#metrics.noteOrder(order.kind, outcome);
     this.#logger.info("order_given", {
       instance: id,
       order: order.kind,
--- a/packages/relay/src/relay-metrics.ts
+++ b/packages/relay/src/relay-metrics.ts
@@ -7,6 +7,7 @@
 import type { Refusal } from "@zinniahill/schema";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { Route } from "./model/configuration.ts";
+import type { Order, OrderReply } from "./model/order.ts";
 import type { Answer } from "./serving/answers.ts";
 
 const MS_PER_SECOND = 1000;
@@ -53,10 +54,29 @@
     registers: [this.#registry],
   });
 
+  #longestGap = new Histogram({
+    name: "zinniahill_longest_gap_seconds",
+    help: "Longest time between two events of one stream",
+    labelNames: ["rank"],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  #orders = new Counter({
+    name: "zinniahill_orders_total",
+    help: "Orders to engines by kind and outcome",
+    labelNames: ["order", "outcome"],
+    registers: [this.#registry],
+  });
+
+  /** Counts an order to an engine. */
+  noteOrder(order: Order["kind"], outcome: OrderReply | "no-reply"): void {
+    this.#orders.inc({ order, outcome });
+  }
+
   /** Counts an answer and its times. */
   noteAnswer(
     { kind, rank }: Route,
-    { status, firstByteAt }: Answer,
+    { status, firstByteAt, longestGapMs }: Answer,
     receivedAt: number,
     endedAt: number,
   ): void {
@@ -64,6 +84,12 @@
     this.#answers.inc({ ...labels, status: String(status) });
     this.#firstByte.observe(labels, (firstByteAt - receivedAt) / MS_PER_SECOND);
     this.#total.observe(labels, (endedAt - receivedAt) / MS_PER_SECOND);
+    if (kind === "stream") {
+      this.#longestGap.observe(
+        { rank: labels.rank },
+        longestGapMs / MS_PER_SECOND,
+      );
+    }
   }
 
   /** Counts a refusal. */
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -75,7 +75,16 @@
   provideState(kernel);
   kernel.provide(
     "gauges",
-    [...CORE, "metrics", "feeds", "groups", "mesh", "holder", "front"],
+    [
+      ...CORE,
+      "metrics",
+      "feeds",
+      "groups",
+      "mesh",
+      "holder",
+      "placement",
+      "front",
+    ],
     (services) => new Gauges(services),
   );
   provideServing(kernel);
@@ -130,6 +139,7 @@
         "engines",
         "leadRelease",
         "feeds",
+        "metrics",
       ],
       (services) => new PlacementController(services),
     );
--- a/packages/relay/src/serving/answers.ts
+++ b/packages/relay/src/serving/answers.ts
@@ -27,6 +27,8 @@
   readonly firstByteAt: number;
   readonly instance: string;
   readonly events: number;
+  /** Longest time between two events; 0 for a whole body. */
+  readonly longestGapMs: number;
 }
 
 type Outcome = Result<Answer, Refusal>;
@@ -47,6 +49,8 @@
   firstByteAt: number | undefined;
   events: number;
   status: number;
+  lastEventAt: number | undefined;
+  longestGapMs: number;
 }
 
 const SERVER_ERROR_STATUS = 500;
@@ -137,7 +141,13 @@
     const method = relayed.request.method ?? "GET";
     writeWholeReply(relayed.response, method, reply, chunks);
     const firstByteAt = this.#clock.now();
-    return { status: reply.status, firstByteAt, instance, events: 0 };
+    return {
+      status: reply.status,
+      firstByteAt,
+      instance,
+      events: 0,
+      longestGapMs: 0,
+    };
   }
 
   /**
@@ -150,6 +160,8 @@
       firstByteAt: undefined,
       events: 0,
       status: OK_STATUS,
+      lastEventAt: undefined,
+      longestGapMs: 0,
     };
     for (;;) {
       const opened = await this.#attempts.open(relayed, progress.lastEventId);
@@ -199,7 +211,7 @@
       if (!response.headersSent) {
         writeStreamHead(response, reply);
       }
-      progress.firstByteAt ??= this.#clock.now();
+      this.#noteEvents(progress);
       progress.events += block.count;
       progress.lastEventId = block.lastId ?? progress.lastEventId;
       response.write(block.bytes);
@@ -212,6 +224,14 @@
     }
   }
 
+  #noteEvents(progress: StreamProgress): void {
+    const now = this.#clock.now();
+    const gapMs = now - (progress.lastEventAt ?? now);
+    progress.firstByteAt ??= now;
+    progress.lastEventAt = now;
+    progress.longestGapMs = Math.max(progress.longestGapMs, gapMs);
+  }
+
   /** An upstream's refusal of a stream has a body like any other response. */
   async #passFailure(
     relayed: RelayedRequest,
--- a/packages/relay/src/serving/front.ts
+++ b/packages/relay/src/serving/front.ts
@@ -179,6 +179,7 @@
       status: answer.status,
       attempts: relayed.sentTo.size,
       events: answer.events,
+      longest_gap_ms: Math.round(answer.longestGapMs),
       first_ms: Math.round(answer.firstByteAt - receivedAt),
       total_ms: Math.round(now - receivedAt),
     });
