Give spares no other weights while a group of their domain is being ended

Ruled out: a wrong need; the larger model was the neediest, but with four free hosts it could not be formed.

Tests: two cases of plan.test.ts, written with the change.

--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -317,6 +317,10 @@
       groupCounts: counts,
       domainModels,
       demand: this.#demand.readShares(service.engine),
+      unsettledDomains: new Set(
+        groups.filter(({ name }) => this.#busyGroups.has(name))
+          .map(({ members }) => readDomain(members[0])),
+      ),
       isGrowing: this.#clock.now() - this.#instances.grownAt < GROWTH_MS,
     });
   }
--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -56,6 +56,11 @@
   readonly demand: ReadonlyMap<string, number>;
   /** Whether more hosts are just coming, as after the start of everything. */
   readonly isGrowing: boolean;
+  /**
+   * Fabric domains in which a group is being checked or ended. Its members soon
+   * need a spare with its model, so no spare is given other weights.
+   */
+  readonly unsettledDomains: ReadonlySet<string>;
 }
 
 /** Loads of spares come after the first four groups of each model. */
@@ -114,8 +119,10 @@
       formation: chooseMembers(model, hosts, counts.get(model.name) ?? 0),
     }))
     .sort((a, b) => b.need - a.need);
+  const isUnsettled = basis.unsettledDomains.has(hosts[0]?.fabricDomain ?? "");
   const formable = options.filter(({ model, formation }) =>
     formation.members.length === model.hosts &&
+    (!isUnsettled || formation.loads.size === 0) &&
     (isRepair(model, formation) ||
       hosts.length - model.hosts >= MIN_SPARES_AFTER_LOAD)
   );
--- a/packages/relay/test/placement/plan.test.ts
+++ b/packages/relay/test/placement/plan.test.ts
@@ -41,6 +41,7 @@
     domainModels: new Map(),
     demand: new Map([[LARGE.name, 0.5], [SMALL.name, 0.5]]),
     isGrowing: false,
+    unsettledDomains: new Set(),
     ...fields,
   };
 }
@@ -107,6 +108,27 @@
       expect(formations[0]!.loads.size).toBe(0);
     });
 
+    it("gives no spare other weights while a group of the domain is being ended", () => {
+      const spares = [
+        createHost("large", { staged: [LARGE.name] }),
+        createHost("small", { staged: [SMALL.name] }),
+        ...createHosts(2, {}, "empty"),
+      ];
+      const plan = (unsettledDomains: ReadonlySet<string>) =>
+        createPlan(createBasis(spares, { unsettledDomains })).formations;
+      expect(plan(new Set(["d1"]))).toEqual([]);
+      expect(plan(new Set(["d2"])).map(({ model }) => model))
+        .toEqual([SMALL.name]);
+    });
+
+    it("completes a group without a load while another one is being ended", () => {
+      const { formations } = createPlan(createBasis(
+        [...rest, createHost("spare", { staged: [LARGE.name] })],
+        { unsettledDomains: new Set(["d1"]) },
+      ));
+      expect(formations.map(({ model }) => model)).toEqual([LARGE.name]);
+    });
+
     it("takes the last spare although its weights must be loaded", () => {
       const { formations } = createPlan(
         createBasis([...rest, createHost("spare")]),
