--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -94,3 +94,9 @@
 ]);
 /** A message between two nodes. */
 export type PeerMessage = z.infer<typeof PeerMessage>;
+
+/** A message of one kind. */
+export type MessageOf<Kind extends PeerMessage["kind"]> = Extract<
+  PeerMessage,
+  { kind: Kind }
+>;
--- /dev/null
+++ b/packages/relay/src/peers/feed-exchange.ts
@@ -0,0 +1,103 @@
+/**
+ * Records that nodes pass on to each other when the store does not give them.
+ *
+ * @module
+ */
+import type { Clock, Logger } from "@zinniahill/kernel";
+import type { Feeds } from "../feeds/feeds.ts";
+import { type MessageOf, SharedFeed } from "../model/peer-message.ts";
+import type { RelayKernel } from "../services.ts";
+
+type Beat = MessageOf<"beat">;
+
+/** This node's own read of the store normally brings a change sooner. */
+const FETCH_AFTER_MS = 200;
+
+/** Compares what this node and its peers have read. */
+export class FeedExchange {
+  #clock: Clock;
+  #logger: Logger;
+  #feeds: Feeds;
+  /** Since when a peer has known more of a feed than this node. */
+  #behindSince = new Map<string, number>();
+
+  constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#feeds = kernel.find("feeds");
+  }
+
+  /** How far this node has read, for its beats. */
+  describe(): Pick<Beat, "offsets" | "agesMs"> {
+    const offsets = {} as Beat["offsets"];
+    const agesMs = {} as Beat["agesMs"];
+    for (const feed of SharedFeed.options) {
+      offsets[feed] = this.#feeds.table(feed).next;
+      agesMs[feed] = Math.min(this.#feeds.ageMs(feed), Number.MAX_SAFE_INTEGER);
+    }
+    return { offsets, agesMs };
+  }
+
+  /** The requests for records that a peer has and the store has not given. */
+  compare(peer: string, beat: Beat): MessageOf<"fetch">[] {
+    return SharedFeed.options.flatMap((feed) =>
+      this.#compareFeed(peer, beat, feed)
+    );
+  }
+
+  /** The records that a peer asks for. */
+  answer({ feed, from }: MessageOf<"fetch">): MessageOf<"records"> {
+    const table = this.#feeds.table(feed);
+    return {
+      kind: "records",
+      feed,
+      records: table.listFrom(from),
+      next: table.next,
+    };
+  }
+
+  /** Takes the records of a peer. */
+  apply(peer: string, { feed, records, next }: MessageOf<"records">): void {
+    this.#logger.info("feed_from_peer", {
+      feed,
+      peer,
+      from: this.#feeds.table(feed).next,
+      next,
+    });
+    this.#feeds.applyFromPeer(feed, records, next);
+  }
+
+  /** Forgets a peer whose connection has ended. */
+  forget(peer: string): void {
+    SharedFeed.options.forEach((feed) =>
+      this.#behindSince.delete(createKey(peer, feed))
+    );
+  }
+
+  #compareFeed(
+    peer: string,
+    { offsets, agesMs }: Beat,
+    feed: SharedFeed,
+  ): MessageOf<"fetch">[] {
+    const key = createKey(peer, feed);
+    const own = this.#feeds.table(feed).next;
+    const theirs = offsets[feed];
+    if (theirs <= own) {
+      this.#behindSince.delete(key);
+      if (theirs === own) {
+        this.#feeds.noteCurrent(feed, agesMs[feed]);
+      }
+      return [];
+    }
+    const now = this.#clock.now();
+    const since = this.#behindSince.get(key) ?? now;
+    const isDue = !this.#feeds.isReachable(feed) ||
+      now - since >= FETCH_AFTER_MS;
+    this.#behindSince.set(key, isDue ? now : since);
+    return isDue ? [{ kind: "fetch", feed, from: own }] : [];
+  }
+}
+
+function createKey(peer: string, feed: SharedFeed): string {
+  return `${peer} ${feed}`;
+}
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -13,24 +13,18 @@
   TaskGroup,
   withDeadline,
 } from "@zinniahill/kernel";
-import type { Feeds } from "../feeds/feeds.ts";
 import type { Lifecycle } from "../lifecycle.ts";
-import {
-  type NodeEntry,
-  type PeerMessage,
-  SharedFeed,
+import type {
+  MessageOf,
+  NodeEntry,
+  PeerMessage,
 } from "../model/peer-message.ts";
 import type { RecordDecoder, Topics } from "../outside.ts";
 import type { RelayKernel } from "../services.ts";
 import { NodeDirectory } from "./directory.ts";
+import { FeedExchange } from "./feed-exchange.ts";
 import { decodeMessage, encodeMessage } from "./peer-codec.ts";
 
-/** A message of one kind. */
-export type MessageOf<Kind extends PeerMessage["kind"]> = Extract<
-  PeerMessage,
-  { kind: Kind }
->;
-
 type Beat = MessageOf<"beat">;
 
 /** Handlers of messages, by kind. */
@@ -58,8 +52,6 @@
   readonly connection: PeerConnection;
   heardAt: number;
   beat: Beat | undefined;
-  /** Since when the peer has known more of a feed than this node. */
-  behindSince: Map<SharedFeed, number>;
 }
 
 /** A node that was heard lately. */
@@ -83,8 +75,6 @@
 const MAX_REDIAL_MS = 2000;
 /** A peer that does not read is cut off rather than waited for. */
 const MAX_QUEUED_BYTES = 4 * 1024 * 1024;
-/** This node's own read of the store normally brings a change sooner. */
-const FETCH_AFTER_MS = 200;
 const ANNOUNCE_RETRY_MS = 500;
 
 /** Keeps a connection to each other node. */
@@ -95,7 +85,7 @@
   #transport: PeerTransport;
   #topics: Topics;
   #decoder: RecordDecoder;
-  #feeds: Feeds;
+  #exchange: FeedExchange;
   #lifecycle: Lifecycle;
   #own: NodeEntry;
   #directory: NodeDirectory;
@@ -113,7 +103,7 @@
     this.#transport = kernel.find("peerTransport");
     this.#topics = kernel.find("topics");
     this.#decoder = kernel.find("decoder");
-    this.#feeds = kernel.find("feeds");
+    this.#exchange = new FeedExchange(kernel);
     this.#lifecycle = kernel.find("lifecycle");
     const { node } = kernel.find("settings");
     this.#own = {
@@ -125,7 +115,7 @@
     };
     this.#directory = new NodeDirectory(this.#own);
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
-    this.#feeds.onChange("nodes", (records) => {
+    kernel.find("feeds").onChange("nodes", (records) => {
       for (const { value } of records) {
         const entry = value === undefined
           ? undefined
@@ -246,18 +236,11 @@
   }
 
   #createBeat(): Beat {
-    const offsets = {} as Beat["offsets"];
-    const agesMs = {} as Beat["agesMs"];
-    for (const feed of SharedFeed.options) {
-      offsets[feed] = this.#feeds.table(feed).next;
-      agesMs[feed] = Math.min(this.#feeds.ageMs(feed), Number.MAX_SAFE_INTEGER);
-    }
     return {
       kind: "beat",
       isServing: this.#lifecycle.isServing,
       holdsPlacement: this.#holdsPlacement(),
-      offsets,
-      agesMs,
+      ...this.#exchange.describe(),
       outstanding: [...this.#readOutstanding()],
     };
   }
@@ -382,7 +365,6 @@
       connection,
       heardAt: this.#clock.now(),
       beat: undefined,
-      behindSince: new Map(),
     };
     this.#links.set(name, link);
     this.#logger.info("peer_connected", { peer: name });
@@ -392,6 +374,7 @@
   #unlink(link: Link | undefined): void {
     if (link !== undefined && this.#links.get(link.entry.name) === link) {
       this.#links.delete(link.entry.name);
+      this.#exchange.forget(link.entry.name);
       this.#logger.info("peer_lost", {
         peer: link.entry.name,
         heard_ms_ago: Math.round(this.#clock.now() - link.heardAt),
@@ -406,52 +389,17 @@
     },
     beat: (link, beat) => {
       link.beat = beat;
-      SharedFeed.options.forEach((feed) => this.#compare(link, beat, feed));
-    },
-    fetch: (link, { feed, from }) => {
-      const table = this.#feeds.table(feed);
-      this.#send(link, {
-        kind: "records",
-        feed,
-        records: table.listFrom(from),
-        next: table.next,
-      });
-    },
-    records: (link, { feed, records, next }) => {
-      this.#logger.info("feed_from_peer", {
-        feed,
-        peer: link.entry.name,
-        from: this.#feeds.table(feed).next,
-        next,
-      });
-      this.#feeds.applyFromPeer(feed, records, next);
+      this.#exchange.compare(link.entry.name, beat)
+        .forEach((request) => this.#send(link, request));
     },
+    fetch: (link, message) => this.#send(link, this.#exchange.answer(message)),
+    records: (link, message) => this.#exchange.apply(link.entry.name, message),
     suspect: (link, message) => this.#listeners.suspect?.(message, link.entry),
     release: (link, message) => this.#listeners.release?.(message, link.entry),
     released: (link, message) =>
       this.#listeners.released?.(message, link.entry),
   };
 
-  /** Asks for records that the peer has and the store has not given. */
-  #compare(link: Link, beat: Beat, feed: SharedFeed): void {
-    const own = this.#feeds.table(feed).next;
-    const theirs = beat.offsets[feed];
-    if (theirs <= own) {
-      link.behindSince.delete(feed);
-      if (theirs === own) {
-        this.#feeds.noteCurrent(feed, beat.agesMs[feed]);
-      }
-      return;
-    }
-    const now = this.#clock.now();
-    const since = link.behindSince.get(feed) ?? now;
-    link.behindSince.set(feed, since);
-    if (!this.#feeds.isReachable(feed) || now - since >= FETCH_AFTER_MS) {
-      link.behindSince.set(feed, now);
-      this.#send(link, { kind: "fetch", feed, from: own });
-    }
-  }
-
   #send(link: Link, message: PeerMessage): void {
     this.#sendBytes(link, encodeMessage(message));
   }
--- a/packages/relay/src/placement/lead-release.ts
+++ b/packages/relay/src/placement/lead-release.ts
@@ -17,9 +17,9 @@
 } from "@zinniahill/kernel";
 import { createGroupKey, type Target } from "../hosts/groups.ts";
 import type { OrderReply } from "../model/order.ts";
-import type { LeadAttempt } from "../model/peer-message.ts";
+import type { LeadAttempt, MessageOf } from "../model/peer-message.ts";
 import type { Engines } from "../outside.ts";
-import type { Mesh, MessageOf } from "../peers/mesh.ts";
+import type { Mesh } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
 import { isMemberOf } from "./orders.ts";
 
