--- a/packages/relay/src/routing/outstanding.ts
+++ b/packages/relay/src/routing/outstanding.ts
@@ -16,7 +16,7 @@
 
 /** A request that one instance works on. */
 export interface Ticket {
-  /** Something came from the instance for this request. */
+  /** Events of the response came from the instance. */
   noteProgress(): void;
   /** Called once when nothing moves at the instance any more. */
   onStall(listener: () => void): void;
@@ -37,15 +37,25 @@
 
 interface TicketState {
   readonly startedAt: number;
+  /** Whether events show its progress; a whole body comes at its end. */
+  readonly isStream: boolean;
+  /** Whether events have come; from then on they come steadily. */
+  hasBegun: boolean;
   isStalled: boolean;
   listener: () => void;
 }
 
 const CHECK_INTERVAL_MS = 50;
-/** A pass of a busy engine with long prompts stays below this time. */
+/**
+ * Several streams that have begun are not all quiet for this long: an event of
+ * a busy engine with long prompts takes up to 0.28 s, and they do not come
+ * together.
+ */
 const STALL_MS = 350;
-/** A single request may wait for a long prompt alone. */
-const SINGLE_STALL_MS = 700;
+/** A single stream that has begun may wait for one such event and its way. */
+const SINGLE_STALL_MS = 500;
+/** Requests without an event may be waiting behind long prompts. */
+const UNBEGUN_STALL_MS = 1000;
 
 /** Counts this node's requests by instance and notices groups that stall. */
 export class Outstanding implements Service {
@@ -90,17 +100,26 @@
   }
 
   /** Counts a request until its ticket ends. */
-  begin(instance: string, group: LedGroup | undefined): Ticket {
+  begin(
+    instance: string,
+    group: LedGroup | undefined,
+    isStream: boolean,
+  ): Ticket {
     const now = this.#clock.now();
     const work = this.#findWork(instance, group, now);
     const state: TicketState = {
       startedAt: now,
+      isStream,
+      hasBegun: false,
       isStalled: false,
       listener: () => {},
     };
     work.tickets.add(state);
     return {
-      noteProgress: () => this.#noteProgress(work),
+      noteProgress: () => {
+        state.hasBegun = true;
+        this.#noteProgress(work);
+      },
       onStall: (listener) => {
         state.listener = listener;
       },
@@ -148,13 +167,28 @@
       if (work.group === undefined) {
         continue;
       }
-      const limitMs = work.tickets.size > 1 ? STALL_MS : SINGLE_STALL_MS;
-      const [oldest] = work.tickets;
-      const since = Math.max(work.progressAt, oldest?.startedAt ?? now);
-      if (now - since >= limitMs) {
-        this.#reportStall(instance, work, work.group, now - since);
+      const streams = [...work.tickets].filter(({ isStream }) => isStream);
+      const [oldest] = streams;
+      if (oldest === undefined) {
+        continue;
       }
+      const quietMs = now - Math.max(work.progressAt, oldest.startedAt);
+      if (quietMs >= this.#chooseLimitMs(streams, work.group)) {
+        this.#reportStall(instance, work, work.group, quietMs);
+      }
+    }
+  }
+
+  /** Evidence of another node makes this node's own, weaker one count. */
+  #chooseLimitMs(streams: readonly TicketState[], group: LedGroup): number {
+    if (this.#groups.isSuspected(group)) {
+      return STALL_MS;
+    }
+    const begun = streams.filter(({ hasBegun }) => hasBegun).length;
+    if (begun === 0) {
+      return UNBEGUN_STALL_MS;
     }
+    return begun > 1 ? STALL_MS : SINGLE_STALL_MS;
   }
 
   #reportStall(
@@ -172,6 +206,7 @@
       epoch,
       lead: instance,
       requests: work.tickets.size,
+      begun: [...work.tickets].filter(({ hasBegun }) => hasBegun).length,
       quiet_ms: Math.round(quietMs),
     });
     this.#groups.suspect(name, epoch, "own requests");
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -139,7 +139,11 @@
   ): Promise<Result<OpenAttempt, AttemptFault>> {
     const { instance, group } = choice;
     const exchange = new Exchange(instance.address);
-    const ticket = this.#outstanding.begin(instance.id, group);
+    const ticket = this.#outstanding.begin(
+      instance.id,
+      group,
+      relayed.route.kind === "stream",
+    );
     const onGone = () => exchange.close(CALLER_GONE);
     relayed.gone.addEventListener("abort", onGone, { once: true });
     const cancelDeadline = scheduleAt(
@@ -189,7 +193,6 @@
       end(ATTEMPT_ENDED);
       return Result.err(fault);
     }
-    ticket.noteProgress();
     return Result.ok({ choice, exchange, ticket, reply, facts, end });
   }
 
