Stage a second spare with the same model, and keep one spare of new groups

Cause: spares of a domain staged each of its models once; in a domain with groups of one model only, the second spare stayed empty, and a second loss within the 12 s of a load found none. Staged spares could also all be joined to a group that the domain did not have before, which left none.

Tests: two cases of plan.test.ts, written with the change.

--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -65,8 +65,8 @@
 
 /** Loads of spares come after the first four groups of each model. */
 const STAGING_PRIORITY = 3.5;
-/** Spares that a domain keeps when a group would have to load weights. */
-const MIN_SPARES_AFTER_LOAD = 1;
+/** Spares that a domain keeps when a group is formed that it did not have. */
+const MIN_SPARES_OF_NEW = 1;
 
 /** Plans formations domain by domain, the neediest model first. */
 export function createPlan(basis: PlanBasis): Plan {
@@ -123,12 +123,14 @@
   const formable = options.filter(({ model, formation }) =>
     formation.members.length === model.hosts &&
     (!isUnsettled || formation.loads.size === 0) &&
-    (isRepair(model, formation) ||
-      hosts.length - model.hosts >= MIN_SPARES_AFTER_LOAD)
+    (isRepair(model, formation, hosts) ||
+      formation.spares >= MIN_SPARES_OF_NEW)
   );
   const soonest =
     formable.find(({ formation }) => formation.loads.size === 0) ??
-      formable.find(({ model, formation }) => isRepair(model, formation));
+      formable.find(({ model, formation }) =>
+        isRepair(model, formation, hosts)
+      );
   if (soonest !== undefined) {
     return soonest.formation;
   }
@@ -138,9 +140,16 @@
   return isWaiting ? undefined : formable[0]?.formation;
 }
 
-/** Whether most members keep the weights of the group that they were in. */
-function isRepair(model: ModelProfile, { loads }: Formation): boolean {
-  return loads.size * 2 <= model.hosts;
+/** Whether most members were in a group of the model and keep its weights. */
+function isRepair(
+  { name, hosts: size }: ModelProfile,
+  { members, loads }: Formation,
+  hosts: readonly FreeHost[],
+): boolean {
+  const kept = hosts.filter(({ id, lastModel }) =>
+    lastModel === name && members.includes(id)
+  );
+  return loads.size * 2 <= size && kept.length * 2 >= size;
 }
 
 /** Whether the hosts of a group that lost one member wait for another host. */
@@ -222,8 +231,8 @@
 }
 
 /**
- * Spares of a domain stage the models of its groups, the largest group first,
- * as it loses a member most often.
+ * Spares of a domain stage the models of its groups in turn, the largest group
+ * first, as it loses a member most often.
  */
 function planStagings(
   engine: EngineProfile,
@@ -234,23 +243,34 @@
     .filter(({ name }) => domainModels.includes(name))
     .sort((a, b) => b.hosts - a.hosts)
     .map(({ name }) => name);
-  const holds = ({ staged, staging }: FreeHost, model: string) =>
-    (staging ?? staged[0]) === model;
   const unused = new Set(spares);
   const stagings: Staging[] = [];
-  for (const model of wanted) {
-    const holder = [...unused].find((spare) => holds(spare, model));
-    // A spare that holds no wanted model goes first.
-    const host = holder ?? [...unused]
-      .filter(({ staging }) => staging === undefined)
-      .sort((a, b) => countHeld(a, wanted) - countHeld(b, wanted))[0];
+  for (let turn = 0; wanted.length > 0 && unused.size > 0; turn++) {
+    const model = wanted[turn % wanted.length]!;
+    const holder = [...unused].find((spare) => holdsModel(spare, model));
+    const host = holder ?? findSpareToStage(unused, wanted);
     if (host === undefined) {
       break;
     }
     unused.delete(host);
     if (holder === undefined) {
-      stagings.push({ host: host.id, model, loadPriority: STAGING_PRIORITY });
+      const loadPriority = STAGING_PRIORITY + Math.floor(turn / wanted.length);
+      stagings.push({ host: host.id, model, loadPriority });
     }
   }
   return stagings;
 }
+
+function holdsModel({ staged, staging }: FreeHost, model: string): boolean {
+  return (staging ?? staged[0]) === model;
+}
+
+/** A spare that holds no wanted model goes first. */
+function findSpareToStage(
+  unused: ReadonlySet<FreeHost>,
+  wanted: readonly string[],
+): FreeHost | undefined {
+  return [...unused]
+    .filter(({ staging }) => staging === undefined)
+    .sort((a, b) => countHeld(a, wanted) - countHeld(b, wanted))[0];
+}
--- a/packages/relay/test/placement/plan.test.ts
+++ b/packages/relay/test/placement/plan.test.ts
@@ -192,6 +192,22 @@
         .toMatchObject([{ host: "spare", model: LARGE.name }]);
     });
 
+    it("stage the same model where the domain has no other, for a second loss", () => {
+      const staged = createHost("staged", { staged: [SMALL.name] });
+      const basis = createBasis([staged, createHost("idle")], {
+        domainModels: new Map([["d1", [SMALL.name]]]),
+      });
+      expect(createPlan(basis).stagings)
+        .toMatchObject([{ host: "idle", model: SMALL.name }]);
+    });
+
+    it("are not all joined to a new group, although they have its model staged", () => {
+      const spares = createHosts(3, { staged: [SMALL.name] });
+      expect(createPlan(createBasis(spares)).formations).toEqual([]);
+      const more = createHosts(4, { staged: [SMALL.name] });
+      expect(createPlan(createBasis(more)).formations).toHaveLength(1);
+    });
+
     it("are kept where a group would have to load most of its hosts", () => {
       const { formations } = createPlan(createBasis(createHosts(3)));
       expect(formations).toEqual([]);
