See a caller leave before its request is sent on

A turn of an overloaded node takes hundreds of ms. The caller's end and the new connection to the upstream are then seen in one turn, and the request was written first: the caller counted as gone only when the response closed, turns after its end was read, and the request was written as soon as the connection was made.

Now the caller's end itself counts, and a connection is used only after the other events of its turn.

Ruled out: that the deadline's timer is late; the caller leaves at its own deadline, before the node's, and its end was there to be read.

--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -61,11 +61,15 @@
       pipelining: 1,
       connect: (target, callback) => {
         connect(target, (...result) => {
-          // The library gives no socket, not even null, with a failure.
-          if (result[0] === null && result[1] !== null) {
-            this.#watch(result[1]);
-          }
-          callback(...result);
+          // A caller that is seen to leave in the same turn is handled first,
+          // so that nothing is sent for it.
+          setImmediate(() => {
+            // The library gives no socket, not even null, with a failure.
+            if (result[0] === null && result[1] !== null && !this.#isClosed) {
+              this.#watch(result[1]);
+            }
+            callback(...result);
+          });
         });
       },
     });
@@ -76,6 +80,10 @@
     return this.#isConnected;
   }
 
+  get #isClosed(): boolean {
+    return this.#controller.signal.aborted;
+  }
+
   /** Sends a request and waits for the head of the response. */
   async send(
     request: UpstreamRequest,
@@ -140,7 +148,7 @@
 
   /** Ends the connection at once, which also ends the upstream's work. */
   close(reason: Error): void {
-    if (!this.#controller.signal.aborted) {
+    if (!this.#isClosed) {
       this.#controller.abort(reason);
       // The outcome of the destruction says nothing that is not known yet.
       this.#client.destroy(reason).catch(() => {});
--- a/packages/relay/src/serving/request-reader.ts
+++ b/packages/relay/src/serving/request-reader.ts
@@ -14,12 +14,11 @@
 import type { CurrentConfiguration } from "../routing/current-configuration.ts";
 import type { RouteTable } from "../routing/route-table.ts";
 import type { RelayKernel } from "../services.ts";
+import { watchCaller } from "./caller-watch.ts";
 import { countHeaderBytes } from "./headers.ts";
 import type { RelayedRequest } from "./relayed-request.ts";
 
 const NO_CONFIGURATION_RETRY_MS = 200;
-/** Without a reason, each abort would record a stack of its own. */
-const CALLER_GONE = new Error("the caller has gone");
 
 /** Reads requests under the configuration in force. */
 export class RequestReader {
@@ -72,7 +71,7 @@
       rank: account?.rank ?? route.rank,
       receivedAt,
       deadlineAt,
-      gone: createGoneSignal(response),
+      gone: watchCaller(response),
       sentTo: new Set(),
       mayHaveRun: false,
     };
@@ -185,17 +184,3 @@
   const message = `the body is larger than ${limitBytes} bytes`;
   return new Refusal("too-large", "not-run", message);
 }
-
-/** Aborts when the caller goes before it has the whole reply. */
-function createGoneSignal(response: ServerResponse): AbortSignal {
-  const controller = new AbortController();
-  if (response.destroyed) {
-    controller.abort(CALLER_GONE);
-  }
-  response.on("close", () => {
-    if (!response.writableFinished) {
-      controller.abort(CALLER_GONE);
-    }
-  });
-  return controller.signal;
-}
--- /dev/null
+++ b/packages/relay/test/serving/caller-watch.test.ts
@@ -0,0 +1,58 @@
+import {
+  createServer,
+  type IncomingMessage,
+  request,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { afterEach, describe, expect, it } from "vitest";
+import { watchCaller } from "../../src/serving/caller-watch.ts";
+
+const REQUEST = "GET / HTTP/1.1\r\nhost: a.example\r\n\r\n";
+
+let server: Server | undefined;
+
+async function listen(
+  onRequest: (request: IncomingMessage, response: ServerResponse) => void,
+): Promise<number> {
+  server = createServer(onRequest);
+  await new Promise<void>((resolve) => server!.listen(0, "127.0.0.1", resolve));
+  return (server.address() as AddressInfo).port;
+}
+
+afterEach(() => {
+  server?.closeAllConnections();
+  server?.close();
+  server = undefined;
+});
+
+describe("watchCaller", () => {
+  it("aborts in the turn in which the caller's end is read", async () => {
+    const seen = new Promise<boolean>((resolve) => {
+      void listen((request, response) => {
+        const gone = watchCaller(response);
+        request.socket.once("end", () => resolve(gone.aborted));
+      }).then((port) => {
+        const caller = connect(port, "127.0.0.1");
+        caller.write(REQUEST, () => caller.end());
+      });
+    });
+    expect(await seen).toBe(true);
+  });
+
+  it("does not abort for a caller that leaves after its reply", async () => {
+    let gone: AbortSignal | undefined;
+    const port = await listen((_request, response) => {
+      gone = watchCaller(response);
+      response.end("whole");
+    });
+    await new Promise<void>((resolve) => {
+      request({ port, agent: false }, (incoming) => {
+        incoming.resume().on("close", () => resolve());
+      }).end();
+    });
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    expect(gone!.aborted).toBe(false);
+  });
+});
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -1,12 +1,17 @@
 import { Buffer } from "node:buffer";
 import {
   type AddressInfo,
+  connect,
   createServer,
   type Server,
   type Socket,
 } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
-import { collectBody, Exchange } from "../../src/serving/exchange.ts";
+import {
+  collectBody,
+  Exchange,
+  type UpstreamRequest,
+} from "../../src/serving/exchange.ts";
 
 const HEAD = "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\n";
 const DONE = new Error("the test has ended");
@@ -23,15 +28,19 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-async function send(address: string) {
-  const exchange = new Exchange(address);
-  const sent = await exchange.send({
+function createUpstreamRequest(address: string): UpstreamRequest {
+  return {
     address,
     method: "POST",
     target: "/path/",
     headers: ["host", "a.example", "content-length", "2"],
     body: Buffer.from("{}"),
-  });
+  };
+}
+
+async function send(address: string) {
+  const exchange = new Exchange(address);
+  const sent = await exchange.send(createUpstreamRequest(address));
   return { exchange, sent };
 }
 
@@ -114,4 +123,25 @@
       expect(sent.isErr && sent.error.verdict).toBe("may-have-run");
     });
   });
+
+  describe("a caller that leaves while the connection is made", () => {
+    it("has its request sent to no upstream, also when both are seen in one turn", async () => {
+      const requests: string[] = [];
+      const address = await listen((socket) => {
+        requests.push("request");
+        socket.destroy();
+      });
+      const exchange = new Exchange(address);
+      void exchange.send(createUpstreamRequest(address));
+      await new Promise((resolve) => process.nextTick(resolve));
+      // Connected in the same turn as the exchange, and handled after it.
+      const [host, port] = address.split(":");
+      const later = connect(Number(port), host);
+      later.on("error", () => {});
+      later.on("connect", () => exchange.close(DONE));
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      later.destroy();
+      expect(requests).toEqual([]);
+    });
+  });
 });
