Give callers to nodes by what they can take

A lookup listed every serving node, so that callers chose evenly also between nodes of a tenth of the capacity. Each node's beat now says which share of a core it has free for callers: what the settings give, lowered by halves while half of its 50 ms ticks come late, raised again by steps. Nodes under half of the largest are left out of some answers.

--- a/packages/relay/src/entry/lookup.ts
+++ b/packages/relay/src/entry/lookup.ts
@@ -3,10 +3,12 @@
  *
  * @module
  */
-import type { Service } from "@zinniahill/kernel";
+import type { Random, Service } from "@zinniahill/kernel";
 import type { Lifecycle } from "../lifecycle.ts";
+import type { NodeEntry } from "../model/peer-message.ts";
 import type { Mesh } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
+import type { Intake } from "./intake.ts";
 
 /** Addresses for a caller and how long they may be kept. */
 export interface LookupAnswer {
@@ -14,29 +16,43 @@
   readonly validMs: number;
 }
 
+/** A node that serves, and how much it can take. */
+interface Candidate {
+  readonly entry: NodeEntry;
+  readonly capacity: number;
+}
+
 const MAX_ADDRESSES = 64;
+/**
+ * Nodes with at least this share of the largest capacity are in every answer,
+ * so that callers of about equal nodes keep their connections.
+ */
+const EVEN_SHARE = 0.5;
 
 /** Lists the nodes that serve. */
 export class Lookup implements Service {
+  #random: Random;
   #mesh: Mesh;
   #lifecycle: Lifecycle;
+  #intake: Intake;
   #validMs: number;
 
   constructor(kernel: RelayKernel) {
+    this.#random = kernel.find("random");
     this.#mesh = kernel.find("mesh");
     this.#lifecycle = kernel.find("lifecycle");
+    this.#intake = kernel.find("intake");
     this.#validMs = kernel.find("settings").limits.lookupValidityMs;
   }
 
-  /** Nodes that serve; those of the caller's data centre come first. */
+  /**
+   * Nodes that serve; those of the caller's data centre come first. Callers
+   * choose among the addresses evenly, so a node that can take less is left
+   * out of some answers.
+   */
   find(dataCentre: string | undefined): LookupAnswer {
-    const serving = this.#mesh.list()
-      .filter(({ isServing }) => isServing)
-      .map(({ entry }) => entry);
-    const own = this.#lifecycle.isServing ? [this.#mesh.own] : [];
-    const isNear = (entry: { dataCentre: string }) =>
-      entry.dataCentre === dataCentre;
-    const addresses = [...own, ...serving]
+    const isNear = (entry: NodeEntry) => entry.dataCentre === dataCentre;
+    const addresses = this.#draw(this.#listServing())
       .sort((a, b) => Number(isNear(b)) - Number(isNear(a)))
       .slice(0, MAX_ADDRESSES)
       .map(({ publicAddress }) => publicAddress);
@@ -44,6 +60,29 @@
   }
 
   dump(): unknown {
-    return this.find(undefined);
+    return this.#listServing().map(({ entry, capacity }) => ({
+      name: entry.name,
+      capacity,
+    }));
+  }
+
+  #listServing(): Candidate[] {
+    const peers = this.#mesh.list().filter(({ isServing }) => isServing);
+    return this.#lifecycle.isServing
+      ? [
+        { entry: this.#mesh.own, capacity: this.#intake.capacity },
+        ...peers,
+      ]
+      : peers;
+  }
+
+  #draw(candidates: readonly Candidate[]): NodeEntry[] {
+    const most = Math.max(...candidates.map(({ capacity }) => capacity));
+    return candidates
+      .filter(({ capacity }) =>
+        capacity >= most * EVEN_SHARE ||
+        this.#random.fraction() < capacity / (most * EVEN_SHARE)
+      )
+      .map(({ entry }) => entry);
   }
 }
--- a/packages/relay/src/gauges.ts
+++ b/packages/relay/src/gauges.ts
@@ -16,6 +16,7 @@
     const mesh = kernel.find("mesh");
     const holder = kernel.find("holder");
     const front = kernel.find("front");
+    const intake = kernel.find("intake");
     const placement = kernel.find("placement");
     this.#readings = {
       configuration_age_ms: [
@@ -43,6 +44,10 @@
         "Loads of weights that this node has permitted and that go on",
         () => placement.loadsRunning,
       ],
+      capacity: [
+        "Share of a core that is free for callers; lower while turns run late",
+        () => intake.capacity,
+      ],
       requests_in_flight: [
         "Requests that have not ended",
         () => front.inFlight,
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -59,6 +59,8 @@
     isServing: z.boolean(),
     /** Whether the node gives the orders. */
     holdsPlacement: z.boolean(),
+    /** Share of a core that is free for callers. */
+    capacity: z.number().default(1),
     /** Next offset of each shared feed that the node has not read. */
     offsets: z.record(SharedFeed, z.number()),
     /** How long ago each shared feed was known to be complete. */
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -13,6 +13,7 @@
   TaskGroup,
   withDeadline,
 } from "@zinniahill/kernel";
+import type { Intake } from "../entry/intake.ts";
 import type { Lifecycle } from "../lifecycle.ts";
 import type {
   MessageOf,
@@ -59,6 +60,8 @@
   readonly entry: NodeEntry;
   readonly isServing: boolean;
   readonly holdsPlacement: boolean;
+  /** Share of a core that is free for callers. */
+  readonly capacity: number;
   readonly outstanding: ReadonlyMap<string, number>;
 }
 
@@ -87,6 +90,7 @@
   #decoder: RecordDecoder;
   #exchange: FeedExchange;
   #lifecycle: Lifecycle;
+  #intake: Intake;
   #own: NodeEntry;
   #directory: NodeDirectory;
   #tasks: TaskGroup;
@@ -105,6 +109,7 @@
     this.#decoder = kernel.find("decoder");
     this.#exchange = new FeedExchange(kernel);
     this.#lifecycle = kernel.find("lifecycle");
+    this.#intake = kernel.find("intake");
     const { node } = kernel.find("settings");
     this.#own = {
       name: node.name,
@@ -174,6 +179,7 @@
       entry,
       isServing: beat?.isServing ?? false,
       holdsPlacement: beat?.holdsPlacement ?? false,
+      capacity: beat?.capacity ?? 0,
       outstanding: new Map(beat?.outstanding ?? []),
     }));
   }
@@ -240,6 +246,7 @@
       kind: "beat",
       isServing: this.#lifecycle.isServing,
       holdsPlacement: this.#holdsPlacement(),
+      capacity: this.#intake.capacity,
       ...this.#exchange.describe(),
       outstanding: [...this.#readOutstanding()],
     };
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -10,6 +10,7 @@
   SystemClock,
   SystemRandom,
 } from "@zinniahill/kernel";
+import { Intake } from "./entry/intake.ts";
 import { Lookup } from "./entry/lookup.ts";
 import { Readiness } from "./entry/readiness.ts";
 import { Feeds } from "./feeds/feeds.ts";
@@ -84,6 +85,7 @@
       "holder",
       "placement",
       "front",
+      "intake",
     ],
     (services) => new Gauges(services),
   );
@@ -110,9 +112,18 @@
       [...CORE, "instances"],
       (services) => new Groups(services),
     )
+    .provide("intake", CORE, (services) => new Intake(services))
     .provide(
       "mesh",
-      [...CORE, "peerTransport", "topics", "decoder", "feeds", "lifecycle"],
+      [
+        ...CORE,
+        "peerTransport",
+        "topics",
+        "decoder",
+        "feeds",
+        "lifecycle",
+        "intake",
+      ],
       (services) => new Mesh(services),
     )
     .provide(
@@ -170,7 +181,7 @@
     )
     .provide(
       "lookup",
-      [...CORE, "mesh", "lifecycle"],
+      [...CORE, "mesh", "lifecycle", "intake"],
       (services) => new Lookup(services),
     )
     .provide(
--- a/packages/relay/src/relay-settings.ts
+++ b/packages/relay/src/relay-settings.ts
@@ -15,6 +15,8 @@
     /** Known to all nodes; a connection without it is refused. */
     peerToken: z.string(),
     metricsAddress: z.string().optional(),
+    /** Share of a core's time that one thread of the process gets. */
+    coreShare: z.number(),
   }),
   limits: z.object({
     /** Time from the request to stop until the process is killed. */
--- a/packages/relay/src/services.ts
+++ b/packages/relay/src/services.ts
@@ -5,6 +5,7 @@
  */
 import type { PeerTransport } from "@zinniahill/clients";
 import type { Clock, Kernel, Logger, Random } from "@zinniahill/kernel";
+import type { Intake } from "./entry/intake.ts";
 import type { Lookup } from "./entry/lookup.ts";
 import type { Readiness } from "./entry/readiness.ts";
 import type { Feeds } from "./feeds/feeds.ts";
@@ -65,6 +66,7 @@
   dispatcher: Dispatcher;
   attempts: Attempts;
   answers: Answers;
+  intake: Intake;
   lookup: Lookup;
   readiness: Readiness;
   front: Front;
--- a/packages/relay/test/placement/holder.test.ts
+++ b/packages/relay/test/placement/holder.test.ts
@@ -43,6 +43,7 @@
     },
     isServing: true,
     holdsPlacement,
+    capacity: 1,
     outstanding: new Map(),
   };
 }
