Let slow nodes leave placement to faster ones

A node with less than half of a peer's capacity now becomes a member only if no faster node holds placement for 3 s; one under a fifth of a core waits so also before it knows a peer.

Ruled out: callers of the small node alone.

--- a/packages/relay/src/placement/holder.ts
+++ b/packages/relay/src/placement/holder.ts
@@ -10,6 +10,7 @@
   TaskGroup,
 } from "@zinniahill/kernel";
 import { createMachine, interpret, state, transition } from "robot3";
+import type { Intake } from "../entry/intake.ts";
 import type { Lifecycle } from "../lifecycle.ts";
 import type { Seat, Standing } from "../outside.ts";
 import type { Mesh } from "../peers/mesh.ts";
@@ -21,6 +22,15 @@
 const RETRY_MS = 150;
 /** As often as peers say by their beats whether they hold placement. */
 const STANDBY_CHECK_MS = 150;
+/**
+ * A node with less than this share of a peer's capacity leaves placement to it:
+ * orders that a slow node gives come late and lapse.
+ */
+const MIN_SHARE_OF_PEER = 0.5;
+/** Also without a peer heard yet, a node this slow lets others come first. */
+const SLOW_CORE_SHARE = 0.2;
+/** Two terms; after that, faster nodes seem to be kept from the store. */
+const PATIENCE_MS = 3000;
 /** Orders end this long before the store may give placement to another. */
 const TERM_MARGIN_MS = 200;
 
@@ -32,7 +42,8 @@
 /**
  * Renews this node's membership and knows whether it may give orders. As long as
  * a peer says that it holds placement, this node is no member: each change of
- * the members may move placement, and orders in progress end with it.
+ * the members may move placement, and orders in progress end with it. A slow
+ * node becomes a member only if no faster one takes placement in time.
  */
 export class Holder implements Service {
   #clock: Clock;
@@ -41,12 +52,15 @@
   #member: string;
   #lifecycle: Lifecycle;
   #mesh: Mesh;
+  #intake: Intake;
   #isMember = false;
   #tasks: TaskGroup;
   #machine = interpret(machine, () => {});
   #generation = 0;
   #heldUntil = -Infinity;
   #heldSince = -Infinity;
+  /** When some node was last known to hold placement. */
+  #holderSeenAt: number;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -54,6 +68,8 @@
     this.#seat = kernel.find("seat");
     this.#lifecycle = kernel.find("lifecycle");
     this.#mesh = kernel.find("mesh");
+    this.#intake = kernel.find("intake");
+    this.#holderSeenAt = this.#clock.now();
     this.#mesh.reportPlacement(() => this.isHolder);
     // A restarted process must not take its predecessor's place for granted.
     this.#member = `${kernel.find("settings").node.name}/${
@@ -97,7 +113,7 @@
 
   async #renewForever(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.#lifecycle.isDraining) {
-      if (this.#hasHoldingPeer()) {
+      if (this.#leavesPlacement()) {
         await this.#standBy(signal);
         continue;
       }
@@ -123,9 +139,26 @@
     await this.#leave(signal);
   }
 
-  #hasHoldingPeer(): boolean {
-    return !this.isHolder &&
-      this.#mesh.list().some(({ holdsPlacement }) => holdsPlacement);
+  /** Whether another node holds placement or is about to. */
+  #leavesPlacement(): boolean {
+    if (this.isHolder) {
+      this.#holderSeenAt = this.#clock.now();
+      return false;
+    }
+    if (this.#mesh.list().some(({ holdsPlacement }) => holdsPlacement)) {
+      this.#holderSeenAt = this.#clock.now();
+      return true;
+    }
+    return this.#isSlower() &&
+      this.#clock.now() - this.#holderSeenAt < PATIENCE_MS;
+  }
+
+  #isSlower(): boolean {
+    const { capacity } = this.#intake;
+    const peers = this.#mesh.list();
+    return peers.length === 0
+      ? capacity < SLOW_CORE_SHARE
+      : peers.some((peer) => capacity < peer.capacity * MIN_SHARE_OF_PEER);
   }
 
   async #standBy(signal: AbortSignal): Promise<void> {
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -128,7 +128,7 @@
     )
     .provide(
       "holder",
-      [...CORE, "seat", "lifecycle", "mesh"],
+      [...CORE, "seat", "lifecycle", "mesh", "intake"],
       (services) => new Holder(services),
     )
     .provide("demand", CORE, (services) => new Demand(services))
--- a/packages/relay/test/placement/holder.test.ts
+++ b/packages/relay/test/placement/holder.test.ts
@@ -32,7 +32,7 @@
   }
 }
 
-function createPeer(holdsPlacement: boolean): Peer {
+function createPeer(holdsPlacement: boolean, capacity = 1): Peer {
   return {
     entry: {
       name: "n-2",
@@ -43,12 +43,12 @@
     },
     isServing: true,
     holdsPlacement,
-    capacity: 1,
+    capacity,
     outstanding: new Map(),
   };
 }
 
-async function start(isHeldByPeer: boolean, isHolder = true) {
+async function start(isHeldByPeer: boolean, isHolder = true, capacity = 1) {
   const clock = new ManualClock();
   const seat = new CountedSeat();
   seat.isHolder = isHolder;
@@ -68,6 +68,7 @@
     .provide("settings", [], () => ({ node: { name: "n-1" } }) as never)
     .provide("lifecycle", [], () => lifecycle as never)
     .provide("mesh", [], () => mesh as unknown as Mesh)
+    .provide("intake", [], () => ({ capacity }) as never)
     .provide("seat", [], () => seat);
   await kernel.start();
   const holder = new Holder(kernel);
@@ -81,8 +82,12 @@
 
   afterEach(() => holder?.stop());
 
-  async function startHolder(isHeldByPeer: boolean, isHolder = true) {
-    const started = await start(isHeldByPeer, isHolder);
+  async function startHolder(
+    isHeldByPeer: boolean,
+    isHolder = true,
+    capacity = 1,
+  ) {
+    const started = await start(isHeldByPeer, isHolder, capacity);
     holder = started.holder;
     return started;
   }
@@ -124,6 +129,37 @@
     });
   });
 
+  describe("a slow node", () => {
+    it("leaves placement to a faster peer", async () => {
+      const { clock, seat, peers } = await startHolder(false, true, 0.1);
+      await clock.advance(1000);
+      expect(seat.renewals).toBe(0);
+      peers[0] = createPeer(true);
+      await clock.advance(5000);
+      expect(seat.renewals).toBe(0);
+    });
+
+    it("takes placement when no faster peer does", async () => {
+      const { clock, holder } = await startHolder(false, true, 0.1);
+      await clock.advance(3000);
+      expect(holder.isHolder).toBe(true);
+    });
+
+    it("waits for faster peers at its start before it knows one", async () => {
+      const { clock, seat, peers } = await startHolder(false, true, 0.1);
+      peers.pop();
+      await clock.advance(1000);
+      expect(seat.renewals).toBe(0);
+    });
+
+    it("does not wait for peers that are as slow", async () => {
+      const { clock, peers, holder } = await startHolder(false, true, 0.1);
+      peers[0] = createPeer(false, 0.15);
+      await clock.advance(300);
+      expect(holder.isHolder).toBe(true);
+    });
+  });
+
   describe("without the store", () => {
     it("stops giving orders before its term ends", async () => {
       const { clock, seat, holder } = await startHolder(false);
