Pace reads of the instances by the number of nodes

Each node but the one that gives orders now pauses 15 ms for each node, so that all of them read as often as four did. A peer that has read more is asked only after that pause, and one peer at a time: each would send the same records.

The tests of pace and fetches fail without the change.

--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -25,6 +25,11 @@
   readonly waitMs: number;
   /** Pause after records came, so that the next read collects several. */
   readonly collectMs: number;
+  /**
+   * The pause grows with the number of nodes, so that all of them together do
+   * not read more often than four do: 67 times a second.
+   */
+  readonly collectMsPerNode: number;
 }
 
 /**
@@ -32,9 +37,9 @@
  * one costs calls. Changes must be in force within 2 s of their confirmation.
  */
 const PLANS: Readonly<Record<FeedName, FollowPlan>> = {
-  configuration: { waitMs: 1200, collectMs: 20 },
-  instances: { waitMs: 1200, collectMs: 60 },
-  nodes: { waitMs: 5000, collectMs: 200 },
+  configuration: { waitMs: 1200, collectMs: 20, collectMsPerNode: 0 },
+  instances: { waitMs: 1200, collectMs: 60, collectMsPerNode: 15 },
+  nodes: { waitMs: 5000, collectMs: 200, collectMsPerNode: 0 },
 };
 const FEEDS = Object.keys(PLANS) as FeedName[];
 const RETRY_MS = 150;
@@ -69,6 +74,7 @@
   #topics: Topics;
   #tasks: TaskGroup;
   #feeds: Record<FeedName, Progress>;
+  #isHurried = () => false;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -98,6 +104,20 @@
     this.#feeds[feed].listeners.add(listener);
   }
 
+  /** Sets when this node reads at the pace of few nodes all the same. */
+  hurryWhile(isHurried: () => boolean): void {
+    this.#isHurried = isHurried;
+  }
+
+  /** The pause between two reads that bring records. */
+  collectMs(feed: FeedName): number {
+    const { collectMs, collectMsPerNode } = PLANS[feed];
+    const nodes = this.#feeds.nodes.table.list().length;
+    return this.#isHurried()
+      ? collectMs
+      : Math.max(collectMs, collectMsPerNode * nodes);
+  }
+
   /** The newest records of a feed. */
   table(feed: FeedName): KeyTable {
     return this.#feeds[feed].table;
@@ -174,7 +194,7 @@
       failures = 0;
       this.#noteSuccess(feed, began);
       if (read.value > 0) {
-        await this.#clock.sleep(PLANS[feed].collectMs, signal);
+        await this.#clock.sleep(this.collectMs(feed), signal);
       }
     }
   }
--- a/packages/relay/src/peers/feed-exchange.ts
+++ b/packages/relay/src/peers/feed-exchange.ts
@@ -10,8 +10,13 @@
 
 type Beat = MessageOf<"beat">;
 
-/** This node's own read of the store normally brings a change sooner. */
+/**
+ * This node's own read of the store normally brings a change in this time, after
+ * its pause between reads.
+ */
 const FETCH_AFTER_MS = 200;
+/** Peers that know more are asked in turn, as each sends the same records. */
+const FETCH_PAUSE_MS = 100;
 
 /** Compares what this node and its peers have read. */
 export class FeedExchange {
@@ -20,6 +25,8 @@
   #feeds: Feeds;
   /** Since when a peer has known more of a feed than this node. */
   #behindSince = new Map<string, number>();
+  /** When a peer was last asked for records of a feed. */
+  #fetchedAt = new Map<SharedFeed, number>();
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -91,10 +98,16 @@
     }
     const now = this.#clock.now();
     const since = this.#behindSince.get(key) ?? now;
-    const isDue = !this.#feeds.isReachable(feed) ||
-      now - since >= FETCH_AFTER_MS;
+    const isLate = !this.#feeds.isReachable(feed) ||
+      now - since >= FETCH_AFTER_MS + this.#feeds.collectMs(feed);
+    const fetchedAt = this.#fetchedAt.get(feed) ?? -Infinity;
+    const isDue = isLate && now - fetchedAt >= FETCH_PAUSE_MS;
     this.#behindSince.set(key, isDue ? now : since);
-    return isDue ? [{ kind: "fetch", feed, from: own }] : [];
+    if (!isDue) {
+      return [];
+    }
+    this.#fetchedAt.set(feed, now);
+    return [{ kind: "fetch", feed, from: own }];
   }
 }
 
--- a/packages/relay/src/placement/holder.ts
+++ b/packages/relay/src/placement/holder.ts
@@ -70,6 +70,8 @@
     this.#mesh = kernel.find("mesh");
     this.#intake = kernel.find("intake");
     this.#holderSeenAt = this.#clock.now();
+    // Orders are based on what this node has read.
+    kernel.find("feeds").hurryWhile(() => this.isHolder);
     this.#mesh.reportPlacement(() => this.isHolder);
     // A restarted process must not take its predecessor's place for granted.
     this.#member = `${kernel.find("settings").node.name}/${
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -128,7 +128,7 @@
     )
     .provide(
       "holder",
-      [...CORE, "seat", "lifecycle", "mesh", "intake"],
+      [...CORE, "seat", "lifecycle", "mesh", "intake", "feeds"],
       (services) => new Holder(services),
     )
     .provide("demand", CORE, (services) => new Demand(services))
--- a/packages/relay/test/feeds/feeds.test.ts
+++ b/packages/relay/test/feeds/feeds.test.ts
@@ -2,7 +2,13 @@
 import { Result } from "true-myth";
 import { afterEach, describe, expect, it } from "vitest";
 import { Feeds } from "../../src/feeds/feeds.ts";
-import type { Batch, Fault, Snapshot, Topics } from "../../src/index.ts";
+import type {
+  Batch,
+  Fault,
+  FeedName,
+  Snapshot,
+  Topics,
+} from "../../src/index.ts";
 import type { RelayKernel, RelayServices } from "../../src/services.ts";
 
 const AWAY: Fault = { verdict: "not-run", message: "503" };
@@ -12,17 +18,36 @@
 /** A store that turns reads away for as long as the test says. */
 class SwitchedTopics implements Topics {
   isAway = false;
+  /** Announced nodes. */
+  nodes = 0;
+  /** Whether each read of the instances brings a record. */
+  isBusy = false;
+  instanceReads = 0;
   #clock: ManualClock;
 
   constructor(clock: ManualClock) {
     this.#clock = clock;
   }
 
-  readNewest(): Promise<Result<Snapshot, Fault>> {
-    return Promise.resolve(this.#answer());
+  readNewest(feed: FeedName): Promise<Result<Snapshot, Fault>> {
+    const records = Array.from(
+      { length: feed === "nodes" ? this.nodes : 0 },
+      (_, offset) => ({ key: `n-${offset}`, offset, value: "{}" }),
+    );
+    return Promise.resolve(
+      this.#answer().map(() => ({ records, next: records.length })),
+    );
   }
 
-  async readFrom(): Promise<Result<Batch, Fault>> {
+  async readFrom(
+    feed: FeedName,
+    offset: number,
+  ): Promise<Result<Batch, Fault>> {
+    if (feed === "instances" && this.isBusy) {
+      this.instanceReads++;
+      const record = { key: "i-1", offset, value: "{}" };
+      return Result.ok({ records: [record], next: offset + 1 });
+    }
     if (!this.isAway) {
       await this.#clock.sleep(POLL_MS);
     }
@@ -70,6 +95,31 @@
     return started;
   }
 
+  describe("pace of reads", () => {
+    /** Reads of the instances in a second that brings a record each time. */
+    async function countReads(nodes: number, isHurried: boolean) {
+      const { clock, topics, feeds } = await startFeeds();
+      feeds.hurryWhile(() => isHurried);
+      topics.nodes = nodes;
+      topics.isBusy = true;
+      feeds.applyFromPeer("nodes", [], 1);
+      await clock.advance(1000);
+      topics.instanceReads = 0;
+      await clock.advance(2400);
+      return topics.instanceReads;
+    }
+
+    it("does not rise over all nodes with their number", async () => {
+      expect(await countReads(4, false)).toBe(40);
+      await stop();
+      expect(await countReads(32, false)).toBe(5);
+    });
+
+    it("is that of few nodes where orders depend on it", async () => {
+      expect(await countReads(32, true)).toBe(40);
+    });
+  });
+
   describe("time since the last outage", () => {
     it("goes on over a failed read, which lets no entry lapse", async () => {
       const { clock, topics, feeds } = await startFeeds();
--- a/packages/relay/test/peers/feed-exchange.test.ts
+++ b/packages/relay/test/peers/feed-exchange.test.ts
@@ -25,6 +25,8 @@
     currentAges: [] as number[],
     table: (_feed: string) => table,
     ageMs: () => 3,
+    pauseMs: 0,
+    collectMs: () => feeds.pauseMs,
     isReachable: () => feeds.isStoreReachable,
     noteCurrent: (_feed: string, ageMs: number) => {
       feeds.currentAges.push(ageMs);
@@ -51,6 +53,26 @@
         .toEqual([{ kind: "fetch", feed: "instances", from: 0 }]);
     });
 
+    it("is waited for longer where this node pauses between reads", async () => {
+      const { clock, feeds, exchange } = await create();
+      feeds.pauseMs = 400;
+      exchange.compare("n-2", createBeat(9));
+      await clock.advance(450);
+      expect(exchange.compare("n-2", createBeat(9))).toEqual([]);
+      await clock.advance(200);
+      expect(exchange.compare("n-2", createBeat(9))).toHaveLength(1);
+    });
+
+    it("is not asked for what another peer was just asked for", async () => {
+      const { clock, feeds, exchange } = await create();
+      feeds.isStoreReachable = false;
+      await clock.advance(200);
+      expect(exchange.compare("n-2", createBeat(9))).toHaveLength(1);
+      expect(exchange.compare("n-3", createBeat(9))).toHaveLength(0);
+      await clock.advance(150);
+      expect(exchange.compare("n-3", createBeat(9))).toHaveLength(1);
+    });
+
     it("is asked at once while the store turns this node away", async () => {
       const { feeds, exchange } = await create();
       feeds.isStoreReachable = false;
--- a/packages/relay/test/placement/holder.test.ts
+++ b/packages/relay/test/placement/holder.test.ts
@@ -69,6 +69,7 @@
     .provide("lifecycle", [], () => lifecycle as never)
     .provide("mesh", [], () => mesh as unknown as Mesh)
     .provide("intake", [], () => ({ capacity }) as never)
+    .provide("feeds", [], () => ({ hurryWhile: () => {} }) as never)
     .provide("seat", [], () => seat);
   await kernel.start();
   const holder = new Holder(kernel);
