Spend less processor time on each beat and each renewed entry

A profile of 32 nodes over the stand-ins, 6 domains of 27 runners and 100 requests a second, showed most of the nodes' own time in a deadline with signals for each message of a peer, in maps of outstanding requests built anew for each group of each choice, and in groups derived anew after each renewal of an entry.

A connection's silence is now one timer; the counts of a beat are indexed when it comes; an entry that says nothing new changes nothing.

Ruled out: the decoding of entries, 1 % of the profile.

--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { isDeepStrictEqual } from "node:util";
 import {
   type Clock,
   Condition,
@@ -90,24 +91,32 @@
   }
 
   #apply(records: readonly KeyRecord[]): void {
-    for (const { key, value } of records) {
-      if (value === undefined) {
-        this.#remove(key);
-      } else {
-        this.#decoder.instance(key, value).match({
-          Ok: (instance) => this.#put(instance),
-          Err: (error) => {
-            this.#logger.warn("instance_unreadable", { instance: key, error });
-          },
-        });
-      }
+    const changes = records.map(({ key, value }) =>
+      value === undefined ? this.#remove(key) : this.#update(key, value)
+    );
+    // Most records only renew an entry.
+    if (changes.includes(true)) {
+      this.#version++;
+      this.changed.notify();
     }
-    this.#version++;
-    this.changed.notify();
   }
 
-  #put(instance: Instance): void {
+  /** Takes an entry; the result is whether it says anything new. */
+  #update(id: string, value: string): boolean {
+    return this.#decoder.instance(id, value).match({
+      Ok: (instance) => this.#put(instance),
+      Err: (error) => {
+        this.#logger.warn("instance_unreadable", { instance: id, error });
+        return false;
+      },
+    });
+  }
+
+  #put(instance: Instance): boolean {
     const known = this.#instances.get(instance.id);
+    if (isDeepStrictEqual(known, instance)) {
+      return false;
+    }
     this.#instances.set(instance.id, instance);
     this.#departed.delete(instance.id);
     if (known === undefined) {
@@ -121,6 +130,7 @@
       this.#logger.info("instance_draining", { instance: instance.id });
     }
     this.#logMembership(known, instance);
+    return true;
   }
 
   #logMembership(known: Instance | undefined, instance: Instance): void {
@@ -139,13 +149,15 @@
     }
   }
 
-  #remove(id: string): void {
+  #remove(id: string): boolean {
     const instance = this.#instances.get(id);
-    if (instance !== undefined) {
-      this.#instances.delete(id);
-      this.#noteDeparture(instance);
-      this.#logger.info("instance_gone", { instance: id });
+    if (instance === undefined) {
+      return false;
     }
+    this.#instances.delete(id);
+    this.#noteDeparture(instance);
+    this.#logger.info("instance_gone", { instance: id });
+    return true;
   }
 
   #noteDeparture(instance: Instance): void {
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -25,6 +25,7 @@
 import { NodeDirectory } from "./directory.ts";
 import { FeedExchange } from "./feed-exchange.ts";
 import { decodeMessage, encodeMessage } from "./peer-codec.ts";
+import { SilenceLimit } from "./silence-limit.ts";
 
 type Beat = MessageOf<"beat">;
 
@@ -53,6 +54,8 @@
   readonly connection: PeerConnection;
   heardAt: number;
   beat: Beat | undefined;
+  /** Requests in progress by instance, as the last beat says. */
+  outstanding: ReadonlyMap<string, number>;
 }
 
 /** A node that was heard lately. */
@@ -175,15 +178,24 @@
 
   /** Nodes that were heard lately, apart from this one. */
   list(): Peer[] {
-    return [...this.#links.values()].map(({ entry, beat }) => ({
+    return [...this.#links.values()].map(({ entry, beat, outstanding }) => ({
       entry,
       isServing: beat?.isServing ?? false,
       holdsPlacement: beat?.holdsPlacement ?? false,
       capacity: beat?.capacity ?? 0,
-      outstanding: new Map(beat?.outstanding ?? []),
+      outstanding,
     }));
   }
 
+  /** Requests that the other nodes have given to an instance. */
+  countOutstanding(instance: string): number {
+    let count = 0;
+    for (const { outstanding } of this.#links.values()) {
+      count += outstanding.get(instance) ?? 0;
+    }
+    return count;
+  }
+
   /** Nodes that are known, whether they were heard or not, and this one. */
   countNodes(): number {
     return Math.max(this.#links.size, this.#directory.list().length) + 1;
@@ -305,6 +317,11 @@
     signal: AbortSignal,
   ): Promise<void> {
     let link: Link | undefined;
+    const silence = new SilenceLimit(
+      this.#clock,
+      MISSED_BEATS * this.#beatMs,
+      () => connection.close(),
+    );
     connection.send(encodeMessage({
       kind: "hello",
       entry: this.#own,
@@ -313,23 +330,15 @@
     connection.send(encodeMessage(this.#createBeat()));
     try {
       for (;;) {
-        const bytes = await withDeadline(
-          this.#clock,
-          MISSED_BEATS * this.#beatMs,
-          signal,
-          (bounded) => connection.receive(bounded),
-        );
+        const bytes = await connection.receive(signal);
         if (bytes === undefined) {
           return;
         }
+        silence.reset(MISSED_BEATS * this.#beatMs);
         link = this.#handle(connection, link, bytes);
       }
-    } catch (failure) {
-      this.#logger.debug("peer_silent", {
-        peer: link?.entry.name,
-        error: describeError(failure),
-      });
     } finally {
+      silence.cancel();
       connection.close();
       this.#unlink(link);
     }
@@ -372,6 +381,7 @@
       connection,
       heardAt: this.#clock.now(),
       beat: undefined,
+      outstanding: new Map(),
     };
     this.#links.set(name, link);
     this.#logger.info("peer_connected", { peer: name });
@@ -396,6 +406,7 @@
     },
     beat: (link, beat) => {
       link.beat = beat;
+      link.outstanding = new Map(beat.outstanding);
       this.#exchange.compare(link.entry.name, beat)
         .forEach((request) => this.#send(link, request));
     },
--- a/packages/relay/src/routing/outstanding.ts
+++ b/packages/relay/src/routing/outstanding.ts
@@ -90,10 +90,7 @@
   /** Requests at an instance, those of other nodes included. */
   count(instance: string): number {
     const own = this.#work.get(instance)?.tickets.size ?? 0;
-    return this.#mesh.list().reduce(
-      (sum, { outstanding }) => sum + (outstanding.get(instance) ?? 0),
-      own,
-    );
+    return own + this.#mesh.countOutstanding(instance);
   }
 
   /** Counts a request until its ticket ends. */
--- /dev/null
+++ b/packages/relay/test/hosts/instances.test.ts
@@ -0,0 +1,97 @@
+import { Kernel, ManualClock } from "@zinniahill/kernel";
+import { Result } from "true-myth";
+import { describe, expect, it } from "vitest";
+import { Instances } from "../../src/hosts/instances.ts";
+import type { Instance, KeyRecord, RecordDecoder } from "../../src/index.ts";
+import type { RelayKernel, RelayServices } from "../../src/services.ts";
+
+type Listener = (records: readonly KeyRecord[]) => void;
+
+/** A value that says only whether the instance is leaving. */
+const LEAVING = "leaving";
+const UNREADABLE = "?";
+
+const decoder: Pick<RecordDecoder, "instance"> = {
+  instance: (id, value) =>
+    value === UNREADABLE
+      ? Result.err<Instance, string>("not an entry")
+      : Result.ok<Instance, string>({
+        id,
+        bornAt: 1,
+        service: "records",
+        address: "10.0.0.1:80",
+        dataCentre: "a",
+        slots: 2,
+        isDraining: value.startsWith(LEAVING),
+      }),
+};
+
+async function create() {
+  let onRecords: Listener = () => {};
+  const feeds = {
+    onChange: (_feed: string, listener: Listener) => {
+      onRecords = listener;
+    },
+  };
+  const silent = { error() {}, warn() {}, info() {}, debug() {} };
+  const kernel: RelayKernel = new Kernel<RelayServices>();
+  kernel
+    .provide("clock", [], () => new ManualClock())
+    .provide("logger", [], () => silent)
+    .provide("feeds", [], () => feeds as never)
+    .provide("decoder", [], () => decoder as never);
+  await kernel.start();
+  const instances = new Instances(kernel);
+  let offset = 0;
+  const put = (value: string | undefined) =>
+    onRecords([
+      {
+        key: "i-1",
+        offset: offset++,
+        ...(value === undefined ? {} : { value }),
+      },
+    ]);
+  return { instances, put };
+}
+
+describe("Instances", () => {
+  describe("a renewed entry", () => {
+    it("is no change, so that groups are not derived anew each time", async () => {
+      const { instances, put } = await create();
+      put("1");
+      const { version } = instances;
+      put("2");
+      expect(instances.version).toBe(version);
+    });
+
+    it("is a change when it says something new", async () => {
+      const { instances, put } = await create();
+      put("1");
+      const { version } = instances;
+      put(LEAVING);
+      expect(instances.version).toBeGreaterThan(version);
+      expect(instances.listReady("records")).toEqual([]);
+    });
+  });
+
+  describe("an entry that cannot be read", () => {
+    it("leaves what was known", async () => {
+      const { instances, put } = await create();
+      put("1");
+      put(UNREADABLE);
+      expect(instances.find("i-1")?.isDraining).toBe(false);
+    });
+  });
+
+  describe("an entry that is gone", () => {
+    it("is a change once", async () => {
+      const { instances, put } = await create();
+      put("1");
+      put(undefined);
+      const { version } = instances;
+      expect(instances.list()).toEqual([]);
+      put(undefined);
+      expect(instances.version).toBe(version);
+    });
+  });
+});
--- a/packages/relay/test/routing/outstanding.test.ts
+++ b/packages/relay/test/routing/outstanding.test.ts
@@ -24,7 +24,7 @@
     clear: () => {},
   };
   const mesh = {
-    list: () => [],
+    countOutstanding: () => 0,
     reportOutstanding: () => {},
     broadcast: () => {
       world.told++;
