Count events that came to other nodes before a group is held for stalled

Each of 32 nodes has one or two requests at a group, so a request that waits behind those of other nodes looks like a group that stands still, and the alarm takes the group from all nodes for up to 1.5 s.

Beats now say when an event last came of each instance, and a request without an event counts from the latest event of any node. Streams that have begun count as before. What peers say of their work is a table of its own (PeerWork).

--- a/packages/cli/src/commands/drain.ts
+++ b/packages/cli/src/commands/drain.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Command, Option } from "clipanion";
-import { z } from "zod";
+import * as z from "zod";
 import { ExitCode } from "../exit-code.ts";
 import {
   AdministrationCommand,
--- a/packages/cli/src/commands/groups.ts
+++ b/packages/cli/src/commands/groups.ts
@@ -5,7 +5,7 @@
  */
 import { GroupState } from "@zinniahill/schema";
 import { Command } from "clipanion";
-import { z } from "zod";
+import * as z from "zod";
 import { ExitCode } from "../exit-code.ts";
 import {
   AdministrationCommand,
--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -5,7 +5,7 @@
  */
 import { parseRules } from "@zinniahill/schema";
 import { Command, Option } from "clipanion";
-import { z } from "zod";
+import * as z from "zod";
 import type { CallFault } from "../connection.ts";
 import { ExitCode } from "../exit-code.ts";
 import {
--- a/packages/cli/src/commands/send.ts
+++ b/packages/cli/src/commands/send.ts
@@ -6,7 +6,7 @@
 import { ChatChunk } from "@zinniahill/schema";
 import { Command, Option } from "clipanion";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { ExitCode } from "../exit-code.ts";
 import { readCount } from "./administration-command.ts";
 
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -6,7 +6,7 @@
 import { setTimeout } from "node:timers/promises";
 import { Command, Option } from "clipanion";
 import type { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 import type { CallFault } from "../connection.ts";
 import { ExitCode } from "../exit-code.ts";
 import {
--- a/packages/cli/src/connection.ts
+++ b/packages/cli/src/connection.ts
@@ -5,7 +5,7 @@
  */
 import { Result } from "true-myth";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A call to a node. */
 export interface NodeCall<Reply> {
--- a/packages/clients/src/engines.ts
+++ b/packages/clients/src/engines.ts
@@ -12,7 +12,7 @@
 } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import { type Agent, type Dispatcher, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { createFault, type Fault } from "./fault.ts";
 import { callJson } from "./http.ts";
 import { Traffic } from "./traffic.ts";
--- a/packages/node/src/administration/administration.ts
+++ b/packages/node/src/administration/administration.ts
@@ -11,7 +11,7 @@
   Refusal,
   type Settings,
 } from "@zinniahill/schema";
-import { z } from "zod";
+import * as z from "zod";
 import type { Evidence } from "../groups/evidence.ts";
 import type { Lifecycle } from "../lifecycle.ts";
 import type { Peers } from "../peers/peers.ts";
--- a/packages/relay/src/model/configuration.ts
+++ b/packages/relay/src/model/configuration.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** What may happen to a request more than once. */
 export const RequestKind = z.enum(["idempotent", "once", "stream"]);
--- a/packages/relay/src/model/instance.ts
+++ b/packages/relay/src/model/instance.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Where a member stands in its group; the lead's state is the group's. */
 export const MemberState = z.enum([
--- a/packages/relay/src/model/order.ts
+++ b/packages/relay/src/model/order.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const GroupName = z.object({ group: z.string(), epoch: z.number() });
 
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Where a node is reached. */
 export const NodeEntry = z.object({
@@ -31,8 +31,17 @@
 /** The two feeds that nodes pass on to each other. */
 export type SharedFeed = z.infer<typeof SharedFeed>;
 
+/**
+ * Requests in progress that one node has given to one upstream instance, and
+ * how long ago an event came from it; null if none has come.
+ */
+export const OutstandingCount = z.tuple([
+  z.string(),
+  z.number(),
+  z.number().nullable(),
+]);
 /** Requests in progress that one node has given to one upstream instance. */
-export const OutstandingCount = z.tuple([z.string(), z.number()]);
+export type OutstandingCount = z.infer<typeof OutstandingCount>;
 
 /** A lead that is to leave its group. */
 const LeadToRelease = z.object({
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -18,6 +18,7 @@
 import type {
   MessageOf,
   NodeEntry,
+  OutstandingCount,
   PeerMessage,
 } from "../model/peer-message.ts";
 import type { RecordDecoder, Topics } from "../outside.ts";
@@ -25,6 +26,7 @@
 import { NodeDirectory } from "./directory.ts";
 import { FeedExchange } from "./feed-exchange.ts";
 import { decodeMessage, encodeMessage } from "./peer-codec.ts";
+import { PeerWork } from "./peer-work.ts";
 import { SilenceLimit } from "./silence-limit.ts";
 
 type Beat = MessageOf<"beat">;
@@ -54,8 +56,6 @@
   readonly connection: PeerConnection;
   heardAt: number;
   beat: Beat | undefined;
-  /** Requests in progress by instance, as the last beat says. */
-  outstanding: ReadonlyMap<string, number>;
 }
 
 /** A node that was heard lately. */
@@ -65,11 +65,10 @@
   readonly holdsPlacement: boolean;
   /** Share of a core that is free for callers. */
   readonly capacity: number;
-  readonly outstanding: ReadonlyMap<string, number>;
 }
 
 /** Adds to a beat what another service knows. */
-export type BeatSource = () => readonly [string, number][];
+export type BeatSource = () => readonly OutstandingCount[];
 
 const BEAT_MS = 150;
 /** Beats of all nodes together must not grow with the square of their number. */
@@ -98,6 +97,7 @@
   #directory: NodeDirectory;
   #tasks: TaskGroup;
   #links = new Map<string, Link>();
+  #work = new PeerWork();
   #dialing = new Set<string>();
   #readOutstanding: BeatSource = () => [];
   #holdsPlacement = () => false;
@@ -178,22 +178,17 @@
 
   /** Nodes that were heard lately, apart from this one. */
   list(): Peer[] {
-    return [...this.#links.values()].map(({ entry, beat, outstanding }) => ({
+    return [...this.#links.values()].map(({ entry, beat }) => ({
       entry,
       isServing: beat?.isServing ?? false,
       holdsPlacement: beat?.holdsPlacement ?? false,
       capacity: beat?.capacity ?? 0,
-      outstanding,
     }));
   }
 
-  /** Requests that the other nodes have given to an instance. */
-  countOutstanding(instance: string): number {
-    let count = 0;
-    for (const { outstanding } of this.#links.values()) {
-      count += outstanding.get(instance) ?? 0;
-    }
-    return count;
+  /** What the other nodes say of their requests in progress. */
+  get work(): Pick<PeerWork, "count" | "findEventAt"> {
+    return this.#work;
   }
 
   /** Nodes that are known, whether they were heard or not, and this one. */
@@ -381,7 +376,6 @@
       connection,
       heardAt: this.#clock.now(),
       beat: undefined,
-      outstanding: new Map(),
     };
     this.#links.set(name, link);
     this.#logger.info("peer_connected", { peer: name });
@@ -392,6 +386,7 @@
     if (link !== undefined && this.#links.get(link.entry.name) === link) {
       this.#links.delete(link.entry.name);
       this.#exchange.forget(link.entry.name);
+      this.#work.forget(link.entry.name);
       this.#logger.info("peer_lost", {
         peer: link.entry.name,
         heard_ms_ago: Math.round(this.#clock.now() - link.heardAt),
@@ -406,7 +401,7 @@
     },
     beat: (link, beat) => {
       link.beat = beat;
-      link.outstanding = new Map(beat.outstanding);
+      this.#work.put(link.entry.name, beat.outstanding, this.#clock.now());
       this.#exchange.compare(link.entry.name, beat)
         .forEach((request) => this.#send(link, request));
     },
--- /dev/null
+++ b/packages/relay/src/peers/peer-work.ts
@@ -0,0 +1,52 @@
+/**
+ * Requests in progress that the other nodes have given to instances.
+ *
+ * @module
+ */
+import type { OutstandingCount } from "../model/peer-message.ts";
+
+/** What one node said of its requests at one instance. */
+interface Work {
+  readonly requests: number;
+  /** When an event last came to that node, by this node's clock. */
+  readonly eventAt: number;
+}
+
+/** What each peer's last beat said, by peer and instance. */
+export class PeerWork {
+  #peers = new Map<string, ReadonlyMap<string, Work>>();
+
+  /** Takes what a beat says that came now. */
+  put(peer: string, counts: readonly OutstandingCount[], now: number): void {
+    this.#peers.set(
+      peer,
+      new Map(counts.map(([instance, requests, eventAgeMs]) => [instance, {
+        requests,
+        eventAt: eventAgeMs === null ? -Infinity : now - eventAgeMs,
+      }])),
+    );
+  }
+
+  /** Forgets a peer that was lost. */
+  forget(peer: string): void {
+    this.#peers.delete(peer);
+  }
+
+  /** Requests of all peers at an instance. */
+  count(instance: string): number {
+    let count = 0;
+    for (const works of this.#peers.values()) {
+      count += works.get(instance)?.requests ?? 0;
+    }
+    return count;
+  }
+
+  /** When an event of an instance last came to a peer, as far as is known. */
+  findEventAt(instance: string): number {
+    let eventAt = -Infinity;
+    for (const works of this.#peers.values()) {
+      eventAt = Math.max(eventAt, works.get(instance)?.eventAt ?? -Infinity);
+    }
+    return eventAt;
+  }
+}
--- a/packages/relay/src/relay-settings.ts
+++ b/packages/relay/src/relay-settings.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a relay node is told at its start. */
 export const RelaySettings = z.object({
--- a/packages/relay/src/routing/outstanding.ts
+++ b/packages/relay/src/routing/outstanding.ts
@@ -32,7 +32,8 @@
 interface Work {
   readonly group: LedGroup | undefined;
   readonly tickets: Set<TicketState>;
-  progressAt: number;
+  /** When an event last came to this node. */
+  eventAt: number;
 }
 
 interface TicketState {
@@ -51,7 +52,11 @@
  * with long prompts takes up to 0.28 s.
  */
 const STALL_MS = 350;
-/** Requests without an event may be waiting behind long prompts. */
+/**
+ * Requests without an event may be waiting behind long prompts, or behind
+ * requests of other nodes. Of many nodes, each has few requests at a group, so
+ * events that came to the others count as well.
+ */
 const UNBEGUN_STALL_MS = 600;
 
 /** Counts this node's requests by instance and notices groups that stall. */
@@ -75,7 +80,13 @@
 
   start(): void {
     this.#mesh.reportOutstanding(() =>
-      [...this.#work].map(([id, { tickets }]) => [id, tickets.size] as const)
+      [...this.#work].map(([id, { tickets, eventAt }]) => [
+        id,
+        tickets.size,
+        Number.isFinite(eventAt)
+          ? Math.round(this.#clock.now() - eventAt)
+          : null,
+      ])
     );
     this.#tasks.repeat("find_stalls", CHECK_INTERVAL_MS, () => {
       this.#findStalls();
@@ -90,7 +101,7 @@
   /** Requests at an instance, those of other nodes included. */
   count(instance: string): number {
     const own = this.#work.get(instance)?.tickets.size ?? 0;
-    return own + this.#mesh.countOutstanding(instance);
+    return own + this.#mesh.work.count(instance);
   }
 
   /** Counts a request until its ticket ends. */
@@ -100,7 +111,7 @@
     isStream: boolean,
   ): Ticket {
     const now = this.#clock.now();
-    const work = this.#findWork(instance, group, now);
+    const work = this.#findWork(instance, group);
     const state: TicketState = {
       startedAt: now,
       isStream,
@@ -127,29 +138,27 @@
   }
 
   dump(): unknown {
-    return [...this.#work].map(([instance, { tickets, progressAt }]) => ({
+    return [...this.#work].map(([instance, { tickets, eventAt }]) => ({
       instance,
       requests: tickets.size,
-      quietMs: Math.round(this.#clock.now() - progressAt),
+      quietMs: Number.isFinite(eventAt)
+        ? Math.round(this.#clock.now() - eventAt)
+        : undefined,
     }));
   }
 
-  #findWork(
-    instance: string,
-    group: LedGroup | undefined,
-    now: number,
-  ): Work {
+  #findWork(instance: string, group: LedGroup | undefined): Work {
     const known = this.#work.get(instance);
     if (known !== undefined && known.group?.name === group?.name) {
       return known;
     }
-    const work: Work = { group, tickets: new Set(), progressAt: now };
+    const work: Work = { group, tickets: new Set(), eventAt: -Infinity };
     this.#work.set(instance, work);
     return work;
   }
 
   #noteProgress(work: Work): void {
-    work.progressAt = this.#clock.now();
+    work.eventAt = this.#clock.now();
     if (work.group !== undefined && this.#groups.isSuspected(work.group)) {
       this.#groups.clear(work.group.name, work.group.epoch);
     }
@@ -166,18 +175,22 @@
       if (oldest === undefined) {
         continue;
       }
-      const quietMs = now - Math.max(work.progressAt, oldest.startedAt);
-      if (quietMs >= this.#chooseLimitMs(streams, work.group)) {
+      const hasBegun = streams.some(({ hasBegun }) => hasBegun);
+      const eventAt = hasBegun
+        ? work.eventAt
+        : Math.max(work.eventAt, this.#mesh.work.findEventAt(instance));
+      const quietMs = now - Math.max(eventAt, oldest.startedAt);
+      if (quietMs >= this.#chooseLimitMs(hasBegun, work.group)) {
         this.#reportStall(instance, work, work.group, quietMs);
       }
     }
   }
 
   /** Evidence of another node makes this node's own, weaker one count. */
-  #chooseLimitMs(streams: readonly TicketState[], group: LedGroup): number {
-    const hasEvidence = this.#groups.isSuspected(group) ||
-      streams.some(({ hasBegun }) => hasBegun);
-    return hasEvidence ? STALL_MS : UNBEGUN_STALL_MS;
+  #chooseLimitMs(hasBegun: boolean, group: LedGroup): number {
+    return hasBegun || this.#groups.isSuspected(group)
+      ? STALL_MS
+      : UNBEGUN_STALL_MS;
   }
 
   #reportStall(
--- a/packages/relay/test/placement/holder.test.ts
+++ b/packages/relay/test/placement/holder.test.ts
@@ -44,7 +44,6 @@
     isServing: true,
     holdsPlacement,
     capacity,
-    outstanding: new Map(),
   };
 }
 
--- a/packages/relay/test/placement/lead-release.test.ts
+++ b/packages/relay/test/placement/lead-release.test.ts
@@ -75,7 +75,6 @@
       peers.map((entry) => ({
         entry,
         isServing: true,
-        outstanding: new Map(),
       })),
     countNodes: () => 1 + answers.length + lost,
     broadcast: () => {
--- a/packages/relay/test/routing/outstanding.test.ts
+++ b/packages/relay/test/routing/outstanding.test.ts
@@ -15,6 +15,7 @@
     suspected: 0,
     checked: 0,
     told: 0,
+    peerEventAt: -Infinity,
   };
   const groups = {
     isSuspected: () => world.isSuspectedByPeer,
@@ -24,7 +25,7 @@
     clear: () => {},
   };
   const mesh = {
-    countOutstanding: () => 0,
+    work: { count: () => 0, findEventAt: () => world.peerEventAt },
     reportOutstanding: () => {},
     broadcast: () => {
       world.told++;
@@ -76,6 +77,15 @@
       expect(stalled).toEqual([0, 1]);
     });
 
+    it("are no less evidence when events came to another node", async () => {
+      const { world, outstanding } = await start();
+      outstanding.begin(LEAD, GROUP, true).noteProgress();
+      await world.clock.advance(300);
+      world.peerEventAt = world.clock.now();
+      await world.clock.advance(100);
+      expect(world.suspected).toBe(1);
+    });
+
     it("show progress of the group for each other", async () => {
       const { world, outstanding } = await start();
       const [first, second] = [1, 2].map(() =>
@@ -100,6 +110,18 @@
       expect(world.suspected).toBe(1);
     });
 
+    it("say nothing while events come to another node", async () => {
+      const { world, outstanding } = await start();
+      outstanding.begin(LEAD, GROUP, true);
+      for (let beat = 0; beat < 5; beat++) {
+        world.peerEventAt = world.clock.now() - 50;
+        await world.clock.advance(450);
+      }
+      expect(world.suspected).toBe(0);
+      await world.clock.advance(200);
+      expect(world.suspected).toBe(1);
+    });
+
     it("count sooner when another node suspects the group", async () => {
       const { world, outstanding } = await start();
       outstanding.begin(LEAD, GROUP, true);
--- a/packages/schema/src/chat.ts
+++ b/packages/schema/src/chat.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import { ChatMessage } from "./upstream.ts";
 
 /** Most tokens that one request may ask for. */
--- a/packages/schema/src/log.ts
+++ b/packages/schema/src/log.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Offset } from "./records.ts";
 
 /** Reply to an append. */
--- a/packages/schema/src/peer.ts
+++ b/packages/schema/src/peer.ts
@@ -5,7 +5,7 @@
  */
 import { Packr } from "msgpackr";
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 import { ControlSnapshot, Offset } from "./records.ts";
 
 /** Version of the protocol between nodes. */
--- a/packages/schema/src/records.ts
+++ b/packages/schema/src/records.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Verdict } from "./verdict.ts";
 
 /** An offset in a stream of the log; the first record has offset 1. */
--- a/packages/schema/src/rules.ts
+++ b/packages/schema/src/rules.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 import {
   Address,
   Count,
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -5,7 +5,7 @@
  */
 import { parse } from "ini";
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 import { Address, Count, createListSchema, Duration, Name } from "./values.ts";
 
 const Secret = z.string().min(16, "expected at least 16 characters");
--- a/packages/schema/src/upstream.ts
+++ b/packages/schema/src/upstream.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Address } from "./values.ts";
 
 /** One host in the platform's host list. */
--- a/packages/schema/src/values.ts
+++ b/packages/schema/src/values.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { isIP } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A name in rules, settings and records. */
 export const Name = z.string().regex(
--- a/packages/schema/src/verdict.ts
+++ b/packages/schema/src/verdict.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Whether a request that got no answer has run. */
 export const Verdict = z.enum(["not-run", "may-have-run", "ran"]);
--- a/stand-ins/src/engine.ts
+++ b/stand-ins/src/engine.ts
@@ -7,7 +7,7 @@
 import { type Clock, TaskGroup } from "@zinniahill/kernel";
 import { EngineOrder, EngineStatus, GenerateRequest } from "@zinniahill/schema";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import {
   EngineModel,
   type EngineOptions,
--- a/stand-ins/src/host-list.ts
+++ b/stand-ins/src/host-list.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import { Host } from "@zinniahill/schema";
-import { z } from "zod";
+import * as z from "zod";
 import { readJson, StandInServer } from "./server.ts";
 
 /** A list of hosts that a test changes when it likes, so it can lag. */
--- a/stand-ins/src/log.ts
+++ b/stand-ins/src/log.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "@zinniahill/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import { LogModel, type LogRetention } from "./log-model.ts";
 import { type Answer, readJson, StandInServer } from "./server.ts";
 
