Add a fault soak of the real programs over the stand-ins

Faults overlap. Checked from what callers and runners see: at most once, true refusals, own answers, whole streams in order, members of open groups in no other group, planned stops end with 0, recovery in 12 s.

--- a/bench/src/path/pass-through-server.ts
+++ b/bench/src/path/pass-through-server.ts
@@ -10,7 +10,7 @@
 import process from "node:process";
 import polka from "polka";
 import { Agent, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 
 const Body = z.looseObject({
   messages: z.array(z.looseObject({ role: z.string() })),
--- /dev/null
+++ b/bench/src/soak/node-process.ts
@@ -0,0 +1,118 @@
+/**
+ * A node of the platform as a process of its own.
+ *
+ * @module
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createWriteStream, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { createNodeSettings } from "@zinniahill/stand-ins";
+import { StoreRelay } from "./store-relay.ts";
+
+/** Where a node of the soak lives. */
+export interface NodePlan {
+  readonly index: number;
+  readonly store: string;
+  /** Folder of its settings and logs. */
+  readonly folder: string;
+}
+
+const PROGRAM = new URL("../../../platform/dist/main.js", import.meta.url);
+const FIRST_PORT = 10_000;
+const PORTS_PER_NODE = 10;
+const FRONT_PORT = 6;
+const LOOKUP_PORT = 8;
+
+/** Starts, ends and restarts one node; the process group is its own. */
+export class NodeProcess {
+  readonly name: string;
+  readonly ip: string;
+  readonly link: StoreRelay;
+  /** Exit codes of planned stops. */
+  readonly stopCodes: number[] = [];
+  #plan: NodePlan;
+  #child: ChildProcess | undefined;
+  #settingsFile: string;
+
+  constructor(plan: NodePlan) {
+    this.#plan = plan;
+    this.name = `node-${plan.index}`;
+    // Other tests use the first block of loopback addresses.
+    this.ip = `127.0.7.${plan.index + 1}`;
+    this.link = new StoreRelay(plan.store);
+    this.#settingsFile = join(plan.folder, `${this.name}.toml`);
+  }
+
+  get front(): string {
+    return `${this.ip}:${this.#port + FRONT_PORT}`;
+  }
+
+  get lookup(): string {
+    return `${this.ip}:${this.#port + LOOKUP_PORT}`;
+  }
+
+  get isRunning(): boolean {
+    return this.#child !== undefined;
+  }
+
+  async start(): Promise<void> {
+    const store = await this.link.start();
+    const { name, ip } = this;
+    const settings = createNodeSettings({ name, ip, port: this.#port, store });
+    writeFileSync(this.#settingsFile, settings);
+    this.spawn();
+  }
+
+  /** Starts the process, if none runs. */
+  spawn(): void {
+    if (this.#child !== undefined) {
+      return;
+    }
+    const log = createWriteStream(
+      join(this.#plan.folder, `${this.name}.log`),
+      { flags: "a" },
+    );
+    const child = spawn(process.execPath, [PROGRAM.pathname], {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ZINNIAHILL_SETTINGS: this.#settingsFile },
+    });
+    child.stdout.pipe(log);
+    child.stderr.pipe(log);
+    child.on("exit", () => {
+      this.#child = this.#child === child ? undefined : this.#child;
+    });
+    this.#child = child;
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.#child?.kill(signal);
+  }
+
+  /** Asks for a planned stop and waits for its end. */
+  async stopAsPlanned(): Promise<void> {
+    const child = this.#child;
+    if (child === undefined) {
+      return;
+    }
+    const exited = new Promise<number | null>((resolve) =>
+      child.on("exit", (code) => resolve(code))
+    );
+    child.kill("SIGTERM");
+    const code = await exited;
+    // Without a code, another fault has killed the process meanwhile.
+    if (code !== null) {
+      this.stopCodes.push(code);
+    }
+  }
+
+  /** Ends the process and its link. */
+  end(): void {
+    this.signal("SIGKILL");
+    this.link.stop();
+  }
+
+  get #port(): number {
+    return FIRST_PORT + this.#plan.index * PORTS_PER_NODE;
+  }
+}
--- /dev/null
+++ b/bench/src/soak/soak.ts
@@ -0,0 +1,176 @@
+/**
+ * One seed of the fault soak: the real programs as processes over the fleet's
+ * stand-ins, faults from outside, promises checked meanwhile.
+ *
+ * @module
+ */
+import { mkdirSync } from "node:fs";
+import { SeededRandom, SystemClock } from "@zinniahill/kernel";
+import { Fleet } from "@zinniahill/stand-ins";
+import { Callers } from "./callers.ts";
+import { FAULTS, type FaultTarget } from "./faults.ts";
+import { NodeProcess } from "./node-process.ts";
+import {
+  countRuns,
+  judgeAnswer,
+  judgeGroups,
+  type Violation,
+} from "./promises.ts";
+
+/** What one seed is played with. */
+export interface SoakPlan {
+  readonly seed: number;
+  readonly nodes: number;
+  /** How long faults begin. */
+  readonly faultsMs: number;
+  /** Folder of settings and logs. */
+  readonly folder: string;
+}
+
+/** What came of one seed. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly faults: readonly string[];
+  readonly calls: number;
+  readonly whole: number;
+  readonly violations: readonly Violation[];
+}
+
+const OPEN_GROUPS = 2;
+const CALLS_PER_SECOND = 40;
+const GROUP_CHECK_MS = 25;
+const POLL_MS = 50;
+const START_LIMIT_MS = 20_000;
+/** The platform's bound for recovery on the small deployments. */
+const RECOVERY_LIMIT_MS = 12_000;
+const MIN_PAUSE_MS = 200;
+const PAUSE_SPREAD_MS = 1200;
+const MIN_FAULT_MS = 300;
+const FAULT_SPREAD_MS = 2500;
+
+/** Plays one seed. */
+export async function playSeed(plan: SoakPlan): Promise<SoakResult> {
+  mkdirSync(plan.folder, { recursive: true });
+  const clock = new SystemClock();
+  const random = new SeededRandom(plan.seed);
+  const fleet = new Fleet({
+    domains: 2,
+    runnersPerDomain: 4,
+    modelHosts: 3,
+    loadMs: 300,
+  });
+  await fleet.start();
+  const nodes = Array.from(
+    { length: plan.nodes },
+    (_, index) =>
+      new NodeProcess({ index, store: fleet.address, folder: plan.folder }),
+  );
+  const callers = new Callers(clock, new SeededRandom(plan.seed + 1), nodes);
+  try {
+    await Promise.all(nodes.map((node) => node.start()));
+    await waitFor(
+      clock,
+      START_LIMIT_MS,
+      "a first answer",
+      async () =>
+        fleet.listLeads().length === OPEN_GROUPS && await callers.call("chat"),
+    );
+    return await playFaults(plan, { clock, random, fleet, nodes }, callers);
+  } finally {
+    nodes.forEach((node) => node.end());
+    await callers.stop();
+    fleet.stop();
+  }
+}
+
+async function playFaults(
+  plan: SoakPlan,
+  target: FaultTarget,
+  callers: Callers,
+): Promise<SoakResult> {
+  const { clock, fleet, nodes } = target;
+  const violations = new Map<string, Violation>();
+  const done = new AbortController();
+  const watch = clock.sleep(0).then(async () => {
+    while (!done.signal.aborted) {
+      judgeGroups(fleet).forEach((found) =>
+        violations.set(found.detail, found)
+      );
+      await clock.sleep(GROUP_CHECK_MS);
+    }
+  });
+  const load = callers.run(CALLS_PER_SECOND, done.signal);
+  const faults = await runFaults(target, plan.faultsMs);
+  try {
+    await waitFor(
+      clock,
+      RECOVERY_LIMIT_MS,
+      "every kind answered",
+      async () =>
+        fleet.listLeads().length === OPEN_GROUPS &&
+        await callers.call("chat") && await callers.call("stamp") &&
+        await callers.call("look"),
+    );
+  } catch (failure) {
+    const detail = String(failure);
+    violations.set(detail, { promise: "recovery", detail });
+  }
+  done.abort();
+  await Promise.all([watch, load]);
+  const runs = countRuns(fleet);
+  for (const answer of callers.answers) {
+    judgeAnswer(answer, runs.get(answer.attempt) ?? 0)
+      .forEach((found) => violations.set(found.detail, found));
+  }
+  for (const { name, stopCodes } of nodes) {
+    stopCodes.filter((code) => code !== 0).forEach((code) => {
+      const detail = `${name} exited with ${code}`;
+      violations.set(detail, { promise: "planned stops", detail });
+    });
+  }
+  return {
+    seed: plan.seed,
+    faults,
+    calls: callers.answers.length,
+    whole:
+      callers.answers.filter(({ status, isWhole }) => status === 200 && isWhole)
+        .length,
+    violations: [...violations.values()],
+  };
+}
+
+/** Begins faults one after the other; they may overlap. */
+async function runFaults(
+  target: FaultTarget,
+  faultsMs: number,
+): Promise<string[]> {
+  const { clock, random } = target;
+  const names = Object.keys(FAULTS);
+  const until = clock.now() + faultsMs;
+  const begun: string[] = [];
+  const running: Promise<void>[] = [];
+  while (clock.now() < until) {
+    const name = names[random.below(names.length)]!;
+    const durationMs = MIN_FAULT_MS + random.below(FAULT_SPREAD_MS);
+    begun.push(`${name} ${durationMs}`);
+    running.push(FAULTS[name]!(target, durationMs));
+    await clock.sleep(MIN_PAUSE_MS + random.below(PAUSE_SPREAD_MS));
+  }
+  await Promise.all(running);
+  return begun;
+}
+
+async function waitFor(
+  clock: SystemClock,
+  limitMs: number,
+  what: string,
+  isMet: () => Promise<boolean>,
+): Promise<void> {
+  const until = clock.now() + limitMs;
+  while (!await isMet()) {
+    if (clock.now() > until) {
+      throw new Error(`waited ${limitMs} ms for ${what}`);
+    }
+    await clock.sleep(POLL_MS);
+  }
+}
--- /dev/null
+++ b/bench/test/soak.test.ts
@@ -0,0 +1,118 @@
+import { mkdtempSync } from "node:fs";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, describe, expect, it } from "vitest";
+import { judgeAnswer, type SeenAnswer } from "../src/soak/promises.ts";
+import { playSeed } from "../src/soak/soak.ts";
+import { type RelayMode, StoreRelay } from "../src/soak/store-relay.ts";
+
+const WHOLE_STREAM = [1, 2, 3, 4, 5, 6]
+  .map((id) => `id: ${id}\ndata: piece ${id}\n\n`)
+  .join("");
+
+function createAnswer(changes: Partial<SeenAnswer>): SeenAnswer {
+  return {
+    attempt: "a1",
+    kind: "chat",
+    status: 200,
+    body: WHOLE_STREAM,
+    isWhole: true,
+    ...changes,
+  };
+}
+
+function judge(changes: Partial<SeenAnswer>, runs: number): string[] {
+  return judgeAnswer(createAnswer(changes), runs)
+    .map(({ promise }) => promise);
+}
+
+describe("the soak's judgement", () => {
+  it("finds nothing in a whole stream, also a resumed one", () => {
+    expect(judge({}, 2)).toEqual([]);
+  });
+
+  it("finds a call that ran twice although it must not be repeated", () => {
+    const body = "answer to a1";
+    expect(judge({ kind: "stamp", body }, 1)).toEqual([]);
+    expect(judge({ kind: "stamp", body }, 2)).toEqual(["at most once"]);
+  });
+
+  it("finds a refusal that says not run of a request that ran", () => {
+    const body = "{}";
+    expect(judge({ status: 503, body }, 0)).toEqual([]);
+    expect(judge({ status: 503, body }, 1)).toEqual(["true refusals"]);
+  });
+
+  it("finds the answer of another call", () => {
+    expect(judge({ kind: "look", body: "answer to a2" }, 1))
+      .toEqual(["own answers"]);
+  });
+
+  it("finds events that come twice or are left out", () => {
+    const body = `id: 1\ndata: a\n\n${WHOLE_STREAM}`;
+    expect(judge({ body, isWhole: false }, 1)).toEqual(["streams in order"]);
+  });
+
+  it("finds a stream that ends as whole before its last event", () => {
+    const body = "id: 1\ndata: piece 1\n\n";
+    expect(judge({ body }, 1)).toEqual(["whole streams"]);
+    expect(judge({ body, isWhole: false }, 1)).toEqual([]);
+  });
+});
+
+describe("the soak's link to the store", () => {
+  let server: Server | undefined;
+  let relay: StoreRelay | undefined;
+
+  afterEach(() => {
+    relay?.stop();
+    server?.close();
+  });
+
+  /** What a caller behind the relay gets from a server that echoes. */
+  async function echo(mode: RelayMode): Promise<string> {
+    server = createServer((socket) => {
+      socket.on("error", () => {}).pipe(socket);
+    });
+    await new Promise<void>((resolve) =>
+      server!.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    relay = new StoreRelay(`127.0.0.1:${port}`);
+    relay.mode = mode;
+    const [host, near] = (await relay.start()).split(":");
+    const socket: Socket = connect(Number(near), host);
+    socket.write("ping");
+    return await new Promise((resolve) => {
+      socket.on("data", (chunk) => resolve(String(chunk)));
+      socket.on("error", (failure) => resolve(failure.message));
+      setTimeout(() => resolve("nothing"), 600).unref();
+    });
+  }
+
+  it.each<[RelayMode, string]>([
+    ["pass", "ping"],
+    ["slow", "ping"],
+    ["mute-replies", "nothing"],
+    ["silent", "nothing"],
+    ["reset", "read ECONNRESET"],
+  ])("%s gives the caller: %s", async (mode, expected) => {
+    expect(await echo(mode)).toBe(expected);
+  });
+});
+
+describe("a short soak of the real programs", () => {
+  it("breaks no promise while faults overlap", async () => {
+    const folder = mkdtempSync(join(tmpdir(), "zinniahill-soak-"));
+    const { violations, whole } = await playSeed({
+      seed: 7,
+      nodes: 3,
+      faultsMs: 5000,
+      folder,
+    });
+    expect(violations).toEqual([]);
+    expect(whole).toBeGreaterThan(50);
+  });
+});
