Let the soak lose answers, and show that it can turn red

No fault lost the answer of a request that had run.

Runners of the stand-ins can now reset a connection after they ran its request, and two faults draw that.

--- a/bench/src/soak/faults.ts
+++ b/bench/src/soak/faults.ts
@@ -83,6 +83,21 @@
     await target.clock.sleep(durationMs);
     lead.isSilent = false;
   },
+  "record-answers-lost": async ({ clock, random, fleet }, durationMs) => {
+    const record = fleet.records[random.below(fleet.records.length)]!;
+    record.losesAnswers = true;
+    await clock.sleep(durationMs);
+    record.losesAnswers = false;
+  },
+  "engine-answers-lost": async (target, durationMs) => {
+    const lead = drawLead(target);
+    if (lead === undefined) {
+      return;
+    }
+    lead.losesAnswers = true;
+    await target.clock.sleep(durationMs);
+    lead.losesAnswers = false;
+  },
   "streams-broken": async (target, durationMs) => {
     const lead = drawLead(target);
     if (lead === undefined) {
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -72,6 +72,8 @@
   isSilent = false;
   /** Whether the member that streams depend on is away. */
   isStalled = false;
+  /** Whether requests run and their connections are reset without an answer. */
+  losesAnswers = false;
   /** Events after which a stream breaks off, if it is set. */
   breaksAfter: number | undefined;
   #options: RunnerOptions;
@@ -296,6 +298,10 @@
       deadlineMs: Number(request.headers["x-deadline-ms"]),
       hasKey: request.headers.authorization !== undefined,
     });
+    if (this.losesAnswers) {
+      request.socket.resetAndDestroy();
+      return;
+    }
     const headers = {
       "x-attempt-id": attempt,
       "x-response-seal": `seal-${this.id}`,
