--- a/bench/src/soak/promises.ts
+++ b/bench/src/soak/promises.ts
@@ -60,8 +60,10 @@
 /** Runs of each attempt over all runners. */
 export function countRuns({ runners, records }: Fleet): Map<string, number> {
   const counts = new Map<string, number>();
-  for (const { attempt } of [...runners, ...records].flatMap(readRuns)) {
-    counts.set(attempt, (counts.get(attempt) ?? 0) + 1);
+  for (const { runs } of [...runners, ...records]) {
+    for (const { attempt } of runs) {
+      counts.set(attempt, (counts.get(attempt) ?? 0) + 1);
+    }
   }
   return counts;
 }
@@ -90,7 +92,3 @@
     order.Op === "join" && order.group === group
   );
 }
-
-function readRuns({ runs }: FleetRunner): FleetRunner["runs"] {
-  return runs;
-}
--- a/bench/src/soak/soak.ts
+++ b/bench/src/soak/soak.ts
@@ -5,7 +5,12 @@
  * @module
  */
 import { mkdirSync } from "node:fs";
-import { SeededRandom, SystemClock } from "@zinniahill/kernel";
+import {
+  type Clock,
+  describeError,
+  SeededRandom,
+  SystemClock,
+} from "@zinniahill/kernel";
 import { Fleet } from "@zinniahill/stand-ins";
 import { Callers } from "./callers.ts";
 import { FAULTS, type FaultTarget } from "./faults.ts";
@@ -36,6 +41,7 @@
   readonly violations: readonly Violation[];
 }
 
+const OK = 200;
 const OPEN_GROUPS = 2;
 const CALLS_PER_SECOND = 40;
 const GROUP_CHECK_MS = 25;
@@ -89,18 +95,54 @@
   callers: Callers,
 ): Promise<SoakResult> {
   const { clock, fleet, nodes } = target;
-  const violations = new Map<string, Violation>();
   const done = new AbortController();
-  const watch = clock.sleep(0).then(async () => {
-    while (!done.signal.aborted) {
-      judgeGroups(fleet).forEach((found) =>
-        violations.set(found.detail, found)
-      );
-      await clock.sleep(GROUP_CHECK_MS);
-    }
-  });
+  const watched = watchGroups(clock, fleet, done.signal);
   const load = callers.run(CALLS_PER_SECOND, done.signal);
   const faults = await runFaults(target, plan.faultsMs);
+  const recovery = await judgeRecovery(clock, fleet, callers);
+  done.abort();
+  await load;
+  const runs = countRuns(fleet);
+  const { answers } = callers;
+  return {
+    seed: plan.seed,
+    faults,
+    calls: answers.length,
+    whole: answers.filter(({ status, isWhole }) => status === OK && isWhole)
+      .length,
+    violations: [
+      ...await watched,
+      ...recovery,
+      ...nodes.flatMap(judgeStops),
+      ...answers.flatMap((answer) =>
+        judgeAnswer(answer, runs.get(answer.attempt) ?? 0)
+      ),
+    ],
+  };
+}
+
+/** Judges the groups until the signal aborts; each finding counts once. */
+async function watchGroups(
+  clock: Clock,
+  fleet: Fleet,
+  signal: AbortSignal,
+): Promise<Violation[]> {
+  const found = new Map<string, Violation>();
+  while (!signal.aborted) {
+    judgeGroups(fleet).forEach((violation) =>
+      found.set(violation.detail, violation)
+    );
+    await clock.sleep(GROUP_CHECK_MS);
+  }
+  return [...found.values()];
+}
+
+/** Whether every kind is answered again in time. */
+async function judgeRecovery(
+  clock: Clock,
+  fleet: Fleet,
+  callers: Callers,
+): Promise<Violation[]> {
   try {
     await waitFor(
       clock,
@@ -111,32 +153,17 @@
         await callers.call("chat") && await callers.call("stamp") &&
         await callers.call("look"),
     );
+    return [];
   } catch (failure) {
-    const detail = String(failure);
-    violations.set(detail, { promise: "recovery", detail });
-  }
-  done.abort();
-  await Promise.all([watch, load]);
-  const runs = countRuns(fleet);
-  for (const answer of callers.answers) {
-    judgeAnswer(answer, runs.get(answer.attempt) ?? 0)
-      .forEach((found) => violations.set(found.detail, found));
-  }
-  for (const { name, stopCodes } of nodes) {
-    stopCodes.filter((code) => code !== 0).forEach((code) => {
-      const detail = `${name} exited with ${code}`;
-      violations.set(detail, { promise: "planned stops", detail });
-    });
+    return [{ promise: "recovery", detail: describeError(failure) }];
   }
-  return {
-    seed: plan.seed,
-    faults,
-    calls: callers.answers.length,
-    whole:
-      callers.answers.filter(({ status, isWhole }) => status === 200 && isWhole)
-        .length,
-    violations: [...violations.values()],
-  };
+}
+
+function judgeStops({ name, stopCodes }: NodeProcess): Violation[] {
+  return stopCodes.filter((code) => code !== 0).map((code) => ({
+    promise: "planned stops",
+    detail: `${name} exited with ${code}`,
+  }));
 }
 
 /** Begins faults one after the other; they may overlap. */
@@ -161,7 +188,7 @@
 }
 
 async function waitFor(
-  clock: SystemClock,
+  clock: Clock,
   limitMs: number,
   what: string,
   isMet: () => Promise<boolean>,
--- a/packages/relay/src/entry/intake.ts
+++ b/packages/relay/src/entry/intake.ts
@@ -12,12 +12,14 @@
 import type { RelayKernel } from "../services.ts";
 
 const TICK_MS = 50;
-/** Callers ask for addresses each second, so a shorter window would not see
- * what the last change did. */
+/**
+ * A window of a second: callers ask for addresses that often, so a shorter one
+ * would not see what the last change did.
+ */
 const TICKS_PER_WINDOW = 20;
 /**
- * A tick that comes later than this waited behind other work. At the users'
- * calm days, the longest turn of a node with half a core takes less.
+ * A tick that comes later than this waited behind other work. On a day with
+ * trouble, no node with half a core was late for half of a window.
  */
 const LATE_MS = 25;
 /** One long pause makes one tick late; a node that cannot keep up, most. */
