Log the load that a choice was based on and what the upstream counted

The incident's hypotheses could not be told apart: a late first token may come of a wrong count of requests at a group or of a wrong limit, and no line said which count the node had used. request_answered now names the group, the count and the upstream's own count; a histogram holds their difference. group_forming says the model's share of the work and its groups, group_dissolved the reason. No logic is changed. Test: relay-metrics, the difference of the two counts.

--- a/packages/relay/src/outside.ts
+++ b/packages/relay/src/outside.ts
@@ -142,6 +142,8 @@
   readonly isEncoded: boolean;
   /** Instance that the upstream holds responsible for a refusal. */
   readonly faultyInstance: string | undefined;
+  /** Requests that the upstream has, running or waiting, if it says so. */
+  readonly upstreamLoad: number | undefined;
 }
 
 /** The form of callers' requests and upstreams' replies. */
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -209,7 +209,12 @@
         this.#runOnGroup(
           group,
           "dissolve",
-          (signal) => this.#endings.dissolve(group, signal),
+          (signal) =>
+            this.#endings.dissolve(
+              group,
+              isWhole ? `it is ${group.state}` : "a member is away",
+              signal,
+            ),
         );
       }
     }
@@ -441,7 +446,11 @@
       can_replace_slow: canReplace,
     });
     if (!isWhole || canReplace) {
-      await this.#endings.dissolve(group, signal);
+      await this.#endings.dissolve(
+        group,
+        isWhole ? "a member is slow" : "a member is away",
+        signal,
+      );
     }
   }
 
--- a/packages/relay/src/placement/formation.ts
+++ b/packages/relay/src/placement/formation.ts
@@ -32,6 +32,7 @@
 const LOAD_TIMEOUT_FACTOR = 4;
 const JOIN_TIMEOUT_MS = 3000;
 const OPEN_TIMEOUT_MS = 2000;
+const SHARE_DIGITS = 3;
 
 /** Carries out formations. */
 export class Formations {
@@ -67,7 +68,7 @@
   /** Joins the members of a new group and opens it. */
   async form(
     group: FormingGroup,
-    { fabricDomain, spares }: Pick<Formation, "fabricDomain" | "spares">,
+    { fabricDomain, spares, demandShare }: Formation,
     signal: AbortSignal,
   ): Promise<void> {
     this.#logger.info("group_forming", {
@@ -79,6 +80,8 @@
       staging: group.stagingHosts.size,
       domain: fabricDomain,
       spares,
+      groups_of_model: group.loadPriority,
+      demand_share: Number(demandShare.toFixed(SHARE_DIGITS)),
     });
     this.#unopened.set(group.name, this.#holder.fence);
     const born = this.#readBirths(group);
--- a/packages/relay/src/placement/group-endings.ts
+++ b/packages/relay/src/placement/group-endings.ts
@@ -53,14 +53,18 @@
     while (isServing() && this.#clock.now() < until) {
       await this.#clock.sleep(POLL_MS, signal);
     }
-    await this.dissolve(group, signal);
+    await this.dissolve(group, "a member leaves", signal);
   }
 
   /**
    * Takes the lead out of its group, so that no other member can be missed by
    * an open lead when it joins elsewhere.
    */
-  async dissolve(group: Group, signal: AbortSignal): Promise<void> {
+  async dissolve(
+    group: Group,
+    reason: string,
+    signal: AbortSignal,
+  ): Promise<void> {
     const { name, epoch, lead } = group;
     if (lead === undefined || this.#instances.find(lead.id) === undefined) {
       return;
@@ -71,7 +75,13 @@
       ({ engine }) => !isMemberOf(engine.membership, name, epoch),
       signal,
     );
-    this.#logger.info("group_dissolved", { group: name, epoch, lead: lead.id });
+    this.#logger.info("group_dissolved", {
+      group: name,
+      epoch,
+      lead: lead.id,
+      reason,
+      state: group.state,
+    });
     // The store shows the lead's leaving a moment later.
     const until = this.#clock.now() + LEAVE_SHOWN_MS;
     while (
--- a/packages/relay/src/placement/plan.ts
+++ b/packages/relay/src/placement/plan.ts
@@ -29,8 +29,13 @@
   readonly fabricDomain: string;
   /** Free hosts of the domain that the group leaves. */
   readonly spares: number;
+  /** The model's share of the work that the choice was based on. */
+  readonly demandShare: number;
 }
 
+/** A group that the hosts of one domain could form. */
+type Candidate = Omit<Formation, "demandShare">;
+
 /** Weights to be loaded onto a spare's host. */
 export interface Staging {
   readonly host: string;
@@ -84,7 +89,8 @@
         continue;
       }
       const { model, members } = formation;
-      formations.push(formation);
+      const demandShare = basis.demand.get(model) ?? 0;
+      formations.push({ ...formation, demandShare });
       counts.set(model, (counts.get(model) ?? 0) + 1);
       domainModels.set(domain, [...domainModels.get(domain) ?? [], model]);
       free.set(domain, hosts.filter(({ id }) => !members.includes(id)));
@@ -111,7 +117,7 @@
   basis: PlanBasis,
   counts: ReadonlyMap<string, number>,
   hosts: readonly FreeHost[],
-): Formation | undefined {
+): Candidate | undefined {
   const options = basis.engine.models
     .map((model) => ({
       model,
@@ -143,7 +149,7 @@
 /** Whether most members were in a group of the model and keep its weights. */
 function isRepair(
   { name, hosts: size }: ModelProfile,
-  { members, loads }: Formation,
+  { members, loads }: Candidate,
   hosts: readonly FreeHost[],
 ): boolean {
   const kept = hosts.filter(({ id, lastModel }) =>
@@ -179,7 +185,7 @@
   model: ModelProfile,
   hosts: readonly FreeHost[],
   loadPriority: number,
-): Formation {
+): Candidate {
   const chosen = [...hosts]
     .sort((a, b) =>
       Number(a.isSlow) - Number(b.isSlow) ||
--- a/packages/relay/src/relay-metrics.ts
+++ b/packages/relay/src/relay-metrics.ts
@@ -24,6 +24,8 @@
   8,
 ];
 
+const LOAD_ERROR_BUCKETS = [-32, -16, -8, -4, 0, 4, 8, 16, 32];
+
 /** Metrics of the relay. */
 export class RelayMetrics implements Service {
   #registry = new Registry();
@@ -61,6 +63,14 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [this.#registry],
   });
+  #loadError = new Histogram({
+    name: "zinniahill_load_error_requests",
+    help:
+      "Requests at the upstream by its own count, less those counted when it was chosen",
+    labelNames: ["kind"],
+    buckets: LOAD_ERROR_BUCKETS,
+    registers: [this.#registry],
+  });
   #orders = new Counter({
     name: "zinniahill_orders_total",
     help: "Orders to engines by kind and outcome",
@@ -76,7 +86,7 @@
   /** Counts an answer and its times. */
   noteAnswer(
     { kind, rank }: Route,
-    { status, firstByteAt, longestGapMs }: Answer,
+    { status, firstByteAt, longestGapMs, load, upstreamLoad }: Answer,
     receivedAt: number,
     endedAt: number,
   ): void {
@@ -84,6 +94,9 @@
     this.#answers.inc({ ...labels, status: String(status) });
     this.#firstByte.observe(labels, (firstByteAt - receivedAt) / MS_PER_SECOND);
     this.#total.observe(labels, (endedAt - receivedAt) / MS_PER_SECOND);
+    if (upstreamLoad !== undefined) {
+      this.#loadError.observe({ kind }, upstreamLoad - load);
+    }
     if (kind === "stream") {
       this.#longestGap.observe(
         { rank: labels.rank },
--- a/packages/relay/src/serving/answers.ts
+++ b/packages/relay/src/serving/answers.ts
@@ -20,12 +20,21 @@
 import type { RelayedRequest } from "./relayed-request.ts";
 import { writeStreamHead, writeWholeReply } from "./replies.ts";
 
+/** Where a response came from, and how full that upstream was. */
+export interface AnswerSource {
+  readonly instance: string;
+  readonly group: string | undefined;
+  /** Requests that this node counted there when it chose the upstream. */
+  readonly load: number;
+  /** Requests that the upstream itself counted with its response. */
+  readonly upstreamLoad: number | undefined;
+}
+
 /** What an answered request came to. */
-export interface Answer {
+export interface Answer extends AnswerSource {
   readonly status: number;
   /** When the first byte was written to the caller. */
   readonly firstByteAt: number;
-  readonly instance: string;
   readonly events: number;
   /** Longest time between two events; 0 for a whole body. */
   readonly longestGapMs: number;
@@ -40,7 +49,7 @@
 interface WholeReply {
   readonly reply: UpstreamReply;
   readonly chunks: readonly Buffer[];
-  readonly instance: string;
+  readonly source: AnswerSource;
 }
 
 /** How far a stream has come over all its attempts. */
@@ -98,7 +107,7 @@
     }
     this.#logger.info("attempt_repeated", {
       request: relayed.id,
-      instance: first.value.instance,
+      instance: first.value.source.instance,
       status: first.value.reply.status,
     });
     const second = await this.#readWhole(relayed);
@@ -115,11 +124,11 @@
       if (opened.isErr) {
         return Result.err(opened.error);
       }
-      const { reply, choice, exchange, end } = opened.value;
+      const { reply, exchange, end } = opened.value;
       try {
         const chunks = await collectBody(reply.body);
-        const instance = choice.instance.id;
-        return Result.ok({ reply, chunks, instance });
+        const source = describeSource(opened.value);
+        return Result.ok({ reply, chunks, source });
       } catch (failure) {
         relayed.mayHaveRun = true;
         const { message } = exchange.createFault(failure);
@@ -136,15 +145,15 @@
 
   #writeWhole(
     relayed: RelayedRequest,
-    { reply, chunks, instance }: WholeReply,
+    { reply, chunks, source }: WholeReply,
   ): Answer {
     const method = relayed.request.method ?? "GET";
     writeWholeReply(relayed.response, method, reply, chunks);
     const firstByteAt = this.#clock.now();
     return {
+      ...source,
       status: reply.status,
       firstByteAt,
-      instance,
       events: 0,
       longestGapMs: 0,
     };
@@ -169,16 +178,16 @@
         return Result.err(opened.error);
       }
       const attempt = opened.value;
-      const instance = attempt.choice.instance.id;
+      const source = describeSource(attempt);
       try {
         if (attempt.reply.status !== OK_STATUS) {
           const { reply } = attempt;
-          return await this.#passFailure(relayed, progress, reply, instance);
+          return await this.#passFailure(relayed, progress, reply, source);
         }
         await this.#pump(relayed, attempt, progress);
         relayed.response.end();
         const firstByteAt = progress.firstByteAt ?? this.#clock.now();
-        return Result.ok({ ...progress, firstByteAt, instance });
+        return Result.ok({ ...progress, ...source, firstByteAt });
       } catch (failure) {
         relayed.mayHaveRun = true;
         const { message } = attempt.exchange.createFault(failure);
@@ -237,7 +246,7 @@
     relayed: RelayedRequest,
     progress: StreamProgress,
     reply: UpstreamReply,
-    instance: string,
+    source: AnswerSource,
   ): Promise<Outcome> {
     const chunks = await collectBody(reply.body);
     if (progress.events > 0) {
@@ -249,7 +258,7 @@
         ),
       );
     }
-    return Result.ok(this.#writeWhole(relayed, { reply, chunks, instance }));
+    return Result.ok(this.#writeWhole(relayed, { reply, chunks, source }));
   }
 
   /** The final refusal after a break; undefined if another attempt may be. */
@@ -280,3 +289,12 @@
     });
   }
 }
+
+function describeSource({ choice, facts }: OpenAttempt): AnswerSource {
+  return {
+    instance: choice.instance.id,
+    group: choice.group?.name,
+    load: choice.load,
+    upstreamLoad: facts.upstreamLoad,
+  };
+}
--- a/packages/relay/test/relay-metrics.test.ts
+++ b/packages/relay/test/relay-metrics.test.ts
@@ -4,7 +4,15 @@
 
 const STREAM = { kind: "stream", rank: 1 } as Route;
 const CALL = { kind: "once", rank: 2 } as Route;
-const ANSWER = { status: 200, firstByteAt: 120, instance: "i-1", events: 3 };
+const ANSWER = {
+  status: 200,
+  firstByteAt: 120,
+  instance: "i-1",
+  group: "large~7",
+  load: 10,
+  upstreamLoad: 34,
+  events: 3,
+};
 
 describe("RelayMetrics", () => {
   describe("answers", () => {
@@ -23,6 +31,14 @@
       );
     });
 
+    it("show by how much a count of requests was out of date", async () => {
+      const metrics = new RelayMetrics();
+      metrics.noteAnswer(STREAM, { ...ANSWER, longestGapMs: 90 }, 20, 520);
+      expect(await metrics.render()).toContain(
+        'zinniahill_load_error_requests_sum{kind="stream"} 24',
+      );
+    });
+
     it("without events have no gap, which would hide the gaps of streams", async () => {
       const metrics = new RelayMetrics();
       metrics.noteAnswer(CALL, { ...ANSWER, longestGapMs: 0 }, 20, 520);
