Draw among groups by what stale counts of peers can still say

Callers saw: with 32 nodes, half of the streams had a late first token although half of all places were free, also before any fault.

Cause: every node gave its requests to the group that had had the fewest at the last beats of its peers, 465 ms apart with 32 nodes. Arrivals at one group in 100 ms had a variance of 3 to 10 times the mean. Ruled out: the limit of a group (it never applied at that load), the share of the models.

Now the counts of peers decay by the time that a request takes, what has decayed is taken for requests that went elsewhere unseen, and a group is drawn as often as it lies below the level to which these fill it. With fresh counts this is the least load; with old ones it is an even spread. It holds for plain services too.

--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -187,7 +187,7 @@
   }
 
   /** What the other nodes say of their requests in progress. */
-  get work(): Pick<PeerWork, "count" | "findEventAt"> {
+  get work(): Omit<PeerWork, "put" | "forget"> {
     return this.#work;
   }
 
--- a/packages/relay/src/peers/peer-work.ts
+++ b/packages/relay/src/peers/peer-work.ts
@@ -12,19 +12,25 @@
   readonly eventAt: number;
 }
 
+/** What one node's last beat said. */
+interface Beat {
+  readonly at: number;
+  readonly works: ReadonlyMap<string, Work>;
+}
+
 /** What each peer's last beat said, by peer and instance. */
 export class PeerWork {
-  #peers = new Map<string, ReadonlyMap<string, Work>>();
+  #peers = new Map<string, Beat>();
 
   /** Takes what a beat says that came now. */
   put(peer: string, counts: readonly OutstandingCount[], now: number): void {
-    this.#peers.set(
-      peer,
-      new Map(counts.map(([instance, requests, eventAgeMs]) => [instance, {
+    const works = new Map(
+      counts.map(([instance, requests, eventAgeMs]) => [instance, {
         requests,
         eventAt: eventAgeMs === null ? -Infinity : now - eventAgeMs,
-      }])),
+      }]),
     );
+    this.#peers.set(peer, { at: now, works });
   }
 
   /** Forgets a peer that was lost. */
@@ -35,16 +41,29 @@
   /** Requests of all peers at an instance. */
   count(instance: string): number {
     let count = 0;
-    for (const works of this.#peers.values()) {
+    for (const { works } of this.#peers.values()) {
       count += works.get(instance)?.requests ?? 0;
     }
     return count;
   }
 
+  /**
+   * Requests of all peers at an instance that have probably not ended since the
+   * beats that named them, if one takes `meanMs`.
+   */
+  countSurviving(instance: string, meanMs: number, now: number): number {
+    let count = 0;
+    for (const { at, works } of this.#peers.values()) {
+      const requests = works.get(instance)?.requests ?? 0;
+      count += requests * Math.exp((at - now) / meanMs);
+    }
+    return count;
+  }
+
   /** When an event of an instance last came to a peer, as far as is known. */
   findEventAt(instance: string): number {
     let eventAt = -Infinity;
-    for (const works of this.#peers.values()) {
+    for (const { works } of this.#peers.values()) {
       eventAt = Math.max(eventAt, works.get(instance)?.eventAt ?? -Infinity);
     }
     return eventAt;
--- a/packages/relay/src/routing/dispatcher.ts
+++ b/packages/relay/src/routing/dispatcher.ts
@@ -14,6 +14,7 @@
 } from "../model/configuration.ts";
 import type { Instance } from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
+import { drawByLoad } from "./load-choice.ts";
 import type { LedGroup, Outstanding } from "./outstanding.ts";
 
 /** What a choice depends on. */
@@ -54,7 +55,7 @@
 /** An instance that refused a connection is left alone for this time. */
 const UNREACHABLE_MS = 1000;
 
-/** Chooses by requests in progress over all nodes. */
+/** Chooses by requests in progress over all nodes, as far as they are known. */
 export class Dispatcher implements Service {
   #clock: Clock;
   #random: Random;
@@ -103,7 +104,7 @@
     const choices = candidates
       .filter(({ id }) => !wish.excluded.has(id))
       .map((instance) => this.#createChoice(instance, undefined));
-    const chosen = this.#pickLeastLoaded(choices);
+    const chosen = this.#draw(choices);
     return chosen === undefined
       ? Result.err(this.#refuseWithoutUpstream(wish))
       : Result.ok(chosen);
@@ -115,20 +116,24 @@
       wish.model ?? engine.models[0]?.name ?? "",
     );
     const choices = groups.flatMap((group) => this.#listLead(group, wish));
-    const chosen = this.#pickLeastLoaded(choices);
-    if (chosen === undefined) {
+    if (choices.length === 0) {
       return Result.err(this.#refuseWithoutUpstream(wish));
     }
-    return chosen.load < computeLoadLimit(wish, engine)
-      ? Result.ok(chosen)
-      : Result.err(
-        new Refusal(
-          "overloaded",
-          "not-run",
-          `the least loaded group has ${chosen.load} requests`,
-          this.#drawRetryAfterMs(wish),
-        ),
-      );
+    const limit = computeLoadLimit(wish, engine);
+    const chosen = this.#draw(choices.filter(({ load }) => load < limit));
+    return chosen === undefined
+      ? Result.err(this.#refuseOverloaded(wish, choices))
+      : Result.ok(chosen);
+  }
+
+  #refuseOverloaded(wish: Wish, choices: readonly Choice[]): Refusal {
+    const least = Math.min(...choices.map(({ load }) => load));
+    return new Refusal(
+      "overloaded",
+      "not-run",
+      `the least loaded group has ${least} requests`,
+      this.#drawRetryAfterMs(wish),
+    );
   }
 
   #refuseWithoutUpstream(wish: Wish): Refusal {
@@ -163,10 +168,12 @@
     return { instance, group, load: this.#outstanding.count(instance.id) };
   }
 
-  #pickLeastLoaded(choices: readonly Choice[]): Choice | undefined {
-    const least = Math.min(...choices.map(({ load }) => load));
-    const best = choices.filter(({ load }) => load === least);
-    return best[this.#random.below(Math.max(1, best.length))];
+  #draw(choices: readonly Choice[]): Choice | undefined {
+    const { loads, unseen } = this.#outstanding.estimate(
+      choices.map(({ instance }) => instance.id),
+    );
+    const index = drawByLoad(loads, unseen, this.#random);
+    return index === undefined ? undefined : choices[index];
   }
 
   #isReachable({ id }: Instance): boolean {
--- /dev/null
+++ b/packages/relay/src/routing/load-choice.ts
@@ -0,0 +1,45 @@
+/**
+ * Chooses among upstreams by counts of requests that may be out of date.
+ *
+ * @module
+ */
+import type { Random } from "@zinniahill/kernel";
+
+/**
+ * Draws an index, the less loaded ones more often. Requests of other nodes that
+ * the counts do not show yet are taken to have filled the least loaded upstreams
+ * up to one level, and the next request goes to each of these as often as that
+ * level is above its count. Without such requests, the least load is chosen;
+ * with many, all nodes together fill the upstreams evenly. If every node chose
+ * the least load, all would choose the same upstream until the next counts.
+ */
+export function drawByLoad(
+  loads: readonly number[],
+  unseen: number,
+  random: Random,
+): number | undefined {
+  const level = findLevel(loads, unseen + 1);
+  let left = random.fraction() * (unseen + 1);
+  for (const [index, load] of loads.entries()) {
+    left -= Math.max(0, level - load);
+    if (left < 0) {
+      return index;
+    }
+  }
+  // Rounding may leave a rest after the last one.
+  return loads.length === 0 ? undefined : loads.indexOf(Math.min(...loads));
+}
+
+/** The level up to which `added` requests fill the least loaded upstreams. */
+function findLevel(loads: readonly number[], added: number): number {
+  const sorted = [...loads].sort((a, b) => a - b);
+  let sum = added;
+  for (const [index, load] of sorted.entries()) {
+    sum += load;
+    const level = sum / (index + 1);
+    if (level <= (sorted[index + 1] ?? Infinity)) {
+      return level;
+    }
+  }
+  return Infinity;
+}
--- a/packages/relay/src/routing/outstanding.ts
+++ b/packages/relay/src/routing/outstanding.ts
@@ -13,6 +13,7 @@
 import type { Mesh } from "../peers/mesh.ts";
 import type { PlacementController } from "../placement/controller.ts";
 import type { RelayKernel } from "../services.ts";
+import { RequestTimes } from "./request-times.ts";
 
 /** A request that one instance works on. */
 export interface Ticket {
@@ -29,6 +30,14 @@
   readonly epoch: number;
 }
 
+/** Requests at instances, as far as they can be known. */
+export interface LoadEstimate {
+  /** Requests at each instance, without those that are unseen. */
+  readonly loads: readonly number[];
+  /** Requests of other nodes that are at one of the instances by now. */
+  readonly unseen: number;
+}
+
 interface Work {
   readonly group: LedGroup | undefined;
   readonly tickets: Set<TicketState>;
@@ -47,6 +56,7 @@
 }
 
 const CHECK_INTERVAL_MS = 50;
+const PRUNE_INTERVAL_MS = 10_000;
 /**
  * Streams that have begun are not quiet for this long: an event of a busy engine
  * with long prompts takes up to 0.28 s.
@@ -68,6 +78,7 @@
   #placement: PlacementController;
   #tasks: TaskGroup;
   #work = new Map<string, Work>();
+  #times: RequestTimes;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -76,6 +87,7 @@
     this.#mesh = kernel.find("mesh");
     this.#placement = kernel.find("placement");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
+    this.#times = new RequestTimes(this.#clock);
   }
 
   start(): void {
@@ -92,6 +104,10 @@
       this.#findStalls();
       return Promise.resolve();
     });
+    this.#tasks.repeat("prune_times", PRUNE_INTERVAL_MS, () => {
+      this.#times.prune();
+      return Promise.resolve();
+    });
   }
 
   stop(): Promise<void> {
@@ -104,6 +120,25 @@
     return own + this.#mesh.work.count(instance);
   }
 
+  /**
+   * What the instances probably have by now. Some requests that the last beats
+   * of peers name have ended since. About as many others were sent meanwhile,
+   * and it is not known where to.
+   */
+  estimate(instances: readonly string[]): LoadEstimate {
+    const now = this.#clock.now();
+    const { work } = this.#mesh;
+    const meanMs = this.#times.meanMs(instances);
+    let unseen = 0;
+    const loads = instances.map((id) => {
+      const own = this.#work.get(id)?.tickets.size ?? 0;
+      const surviving = work.countSurviving(id, meanMs, now);
+      unseen += work.count(id) - surviving;
+      return own + surviving;
+    });
+    return { loads, unseen };
+  }
+
   /** Counts a request until its ticket ends. */
   begin(
     instance: string,
@@ -129,7 +164,10 @@
         state.listener = listener;
       },
       end: () => {
-        work.tickets.delete(state);
+        if (!work.tickets.delete(state)) {
+          return;
+        }
+        this.#times.note(instance, this.#clock.now() - now);
         if (work.tickets.size === 0 && this.#work.get(instance) === work) {
           this.#work.delete(instance);
         }
--- /dev/null
+++ b/packages/relay/test/routing/load-choice.test.ts
@@ -0,0 +1,66 @@
+import { SeededRandom } from "@zinniahill/kernel";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { drawByLoad } from "../../src/routing/load-choice.ts";
+
+const DRAWS = 20_000;
+
+/** How often each index is drawn, as a share of all draws. */
+function measureShares(loads: readonly number[], unseen: number): number[] {
+  const random = new SeededRandom(7);
+  const counts = loads.map(() => 0);
+  for (let draw = 0; draw < DRAWS; draw++) {
+    counts[drawByLoad(loads, unseen, random)!]!++;
+  }
+  return counts.map((count) => count / DRAWS);
+}
+
+describe("drawByLoad", () => {
+  describe("when all requests are seen", () => {
+    it("gives every request to the least load, which a draw would miss", () => {
+      expect(measureShares([7, 3, 9], 0)).toEqual([0, 1, 0]);
+    });
+
+    it("spreads over equal loads, so that nodes do not pick the same one", () => {
+      const shares = measureShares([3, 8, 3], 0);
+      expect(shares[0]).toBeCloseTo(0.5, 1);
+      expect(shares[2]).toBeCloseTo(0.5, 1);
+    });
+  });
+
+  describe("when requests of other nodes are unseen", () => {
+    it("gives to each as often as it is below the common level", () => {
+      // 9 unseen requests and this one fill loads of 2 and 6 up to 9.
+      const shares = measureShares([2, 6, 20], 9);
+      expect(shares[0]).toBeCloseTo(0.7, 1);
+      expect(shares[1]).toBeCloseTo(0.3, 1);
+      expect(shares[2]).toBe(0);
+    });
+
+    it("becomes even with many of them, as old counts say nothing", () => {
+      for (const share of measureShares([0, 10, 20, 30], 100_000)) {
+        expect(share).toBeCloseTo(0.25, 1);
+      }
+    });
+  });
+
+  describe("for any loads", () => {
+    it("draws one of them, and none where there is none", () => {
+      fc.assert(
+        fc.property(
+          fc.array(fc.double({ min: 0, max: 500, noNaN: true })),
+          fc.double({ min: 0, max: 1e6, noNaN: true }),
+          fc.integer(),
+          (loads, unseen, seed) => {
+            const index = drawByLoad(loads, unseen, new SeededRandom(seed));
+            if (loads.length === 0) {
+              expect(index).toBeUndefined();
+            } else {
+              expect(loads[index!]).toBeDefined();
+            }
+          },
+        ),
+      );
+    });
+  });
+});
