Check groups that stalled while no node held placement

Cause: a suspicion was checked only by the node that held placement when it came. The next holder looked at the group again when further requests had stalled there, after the suspicion (1.5 s) had lapsed. Ruled out: the wait after placement moves (0.3 s) and the return of entries after an outage (the store had none).

Each node now remembers the suspicions it could not check, and checks them when it holds placement. Test: a group that stalls after the holder's end, without further requests; not formed anew within 15 s before, 1.5 to 3 s now (platform/test/node).

--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -29,6 +29,7 @@
 import { LoadLimit } from "./loads.ts";
 import { isMemberOf, Orders } from "./orders.ts";
 import { createPlan, type Formation, type Plan } from "./plan.ts";
+import { PendingChecks } from "./pending-checks.ts";
 import { Stagings } from "./stagings.ts";
 import { RETURN_MS, UnlistedLeads } from "./unlisted-leads.ts";
 
@@ -77,6 +78,7 @@
   /** Members of groups that are being formed, by group name. */
   #forming = new Map<string, FormingGroup>();
   #checkedAt = new Map<string, number>();
+  #pendingChecks: PendingChecks;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -97,6 +99,7 @@
     this.#stagings = new Stagings(kernel, this.#orders, this.#loads);
     this.#endings = new GroupEndings(kernel, this.#orders);
     this.#freeHosts = new FreeHosts(kernel, this.#health, this.#stagings);
+    this.#pendingChecks = new PendingChecks(this.#clock);
   }
 
   start(): void {
@@ -115,15 +118,16 @@
     return this.#tasks.stop();
   }
 
-  /** Asks every member of a suspected group, if this node gives the orders. */
+  /** Asks every member of a suspected group, once this node gives the orders. */
   check(name: string, epoch: number): void {
+    if (!this.#holder.isHolder) {
+      this.#pendingChecks.put(name, epoch);
+      return;
+    }
     const group = this.#groups.find(name, epoch);
     const isDue = this.#clock.now() - (this.#checkedAt.get(name) ?? -Infinity) >
       RECHECK_MS;
-    if (
-      group === undefined || !isDue || !this.#holder.isHolder ||
-      this.#busyGroups.has(name)
-    ) {
+    if (group === undefined || !isDue || this.#busyGroups.has(name)) {
       return;
     }
     this.#checkedAt.set(name, this.#clock.now());
@@ -144,6 +148,7 @@
       health: this.#health.dump(),
       loads: this.#loads.running,
       unlistedLeads: this.#unlistedLeads.dump(),
+      pendingChecks: this.#pendingChecks.dump(),
     };
   }
 
@@ -160,6 +165,8 @@
       return;
     }
     this.#noteEpochs();
+    this.#pendingChecks.take()
+      .forEach(({ group, epoch }) => this.check(group, epoch));
     for (const service of this.#listEngineServices()) {
       this.#repair(service);
       this.#fill(service);
