--- a/packages/relay/src/serving/event-splitter.ts
+++ b/packages/relay/src/serving/event-splitter.ts
@@ -14,6 +14,8 @@
 }
 
 const EVENT_END = "\n\n";
+/** Events are a few hundred bytes; a longer one may be filler without end. */
+const MAX_EVENT_BYTES = 256 * 1024;
 const ID_LINE = /(?:^|\n)id:\s?([^\r\n]*)/;
 
 /**
@@ -33,7 +35,7 @@
     return this.#rest.length > 0;
   }
 
-  /** Takes the events that a chunk completes. */
+  /** Takes the events that a chunk completes; fails inside an endless one. */
   push(chunk: Buffer): EventBlock | undefined {
     const bytes = this.#rest.length === 0
       ? chunk
@@ -55,6 +57,9 @@
       }
     }
     this.#rest = bytes.subarray(begin);
+    if (this.#rest.length > MAX_EVENT_BYTES) {
+      throw new Error(`the event is too large: over ${MAX_EVENT_BYTES} bytes`);
+    }
     return events.length === 0
       ? undefined
       : { bytes: Buffer.concat(events), count: events.length, lastId };
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -43,6 +43,9 @@
 /** Connections are made within a few ms, or the upstream is away. */
 const CONNECT_TIMEOUT_MS = 250;
 
+/** Whole answers are a few kB; a node holds hundreds of them at once. */
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
 /** An empty line between requests, which an upstream ignores. */
 const END_PROBE = "\r\n";
 
@@ -174,12 +177,20 @@
   return headers;
 }
 
-/** Reads a whole body; fails where the upstream broke off. */
+/**
+ * Reads a whole body; fails where the upstream broke off, and where the body is
+ * too large, as a faulty upstream may send bytes until its caller closes.
+ */
 export async function collectBody(
   body: AsyncIterable<Buffer>,
 ): Promise<Buffer[]> {
   const chunks: Buffer[] = [];
+  let size = 0;
   for await (const chunk of body) {
+    size += chunk.length;
+    if (size > MAX_BODY_BYTES) {
+      throw new Error(`the body is too large: over ${MAX_BODY_BYTES} bytes`);
+    }
     chunks.push(chunk);
   }
   return chunks;
--- a/packages/relay/test/serving/event-splitter.test.ts
+++ b/packages/relay/test/serving/event-splitter.test.ts
@@ -68,4 +68,16 @@
       expect(out.match(/id: \d+/g)).toEqual(["id: 7", "id: 8"]);
     });
   });
+
+  describe("an event without end", () => {
+    it("is refused, as it would fill the memory until the deadline", () => {
+      const splitter = new EventSplitter(undefined);
+      const filler = Buffer.alloc(64 * 1024, "a");
+      expect(() => {
+        for (let chunk = 0; chunk < 64; chunk++) {
+          splitter.push(filler);
+        }
+      }).toThrow("too large");
+    });
+  });
 });
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -6,13 +6,15 @@
   type Server,
   type Socket,
 } from "node:net";
-import { afterEach, describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it, vi } from "vitest";
 import {
   collectBody,
   Exchange,
   type UpstreamRequest,
 } from "../../src/serving/exchange.ts";
 
+const FILLER_BYTES = 64 * 1024;
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
 const HEAD = "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\n";
 const DONE = new Error("the test has ended");
 
@@ -144,4 +146,75 @@
       expect(requests).toEqual([]);
     });
   });
+  describe("bytes without end", () => {
+    /** Sends filler until the other side closes, and counts what it took. */
+    async function listenEndless(begin: string, filler: string) {
+      const seen = { bytes: 0, isClosed: false };
+      const block = Buffer.from(filler.repeat(FILLER_BYTES / filler.length));
+      const address = await listen((socket) => {
+        socket.on("close", () => {
+          seen.isClosed = true;
+        });
+        socket.write(begin);
+        const fill = () => {
+          while (!socket.destroyed) {
+            seen.bytes += block.length;
+            if (!socket.write(block)) {
+              socket.once("drain", fill);
+              return;
+            }
+          }
+        };
+        fill();
+      });
+      return { address, seen };
+    }
+
+    it("in a head are no response", async () => {
+      const { address } = await listenEndless(HEAD, "x-filler: aaaaa\r\n");
+      const { exchange, sent } = await send(address);
+      expect(sent.isErr).toBe(true);
+      exchange.close(DONE);
+    });
+
+    it("in one header line are no response", async () => {
+      const { address } = await listenEndless(`${HEAD}x-filler: `, "a");
+      const { exchange, sent } = await send(address);
+      expect(sent.isErr).toBe(true);
+      exchange.close(DONE);
+    });
+
+    it("in a chunked body fill no memory", async () => {
+      const { address, seen } = await listenEndless(
+        `${HEAD}transfer-encoding: chunked\r\n\r\n`,
+        `1000\r\n${"a".repeat(0x1000)}\r\n`,
+      );
+      await expect(read(address)).rejects.toThrow("too large");
+      expect(seen.bytes).toBeLessThan(2 * MAX_BODY_BYTES);
+    });
+
+    it("in a body without a length fill no memory", async () => {
+      const { address, seen } = await listenEndless(`${HEAD}\r\n`, "a");
+      await expect(read(address)).rejects.toThrow("too large");
+      expect(seen.bytes).toBeLessThan(2 * MAX_BODY_BYTES);
+    });
+
+    it("in trailers break the body", async () => {
+      const { address } = await listenEndless(
+        `${HEAD}transfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n`,
+        "x-filler: aaaaa\r\n",
+      );
+      await expect(read(address)).rejects.toThrow();
+    });
+
+    it("after an answer are not read, and the connection is closed", async () => {
+      const { address, seen } = await listenEndless(
+        `${HEAD}content-length: 5\r\n\r\nwhole`,
+        "a",
+      );
+      expect(await read(address)).toBe("whole");
+      await vi.waitFor(() => expect(seen.isClosed).toBe(true));
+      expect(seen.bytes).toBeLessThan(2 * MAX_BODY_BYTES);
+    });
+  });
 });
