Move placement only when its holder is gone

Cause: each change of the members at the store may move placement. A node that had just started joined before it had heard its peers, which took placement from the holder (node started at 5.24 s, joined at 5.26 s, placement lost at 5.32 s); then all 30 others, seeing no holder, joined within 50 ms and left again, each a change.

Now a node first listens for the nodes that it knows, at most 1 s; nodes that miss a holder join at random moments, and the first one says so, which makes the others wait; a holder that is silent for a term counts as gone before its connection is given up; a member that waits for the last holder's term to end asks every 150 ms.

--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -68,6 +68,8 @@
     isServing: z.boolean(),
     /** Whether the node gives the orders. */
     holdsPlacement: z.boolean(),
+    /** Whether the node is about to take placement. */
+    seeksPlacement: z.boolean().default(false),
     /** Share of a core that is free for callers. */
     capacity: z.number().default(1),
     /** Next offset of each shared feed that the node has not read. */
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -63,8 +63,17 @@
   readonly entry: NodeEntry;
   readonly isServing: boolean;
   readonly holdsPlacement: boolean;
+  readonly seeksPlacement: boolean;
   /** Share of a core that is free for callers. */
   readonly capacity: number;
+  /** Time since its last message. */
+  readonly silentMs: number;
+}
+
+/** What a node says of placement. */
+export interface PlacementClaim {
+  readonly holds: boolean;
+  readonly seeks: boolean;
 }
 
 /** Adds to a beat what another service knows. */
@@ -100,7 +109,7 @@
   #work = new PeerWork();
   #dialing = new Set<string>();
   #readOutstanding: BeatSource = () => [];
-  #holdsPlacement = () => false;
+  #readClaim = (): PlacementClaim => ({ holds: false, seeks: false });
   #listeners: Listeners = {};
 
   constructor(kernel: RelayKernel) {
@@ -164,8 +173,8 @@
   }
 
   /** Sets what beats say of this node's giving orders. */
-  reportPlacement(source: () => boolean): void {
-    this.#holdsPlacement = source;
+  reportPlacement(source: () => PlacementClaim): void {
+    this.#readClaim = source;
   }
 
   /** Sets what is done with messages that are not about the mesh itself. */
@@ -178,11 +187,14 @@
 
   /** Nodes that were heard lately, apart from this one. */
   list(): Peer[] {
-    return [...this.#links.values()].map(({ entry, beat }) => ({
+    const now = this.#clock.now();
+    return [...this.#links.values()].map(({ entry, beat, heardAt }) => ({
       entry,
       isServing: beat?.isServing ?? false,
       holdsPlacement: beat?.holdsPlacement ?? false,
+      seeksPlacement: beat?.seeksPlacement ?? false,
       capacity: beat?.capacity ?? 0,
+      silentMs: now - heardAt,
     }));
   }
 
@@ -249,10 +261,12 @@
   }
 
   #createBeat(): Beat {
+    const { holds, seeks } = this.#readClaim();
     return {
       kind: "beat",
       isServing: this.#lifecycle.isServing,
-      holdsPlacement: this.#holdsPlacement(),
+      holdsPlacement: holds,
+      seeksPlacement: seeks,
       capacity: this.#intake.capacity,
       ...this.#exchange.describe(),
       outstanding: [...this.#readOutstanding()],
--- a/packages/relay/src/placement/holder.ts
+++ b/packages/relay/src/placement/holder.ts
@@ -6,14 +6,16 @@
 import {
   type Clock,
   type Logger,
+  type Random,
   type Service,
   TaskGroup,
 } from "@zinniahill/kernel";
 import { createMachine, interpret, state, transition } from "robot3";
 import type { Intake } from "../entry/intake.ts";
+import type { Feeds } from "../feeds/feeds.ts";
 import type { Lifecycle } from "../lifecycle.ts";
 import type { Seat, Standing } from "../outside.ts";
-import type { Mesh } from "../peers/mesh.ts";
+import type { Mesh, Peer } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
 
 /** A member that has not renewed for this long loses its place. */
@@ -31,6 +33,13 @@
 const SLOW_CORE_SHARE = 0.2;
 /** Two terms; after that, faster nodes seem to be kept from the store. */
 const PATIENCE_MS = 3000;
+/**
+ * A node that has just started listens this long for the nodes that it knows.
+ * Connections to living ones are made and used within 0.3 s.
+ */
+const LISTEN_MS = 1000;
+/** Nodes that miss a holder join at moments that are this far apart. */
+const JOIN_SPREAD_MS_PER_NODE = 15;
 /** Orders end this long before the store may give placement to another. */
 const TERM_MARGIN_MS = 200;
 
@@ -42,12 +51,16 @@
 /**
  * Renews this node's membership and knows whether it may give orders. As long as
  * a peer says that it holds placement, this node is no member: each change of
- * the members may move placement, and orders in progress end with it. A slow
+ * the members may move placement, and orders in progress end with it. For the
+ * same reason a node first listens whether there is a holder, and of several
+ * nodes that miss one, the first to join says so and the others wait. A slow
  * node becomes a member only if no faster one takes placement in time.
  */
 export class Holder implements Service {
   #clock: Clock;
+  #random: Random;
   #logger: Logger;
+  #feeds: Feeds;
   #seat: Seat;
   #member: string;
   #lifecycle: Lifecycle;
@@ -59,24 +72,31 @@
   #generation = 0;
   #heldUntil = -Infinity;
   #heldSince = -Infinity;
+  #startedAt: number;
   /** When some node was last known to hold placement. */
   #holderSeenAt: number;
+  /** When this node joins if no other has until then. */
+  #joinAt: number | undefined;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
+    this.#random = kernel.find("random");
     this.#logger = kernel.find("logger");
     this.#seat = kernel.find("seat");
     this.#lifecycle = kernel.find("lifecycle");
     this.#mesh = kernel.find("mesh");
     this.#intake = kernel.find("intake");
-    this.#holderSeenAt = this.#clock.now();
+    this.#startedAt = this.#clock.now();
+    this.#holderSeenAt = this.#startedAt;
+    this.#feeds = kernel.find("feeds");
     // Orders are based on what this node has read.
-    kernel.find("feeds").hurryWhile(() => this.isHolder);
-    this.#mesh.reportPlacement(() => this.isHolder);
+    this.#feeds.hurryWhile(() => this.isHolder);
+    this.#mesh.reportPlacement(() => ({
+      holds: this.isHolder,
+      seeks: this.#isMember,
+    }));
     // A restarted process must not take its predecessor's place for granted.
-    this.#member = `${kernel.find("settings").node.name}/${
-      kernel.find("random").id()
-    }`;
+    this.#member = `${kernel.find("settings").node.name}/${this.#random.id()}`;
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
   }
 
@@ -120,7 +140,7 @@
         continue;
       }
       const began = this.#clock.now();
-      this.#isMember = true;
+      this.#noteJoining();
       const renewed = await this.#seat.renew(
         this.#member,
         this.#generation,
@@ -134,7 +154,8 @@
         Ok: (standing) => this.#apply(standing, began),
         Err: ({ message }) => this.#noteFailure(message),
       });
-      const pauseMs = renewed.isOk ? RENEWAL_MS : RETRY_MS;
+      // A member that waits for the term of the last holder to end asks often.
+      const pauseMs = renewed.isOk && this.isHolder ? RENEWAL_MS : RETRY_MS;
       await this.#clock.sleep(pauseMs, signal);
     }
     this.#lose("stopping");
@@ -143,21 +164,50 @@
 
   /** Whether another node holds placement or is about to. */
   #leavesPlacement(): boolean {
+    const now = this.#clock.now();
     if (this.isHolder) {
-      this.#holderSeenAt = this.#clock.now();
+      this.#holderSeenAt = now;
       return false;
     }
-    if (this.#mesh.list().some(({ holdsPlacement }) => holdsPlacement)) {
-      this.#holderSeenAt = this.#clock.now();
+    const peers = this.#mesh.list();
+    if (peers.some(holdsVisibly)) {
+      this.#holderSeenAt = now;
+      this.#joinAt = undefined;
+      return true;
+    }
+    const isPatient = now - this.#holderSeenAt < PATIENCE_MS;
+    if (isPatient && this.#isSlower(peers)) {
       return true;
     }
-    return this.#isSlower() &&
-      this.#clock.now() - this.#holderSeenAt < PATIENCE_MS;
+    return !this.#isMember && !this.#mayJoin(peers, isPatient, now);
   }
 
-  #isSlower(): boolean {
+  /** Whether it is this node's turn to become a member. */
+  #mayJoin(
+    peers: readonly Peer[],
+    isPatient: boolean,
+    now: number,
+  ): boolean {
+    const isListening = now - this.#startedAt < LISTEN_MS &&
+      !this.#hasHeardAll(peers);
+    const isForestalled = isPatient &&
+      peers.some(({ seeksPlacement }) => seeksPlacement);
+    if (isListening || isForestalled) {
+      return false;
+    }
+    const spreadMs = JOIN_SPREAD_MS_PER_NODE * this.#mesh.countNodes();
+    this.#joinAt ??= now + this.#random.fraction() * spreadMs;
+    return now >= this.#joinAt;
+  }
+
+  /** Whether each announced node has said whether it holds placement. */
+  #hasHeardAll(peers: readonly Peer[]): boolean {
+    return this.#feeds.isReachable("nodes") &&
+      peers.length + 1 >= this.#mesh.countNodes();
+  }
+
+  #isSlower(peers: readonly Peer[]): boolean {
     const { capacity } = this.#intake;
-    const peers = this.#mesh.list();
     return peers.length === 0
       ? capacity < SLOW_CORE_SHARE
       : peers.some((peer) => capacity < peer.capacity * MIN_SHARE_OF_PEER);
@@ -165,7 +215,20 @@
 
   async #standBy(signal: AbortSignal): Promise<void> {
     await this.#leave(signal);
-    await this.#clock.sleep(STANDBY_CHECK_MS, signal);
+    const untilJoinMs = (this.#joinAt ?? Infinity) - this.#clock.now();
+    const pauseMs = untilJoinMs > 0
+      ? Math.min(STANDBY_CHECK_MS, untilJoinMs)
+      : STANDBY_CHECK_MS;
+    await this.#clock.sleep(pauseMs, signal);
+  }
+
+  /** Lets peers know at once that they need not join as well. */
+  #noteJoining(): void {
+    if (!this.#isMember) {
+      this.#isMember = true;
+      this.#joinAt = undefined;
+      this.#mesh.beatNow();
+    }
   }
 
   async #leave(signal: AbortSignal): Promise<void> {
@@ -221,3 +284,8 @@
     }
   }
 }
+
+/** A holder that was silent for a term has lost its place. */
+function holdsVisibly({ holdsPlacement, silentMs }: Peer): boolean {
+  return holdsPlacement && silentMs < TERM_MS;
+}
--- a/packages/relay/test/peers/feed-exchange.test.ts
+++ b/packages/relay/test/peers/feed-exchange.test.ts
@@ -10,6 +10,7 @@
     kind: "beat",
     isServing: true,
     holdsPlacement: false,
+    seeksPlacement: false,
     capacity: 1,
     offsets: { configuration: 0, instances },
     agesMs: { configuration: 5, instances: 7 },
--- a/packages/relay/test/placement/holder.test.ts
+++ b/packages/relay/test/placement/holder.test.ts
@@ -32,7 +32,11 @@
   }
 }
 
-function createPeer(holdsPlacement: boolean, capacity = 1): Peer {
+function createPeer(
+  holdsPlacement: boolean,
+  capacity = 1,
+  fields: Partial<Peer> = {},
+): Peer {
   return {
     entry: {
       name: "n-2",
@@ -43,18 +47,31 @@
     },
     isServing: true,
     holdsPlacement,
+    seeksPlacement: false,
     capacity,
+    silentMs: 0,
+    ...fields,
   };
 }
 
-async function start(isHeldByPeer: boolean, isHolder = true, capacity = 1) {
+/** Changes what the node knows before it starts. */
+type Preparation = (known: { nodes: number }, peers: Peer[]) => void;
+
+async function start(
+  isHeldByPeer: boolean,
+  isHolder = true,
+  capacity = 1,
+  prepare: Preparation = () => {},
+) {
   const clock = new ManualClock();
   const seat = new CountedSeat();
   seat.isHolder = isHolder;
   const peers = [createPeer(isHeldByPeer)];
   const lifecycle = { isDraining: false };
+  const known = { nodes: 2 };
   const mesh = {
     list: () => peers,
+    countNodes: () => known.nodes,
     beatNow: () => {},
     reportPlacement: () => {},
   } satisfies Partial<Record<keyof Mesh, unknown>>;
@@ -68,13 +85,119 @@
     .provide("lifecycle", [], () => lifecycle as never)
     .provide("mesh", [], () => mesh as unknown as Mesh)
     .provide("intake", [], () => ({ capacity }) as never)
-    .provide("feeds", [], () => ({ hurryWhile: () => {} }) as never)
+    .provide(
+      "feeds",
+      [],
+      () => ({ hurryWhile: () => {}, isReachable: () => true }) as never,
+    )
     .provide("seat", [], () => seat);
   await kernel.start();
+  prepare(known, peers);
   const holder = new Holder(kernel);
   holder.start();
-  await clock.advance(1000);
-  return { clock, seat, peers, lifecycle, holder };
+  await clock.advance(900);
+  return { clock, seat, peers, known, lifecycle, holder };
+}
+
+/** A membership that is dealt anew with each change of the members. */
+class SharedSeat {
+  #members: string[] = [];
+  /** Changes of the members. */
+  generation = 0;
+
+  of(): Seat {
+    return {
+      renew: (member) => {
+        if (!this.#members.includes(member)) {
+          this.#change([...this.#members, member]);
+        }
+        const holder = this.#members[this.generation % this.#members.length];
+        return Promise.resolve(
+          Result.ok({
+            generation: this.generation,
+            isHolder: holder === member,
+          }),
+        );
+      },
+      leave: (member) => {
+        if (this.#members.includes(member)) {
+          this.#change(this.#members.filter((other) => other !== member));
+        }
+        return Promise.resolve(Result.ok(undefined));
+      },
+    };
+  }
+
+  #change(members: string[]): void {
+    this.#members = members;
+    this.generation++;
+  }
+}
+
+/** Nodes that hear each other's beats, with those sent at once, after 1 ms. */
+async function startMany(count: number) {
+  const clock = new ManualClock();
+  const random = new SeededRandom(5);
+  const seat = new SharedSeat();
+  const nodes = await Promise.all(
+    Array.from({ length: count }, async (_, index) => {
+      const node = {
+        said: createPeer(false),
+        isHeard: false,
+        readClaim: () => ({ holds: false, seeks: false }),
+        holder: undefined as unknown as Holder,
+        lifecycle: { isDraining: false },
+      };
+      const say = () => {
+        const { holds, seeks } = node.readClaim();
+        const said = createPeer(holds, 1, { seeksPlacement: seeks });
+        clock.schedule(1, () => {
+          node.said = said;
+          node.isHeard = true;
+        });
+      };
+      const mesh = {
+        list: (): Peer[] =>
+          nodes.filter((other) => other !== node && other.isHeard)
+            .map(({ said }) => said),
+        countNodes: () => count,
+        beatNow: say,
+        reportPlacement: (source: typeof node.readClaim) => {
+          node.readClaim = source;
+        },
+      };
+      const silent = { error() {}, warn() {}, info() {}, debug() {} };
+      const kernel: RelayKernel = new Kernel<RelayServices>();
+      kernel
+        .provide("clock", [], () => clock)
+        .provide("random", [], () => random)
+        .provide("logger", [], () => silent)
+        .provide(
+          "settings",
+          [],
+          () => ({ node: { name: `n-${index}` } }) as never,
+        )
+        .provide("lifecycle", [], () => node.lifecycle as never)
+        .provide("mesh", [], () => mesh as unknown as Mesh)
+        .provide("intake", [], () => ({ capacity: 1 }) as never)
+        .provide(
+          "feeds",
+          [],
+          () => ({ hurryWhile: () => {}, isReachable: () => true }) as never,
+        )
+        .provide("seat", [], () => seat.of());
+      await kernel.start();
+      node.holder = new Holder(kernel);
+      const beat = () => {
+        say();
+        clock.schedule(465, beat);
+      };
+      clock.schedule(index * 14, beat);
+      return node;
+    }),
+  );
+  nodes.forEach(({ holder }) => holder.start());
+  return { clock, seat, nodes };
 }
 
 describe("Holder", () => {
@@ -86,8 +209,9 @@
     isHeldByPeer: boolean,
     isHolder = true,
     capacity = 1,
+    prepare?: Preparation,
   ) {
-    const started = await start(isHeldByPeer, isHolder, capacity);
+    const started = await start(isHeldByPeer, isHolder, capacity, prepare);
     holder = started.holder;
     return started;
   }
@@ -129,6 +253,57 @@
     });
   });
 
+  describe("a node that has just started", () => {
+    // Guards against the incident SHORT: each restart of a node took placement
+    // away from the node that held it, and formations in progress ended.
+    it("does not join before it has heard the nodes that it knows", async () => {
+      const started = await startHolder(false, true, 1, (known, peers) => {
+        known.nodes = 3;
+        peers.pop();
+      });
+      expect(started.seat.renewals).toBe(0);
+    });
+
+    it("joins when nodes that it knows stay silent", async () => {
+      const { clock, holder } = await startHolder(false, true, 1, (known) => {
+        known.nodes = 3;
+      });
+      await clock.advance(1000);
+      expect(holder.isHolder).toBe(true);
+    });
+  });
+
+  describe("a holder that falls silent", () => {
+    it("counts as gone after its term, before its connection is given up", async () => {
+      const { clock, peers, holder } = await startHolder(true);
+      peers[0] = createPeer(true, 1, { silentMs: 1600 });
+      await clock.advance(300);
+      expect(holder.isHolder).toBe(true);
+    });
+  });
+
+  describe("many nodes", () => {
+    // Guards against the incident SHORT: all nodes joined when one holder ended,
+    // and placement moved with each of them that came or left.
+    it.each([4, 32])(
+      "of %i, few join when the holder ends, as each one moves placement",
+      async (count) => {
+        const { clock, seat, nodes } = await startMany(count);
+        await clock.advance(3000);
+        const isHeld = () => nodes.filter(({ holder }) => holder.isHolder);
+        expect(isHeld()).toHaveLength(1);
+        const before = seat.generation;
+        const [first] = isHeld();
+        first!.lifecycle.isDraining = true;
+        await clock.advance(1500);
+        expect(isHeld()).toHaveLength(1);
+        expect(isHeld()[0]).not.toBe(first);
+        expect(seat.generation - before).toBeLessThanOrEqual(4);
+        await Promise.all(nodes.map(({ holder }) => holder.stop()));
+      },
+    );
+  });
+
   describe("a slow node", () => {
     it("leaves placement to a faster peer", async () => {
       const { clock, seat, peers } = await startHolder(false, true, 0.1);
