Share the last places of all groups among all nodes

Every node refused what found all groups full by its counts, and gave everything else to the one group that still seemed to have room, until the next beats. Ruled out: the limit itself; believed loads were below it.

Now the draw knows the limit: where requests that are not seen yet would take more than all places, a request gets a place as often as one of them does.

Test: many-nodes under 1.5 times the load for all places, 32 nodes before 8 groups. The fullest group had 92 to 98 requests before, 61 to 65 now.

--- a/packages/relay/src/routing/dispatcher.ts
+++ b/packages/relay/src/routing/dispatcher.ts
@@ -104,7 +104,7 @@
     const choices = candidates
       .filter(({ id }) => !wish.excluded.has(id))
       .map((instance) => this.#createChoice(instance, undefined));
-    const chosen = this.#draw(choices);
+    const chosen = this.#draw(choices, Infinity);
     return chosen === undefined
       ? Result.err(this.#refuseWithoutUpstream(wish))
       : Result.ok(chosen);
@@ -119,8 +119,7 @@
     if (choices.length === 0) {
       return Result.err(this.#refuseWithoutUpstream(wish));
     }
-    const limit = computeLoadLimit(wish, engine);
-    const chosen = this.#draw(choices.filter(({ load }) => load < limit));
+    const chosen = this.#draw(choices, computeLoadLimit(wish, engine));
     return chosen === undefined
       ? Result.err(this.#refuseOverloaded(wish, choices))
       : Result.ok(chosen);
@@ -168,11 +167,11 @@
     return { instance, group, load: this.#outstanding.count(instance.id) };
   }
 
-  #draw(choices: readonly Choice[]): Choice | undefined {
+  #draw(choices: readonly Choice[], limit: number): Choice | undefined {
     const { loads, unseen } = this.#outstanding.estimate(
       choices.map(({ instance }) => instance.id),
     );
-    const index = drawByLoad(loads, unseen, this.#random);
+    const index = drawByLoad(loads, unseen, limit, this.#random);
     return index === undefined ? undefined : choices[index];
   }
 
