Let the holder of placement tell all nodes what is new of the instances

Now the holder, which reads at the shortest interval in any case, tells its peers what is new, with the offsets between which nothing else is; a node that hears such news within the last second reads the store every 3 s. News after a gap are not used. A node's own pause is no outage of the store, which was told by the time since the last success before. A peer that is always a little ahead is not asked for records as long as this node reaches what it had.

Tests: instance-news, feeds (reads while fed and after, no outage), feed-exchange; the tests of feeds and of the exchange failed before.

--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -62,6 +62,10 @@
 const MAX_RETRY_MS = 700;
 /** A node that the store turns away hears from its peers meanwhile. */
 const MAX_RETRY_MS_PER_NODE = 45;
+/** A node that hears the news of a feed reads the store this seldom. */
+const FED_READ_MS = 3000;
+/** Without news for this long, a node reads at its own pace again. */
+const FED_VALID_MS = 1000;
 /** A feed without a successful read for this long is out of date. */
 const STALE_AFTER_MS = 3000;
 /**
@@ -78,8 +82,13 @@
   /** When all records up to then are known to have been read. */
   currentAt: number;
   isReachable: boolean;
-  /** When the last successful read ended. */
-  succeededAt: number;
+  /**
+   * When the first of the reads began that failed without a successful one
+   * since; undefined after a success.
+   */
+  failingSince: number | undefined;
+  /** When news last came from the node that reads most often. */
+  fedAt: number;
   /** When the last outage of the store ended. */
   outageEndedAt: number;
 }
@@ -155,6 +164,18 @@
     this.#apply(feed, (table) => table.apply(records, next));
   }
 
+  /** Applies everything that is new up to `next`, as it was just read. */
+  applyNews(
+    feed: FeedName,
+    records: readonly KeyRecord[],
+    next: number,
+  ): void {
+    const progress = this.#feeds[feed];
+    progress.fedAt = this.#clock.now();
+    progress.currentAt = progress.fedAt;
+    this.#apply(feed, (table) => table.apply(records, next));
+  }
+
   /** Notes that a peer knew nothing newer `ageMs` ago. */
   noteCurrent(feed: FeedName, ageMs: number): void {
     const progress = this.#feeds[feed];
@@ -179,9 +200,10 @@
 
   /** Time since the last outage of the store; zero during one. */
   reachableMs(feed: FeedName): number {
-    const { isReachable, succeededAt, outageEndedAt } = this.#feeds[feed];
+    const { failingSince, outageEndedAt } = this.#feeds[feed];
     const now = this.#clock.now();
-    const isOutage = !isReachable && now - succeededAt >= OUTAGE_MS;
+    const isOutage = failingSince !== undefined &&
+      now - failingSince >= OUTAGE_MS;
     return isOutage ? 0 : now - outageEndedAt;
   }
 
@@ -214,18 +236,31 @@
       }
       if (read.isErr) {
         failures++;
-        this.#noteFailure(feed, read.error.message);
+        this.#noteFailure(feed, began, read.error.message);
         await this.#clock.sleep(this.#drawRetryMs(failures), signal);
         continue;
       }
       failures = 0;
       this.#noteSuccess(feed, began);
       if (read.value > 0) {
-        await this.#clock.sleep(this.collectMs(feed), signal);
+        await this.#pause(feed, signal);
       }
     }
   }
 
+  /** Lets records collect, for longer as long as a peer sends what is new. */
+  async #pause(feed: FeedName, signal: AbortSignal): Promise<void> {
+    const progress = this.#feeds[feed];
+    const began = this.#clock.now();
+    const isFed = () =>
+      !this.#isHurried() &&
+      this.#clock.now() - progress.fedAt < FED_VALID_MS &&
+      this.#clock.now() - began < FED_READ_MS;
+    do {
+      await this.#clock.sleep(this.collectMs(feed), signal);
+    } while (isFed());
+  }
+
   /** Reads once; the result is the number of records. */
   async #read(
     feed: FeedName,
@@ -287,16 +322,16 @@
       this.#logger.info("dependency_regained", { dependency: "store", feed });
     }
     const now = this.#clock.now();
-    // A read may be held open for longer than an outage takes.
-    if (began - progress.succeededAt >= OUTAGE_MS) {
+    if (began - (progress.failingSince ?? began) >= OUTAGE_MS) {
       progress.outageEndedAt = now;
     }
-    progress.succeededAt = now;
+    progress.failingSince = undefined;
     progress.currentAt = Math.max(progress.currentAt, began);
   }
 
-  #noteFailure(feed: FeedName, error: string): void {
+  #noteFailure(feed: FeedName, began: number, error: string): void {
     const progress = this.#feeds[feed];
+    progress.failingSince ??= began;
     if (progress.isReachable) {
       progress.isReachable = false;
       this.#logger.warn("dependency_lost", {
@@ -324,7 +359,8 @@
     isLoaded: false,
     currentAt: -Infinity,
     isReachable: false,
-    succeededAt: -Infinity,
+    failingSince: -Infinity,
+    fedAt: -Infinity,
     outageEndedAt: Infinity,
   };
 }
--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -27,6 +27,9 @@
  */
 const DEPARTED_MS = 30_000;
 
+/** Called after each read with the records that said anything new. */
+export type NewsListener = (news: readonly KeyRecord[]) => void;
+
 /** Knows every instance by id and by service. */
 export class Instances implements Service {
   /** Notified after each change of the list. */
@@ -36,6 +39,7 @@
   #decoder: RecordDecoder;
   #instances = new Map<string, Instance>();
   #departed = new Map<string, Departed>();
+  #newsListeners = new Set<NewsListener>();
   #version = 0;
   #grownAt = -Infinity;
 
@@ -59,6 +63,11 @@
     return this.#grownAt;
   }
 
+  /** Calls a listener after each read from now on. */
+  onNews(listener: NewsListener): void {
+    this.#newsListeners.add(listener);
+  }
+
   /** All instances that are listed. */
   list(): Instance[] {
     return [...this.#instances.values()];
@@ -91,14 +100,15 @@
   }
 
   #apply(records: readonly KeyRecord[]): void {
-    const changes = records.map(({ key, value }) =>
+    // Most records only renew an entry.
+    const news = records.filter(({ key, value }) =>
       value === undefined ? this.#remove(key) : this.#update(key, value)
     );
-    // Most records only renew an entry.
-    if (changes.includes(true)) {
+    if (news.length > 0) {
       this.#version++;
       this.changed.notify();
     }
+    this.#newsListeners.forEach((listener) => listener(news));
   }
 
   /** Takes an entry; the result is whether it says anything new. */
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -89,6 +89,13 @@
     records: z.array(KeyRecord),
     next: z.number(),
   }),
+  /** What is new of the instances among the records between two offsets. */
+  z.object({
+    kind: z.literal("news"),
+    from: z.number(),
+    next: z.number(),
+    records: z.array(KeyRecord),
+  }),
   LeadToRelease.extend({
     kind: z.literal("release"),
     /** The fencing number of the node that holds placement. */
--- a/packages/relay/src/peers/feed-exchange.ts
+++ b/packages/relay/src/peers/feed-exchange.ts
@@ -18,13 +18,19 @@
 /** Peers that know more are asked in turn, as each sends the same records. */
 const FETCH_PAUSE_MS = 100;
 
+/** An offset of a peer that this node has not reached. */
+interface Lead {
+  readonly offset: number;
+  readonly since: number;
+}
+
 /** Compares what this node and its peers have read. */
 export class FeedExchange {
   #clock: Clock;
   #logger: Logger;
   #feeds: Feeds;
-  /** Since when a peer has known more of a feed than this node. */
-  #behindSince = new Map<string, number>();
+  /** What a peer knew more of a feed than this node, and since when. */
+  #behind = new Map<string, Lead>();
   /** When a peer was last asked for records of a feed. */
   #fetchedAt = new Map<SharedFeed, number>();
 
@@ -77,7 +83,7 @@
   /** Forgets a peer whose connection has ended. */
   forget(peer: string): void {
     SharedFeed.options.forEach((feed) =>
-      this.#behindSince.delete(createKey(peer, feed))
+      this.#behind.delete(createKey(peer, feed))
     );
   }
 
@@ -90,19 +96,23 @@
     const own = this.#feeds.table(feed).next;
     const theirs = offsets[feed];
     if (theirs <= own) {
-      this.#behindSince.delete(key);
+      this.#behind.delete(key);
       if (theirs === own) {
         this.#feeds.noteCurrent(feed, agesMs[feed]);
       }
       return [];
     }
     const now = this.#clock.now();
-    const since = this.#behindSince.get(key) ?? now;
+    const known = this.#behind.get(key);
+    // A peer that reads more often is always a little ahead.
+    const lead = known !== undefined && own < known.offset
+      ? known
+      : { offset: theirs, since: now };
     const isLate = !this.#feeds.isReachable(feed) ||
-      now - since >= FETCH_AFTER_MS + this.#feeds.collectMs(feed);
+      now - lead.since >= FETCH_AFTER_MS + this.#feeds.collectMs(feed);
     const fetchedAt = this.#fetchedAt.get(feed) ?? -Infinity;
     const isDue = isLate && now - fetchedAt >= FETCH_PAUSE_MS;
-    this.#behindSince.set(key, isDue ? now : since);
+    this.#behind.set(key, isDue ? { offset: theirs, since: now } : lead);
     if (!isDue) {
       return [];
     }
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -40,7 +40,7 @@
 };
 
 /** Messages that other services handle. */
-type ForwardedKind = "suspect" | "release" | "released";
+type ForwardedKind = "suspect" | "release" | "released" | "news";
 
 /** Listeners of other services, by kind of message. */
 type Listeners = {
@@ -421,6 +421,7 @@
     },
     fetch: (link, message) => this.#send(link, this.#exchange.answer(message)),
     records: (link, message) => this.#exchange.apply(link.entry.name, message),
+    news: (link, message) => this.#listeners.news?.(message, link.entry),
     suspect: (link, message) => this.#listeners.suspect?.(message, link.entry),
     release: (link, message) => this.#listeners.release?.(message, link.entry),
     released: (link, message) =>
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -18,6 +18,7 @@
 import { Groups } from "./hosts/groups.ts";
 import { Instances } from "./hosts/instances.ts";
 import { Lifecycle } from "./lifecycle.ts";
+import { InstanceNews } from "./peers/instance-news.ts";
 import { Mesh } from "./peers/mesh.ts";
 import { PlacementController } from "./placement/controller.ts";
 import { Demand } from "./placement/demand.ts";
@@ -131,6 +132,11 @@
       [...CORE, "seat", "lifecycle", "mesh", "intake", "feeds"],
       (services) => new Holder(services),
     )
+    .provide(
+      "instanceNews",
+      [...CORE, "feeds", "instances", "mesh", "holder"],
+      (services) => new InstanceNews(services),
+    )
     .provide("demand", CORE, (services) => new Demand(services))
     .provide(
       "leadRelease",
--- a/packages/relay/src/services.ts
+++ b/packages/relay/src/services.ts
@@ -20,6 +20,7 @@
   Seat,
   Topics,
 } from "./outside.ts";
+import type { InstanceNews } from "./peers/instance-news.ts";
 import type { Mesh } from "./peers/mesh.ts";
 import type { PlacementController } from "./placement/controller.ts";
 import type { Demand } from "./placement/demand.ts";
@@ -59,6 +60,7 @@
   groups: Groups;
   mesh: Mesh;
   holder: Holder;
+  instanceNews: InstanceNews;
   demand: Demand;
   leadRelease: LeadRelease;
   placement: PlacementController;
--- a/packages/relay/test/feeds/feeds.test.ts
+++ b/packages/relay/test/feeds/feeds.test.ts
@@ -120,6 +120,57 @@
     });
   });
 
+  describe("a node that hears what is new from a peer", () => {
+    async function startFed() {
+      const started = await startFeeds();
+      started.topics.isBusy = true;
+      await started.clock.advance(1000);
+      return started;
+    }
+
+    /** Reads of the instances in some time with news at an interval. */
+    async function countReads(
+      { clock, topics, feeds }: Awaited<ReturnType<typeof startFed>>,
+      newsMs: number,
+    ) {
+      topics.instanceReads = 0;
+      for (let passedMs = 0; passedMs < 9000; passedMs += newsMs) {
+        feeds.applyNews("instances", [], feeds.table("instances").next + 1);
+        await clock.advance(newsMs);
+      }
+      return topics.instanceReads;
+    }
+
+    it("reads the store now and then, as peers may miss a change", async () => {
+      const started = await startFed();
+      const reads = await countReads(started, 300);
+      expect(reads).toBeGreaterThanOrEqual(2);
+      expect(reads).toBeLessThanOrEqual(4);
+    });
+
+    it("reads at its own pace again a second after the last news", async () => {
+      const started = await startFed();
+      await countReads(started, 300);
+      const { clock, topics } = started;
+      await clock.advance(1000);
+      topics.instanceReads = 0;
+      await clock.advance(600);
+      expect(topics.instanceReads).toBe(10);
+    });
+
+    it("reads at its own pace where orders depend on it", async () => {
+      const started = await startFed();
+      started.feeds.hurryWhile(() => true);
+      expect(await countReads(started, 300)).toBeGreaterThan(100);
+    });
+
+    it("does not take its own pause for an outage", async () => {
+      const started = await startFed();
+      await countReads(started, 300);
+      expect(started.feeds.reachableMs("instances")).toBeGreaterThan(9000);
+    });
+  });
+
   describe("time since the last outage", () => {
     it("goes on over a failed read, which lets no entry lapse", async () => {
       const { clock, topics, feeds } = await startFeeds();
--- a/packages/relay/test/peers/feed-exchange.test.ts
+++ b/packages/relay/test/peers/feed-exchange.test.ts
@@ -41,7 +41,7 @@
     .provide("logger", [], () => silent)
     .provide("feeds", [], () => feeds as never);
   await kernel.start();
-  return { clock, feeds, exchange: new FeedExchange(kernel) };
+  return { clock, feeds, table, exchange: new FeedExchange(kernel) };
 }
 
 describe("FeedExchange", () => {
@@ -54,6 +54,15 @@
         .toEqual([{ kind: "fetch", feed: "instances", from: 0 }]);
     });
 
+    it("is not asked while this node keeps up with it", async () => {
+      const { clock, exchange, table } = await create();
+      for (let next = 1; next <= 20; next++) {
+        expect(exchange.compare("n-2", createBeat(next))).toEqual([]);
+        await clock.advance(150);
+        table.apply([], next);
+      }
+    });
+
     it("is waited for longer where this node pauses between reads", async () => {
       const { clock, feeds, exchange } = await create();
       feeds.pauseMs = 400;
