Split the checks of groups from the placement controller

Tests of SilenceLimit and watchCaller have nested describes. A formation's signal no longer warns on standard error of the listeners that its members add.

--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -18,7 +18,6 @@
 import type {
   MessageOf,
   NodeEntry,
-  OutstandingCount,
   PeerMessage,
 } from "../model/peer-message.ts";
 import type { RecordDecoder, Topics } from "../outside.ts";
@@ -26,6 +25,13 @@
 import { NodeDirectory } from "./directory.ts";
 import { FeedExchange } from "./feed-exchange.ts";
 import { decodeMessage, encodeMessage } from "./peer-codec.ts";
+import type {
+  BeatSource,
+  ForwardedKind,
+  Listeners,
+  Peer,
+  PlacementClaim,
+} from "./peer.ts";
 import { PeerWork } from "./peer-work.ts";
 import { SilenceLimit } from "./silence-limit.ts";
 
@@ -39,17 +45,6 @@
   ) => void;
 };
 
-/** Messages that other services handle. */
-type ForwardedKind = "suspect" | "release" | "released" | "news";
-
-/** Listeners of other services, by kind of message. */
-type Listeners = {
-  [Kind in ForwardedKind]?: (
-    message: MessageOf<Kind>,
-    sender: NodeEntry,
-  ) => void;
-};
-
 /** A live connection to another node. */
 interface Link {
   readonly entry: NodeEntry;
@@ -58,27 +53,6 @@
   beat: Beat | undefined;
 }
 
-/** A node that was heard lately. */
-export interface Peer {
-  readonly entry: NodeEntry;
-  readonly isServing: boolean;
-  readonly holdsPlacement: boolean;
-  readonly seeksPlacement: boolean;
-  /** Share of a core that is free for callers. */
-  readonly capacity: number;
-  /** Time since its last message. */
-  readonly silentMs: number;
-}
-
-/** What a node says of placement. */
-export interface PlacementClaim {
-  readonly holds: boolean;
-  readonly seeks: boolean;
-}
-
-/** Adds to a beat what another service knows. */
-export type BeatSource = () => readonly OutstandingCount[];
-
 const BEAT_MS = 150;
 /** Beats of all nodes together must not grow with the square of their number. */
 const BEAT_MS_PER_PEER = 15;
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -23,13 +23,13 @@
 import type { Demand } from "./demand.ts";
 import { Formations, type FormingGroup } from "./formation.ts";
 import { FreeHosts, readDomain } from "./free-hosts.ts";
+import { GroupChecks } from "./group-checks.ts";
 import { GroupEndings } from "./group-endings.ts";
 import type { Holder } from "./holder.ts";
-import { HostHealth, isSlowReport } from "./host-health.ts";
+import { HostHealth } from "./host-health.ts";
 import { LoadLimit } from "./loads.ts";
-import { isMemberOf, Orders } from "./orders.ts";
+import { Orders } from "./orders.ts";
 import { createPlan, type Formation, type Plan } from "./plan.ts";
-import { PendingChecks } from "./pending-checks.ts";
 import { Stagings } from "./stagings.ts";
 import { RETURN_MS, UnlistedLeads } from "./unlisted-leads.ts";
 
@@ -42,8 +42,6 @@
 const SETTLE_MS = 300;
 /** Epochs of a later holder are always higher, whatever it has read. */
 const EPOCHS_PER_FENCE = 10_000;
-/** Time between two checks of the members of one suspected group. */
-const RECHECK_MS = 400;
 
 /** A service with engines. */
 interface EngineService {
@@ -77,8 +75,7 @@
   #busyHosts = new Set<string>();
   /** Members of groups that are being formed, by group name. */
   #forming = new Map<string, FormingGroup>();
-  #checkedAt = new Map<string, number>();
-  #pendingChecks: PendingChecks;
+  #checks: GroupChecks;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -99,7 +96,18 @@
     this.#stagings = new Stagings(kernel, this.#orders, this.#loads);
     this.#endings = new GroupEndings(kernel, this.#orders);
     this.#freeHosts = new FreeHosts(kernel, this.#health, this.#stagings);
-    this.#pendingChecks = new PendingChecks(this.#clock);
+    this.#checks = new GroupChecks(kernel, {
+      health: this.#health,
+      endings: this.#endings,
+      isBusy: ({ name }) => this.#busyGroups.has(name),
+      run: (group, work) => this.#runOnGroup(group, "check", work),
+      listFree: (service) =>
+        this.#freeHosts.list(
+          service,
+          this.#listStanding(service),
+          this.#busyHosts,
+        ),
+    });
   }
 
   start(): void {
@@ -120,18 +128,7 @@
 
   /** Asks every member of a suspected group, once this node gives the orders. */
   check(name: string, epoch: number): void {
-    if (!this.#holder.isHolder) {
-      this.#pendingChecks.put(name, epoch);
-      return;
-    }
-    const group = this.#groups.find(name, epoch);
-    const isDue = this.#clock.now() - (this.#checkedAt.get(name) ?? -Infinity) >
-      RECHECK_MS;
-    if (group === undefined || !isDue || this.#busyGroups.has(name)) {
-      return;
-    }
-    this.#checkedAt.set(name, this.#clock.now());
-    this.#runOnGroup(group, "check", (signal) => this.#check(group, signal));
+    this.#checks.request(name, epoch);
   }
 
   /** Loads of weights that this node has permitted and that go on. */
@@ -148,7 +145,7 @@
       health: this.#health.dump(),
       loads: this.#loads.running,
       unlistedLeads: this.#unlistedLeads.dump(),
-      pendingChecks: this.#pendingChecks.dump(),
+      pendingChecks: this.#checks.dump(),
     };
   }
 
@@ -165,8 +162,7 @@
       return;
     }
     this.#noteEpochs();
-    this.#pendingChecks.take()
-      .forEach(({ group, epoch }) => this.check(group, epoch));
+    this.#checks.requestPending();
     for (const service of this.#listEngineServices()) {
       this.#repair(service);
       this.#fill(service);
@@ -289,7 +285,7 @@
   }
 
   #createPlan(service: EngineService): Plan {
-    const groups = this.#listStanding(service);
+    const groups = this.#listStanding(service.name);
     const counts = new Map<string, number>();
     const domainModels = new Map<string, string[]>();
     const note = (model: string, domain: string) => {
@@ -347,9 +343,9 @@
     return standing !== "gone";
   }
 
-  #listStanding(service: EngineService): Group[] {
+  #listStanding(service: string): Group[] {
     return this.#groups.list().filter((group) =>
-      group.service === service.name && this.#isStanding(group)
+      group.service === service && this.#isStanding(group)
     );
   }
 
@@ -421,58 +417,6 @@
       }
     });
   }
-
-  /** Ends a group of which a member is away or has left. */
-  async #check(group: Group, signal: AbortSignal): Promise<void> {
-    const service = this.#listEngineServices()
-      .find(({ name }) => name === group.service);
-    const size = service && findModel(service, group.model)?.hosts;
-    // A member that is only cut off from the store goes on working.
-    const departed = this.#instances.listDeparted(group.name, group.epoch);
-    const reports = await Promise.all(
-      [...group.members, ...departed]
-        .map((member) => this.#health.ask(member, signal)),
-    );
-    const present = reports.filter((report) =>
-      isMemberOf(report?.engine.membership, group.name, group.epoch)
-    );
-    const isWhole = present.length === size;
-    const slow = reports.filter((report) =>
-      report !== undefined && isSlowReport(report)
-    );
-    const canReplace = slow.length > 0 && service !== undefined &&
-      slow.length <= this.#countSpares(service, group);
-    this.#logger.info("group_checked", {
-      group: group.name,
-      epoch: group.epoch,
-      present: present.length,
-      listed: group.members.length,
-      departed: departed.length,
-      expected: size,
-      slow: slow.length,
-      can_replace_slow: canReplace,
-    });
-    if (!isWhole || canReplace) {
-      await this.#endings.dissolve(
-        group,
-        isWhole ? "a member is slow" : "a member is away",
-        signal,
-      );
-    }
-  }
-
-  /** Spares of the group's domain that can join without a load. */
-  #countSpares(service: EngineService, { model, lead }: Group): number {
-    const standing = this.#listStanding(service);
-    return this.#freeHosts.list(
-      service.name,
-      standing,
-      this.#busyHosts,
-    ).filter((host) =>
-      host.fabricDomain === readDomain(lead) && !host.isSlow &&
-      host.staged.includes(model)
-    ).length;
-  }
 }
 
 function findModel({ engine }: EngineService, name: string) {
--- a/packages/relay/src/placement/formation.ts
+++ b/packages/relay/src/placement/formation.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setMaxListeners } from "node:events";
 import { type Clock, type Logger, withDeadline } from "@zinniahill/kernel";
 import type { Instances } from "../hosts/instances.ts";
 import type { EngineProfile, ModelProfile } from "../model/configuration.ts";
@@ -87,6 +88,8 @@
     const born = this.#readBirths(group);
     const stop = new AbortController();
     const joinSignal = AbortSignal.any([signal, stop.signal]);
+    // Each member waits on it several times.
+    setMaxListeners(0, joinSignal);
     try {
       await Promise.all(
         group.members.map((id) => this.#join(group, id, joinSignal)),
--- a/packages/relay/src/placement/holder.ts
+++ b/packages/relay/src/placement/holder.ts
@@ -15,7 +15,8 @@
 import type { Feeds } from "../feeds/feeds.ts";
 import type { Lifecycle } from "../lifecycle.ts";
 import type { Seat, Standing } from "../outside.ts";
-import type { Mesh, Peer } from "../peers/mesh.ts";
+import type { Mesh } from "../peers/mesh.ts";
+import type { Peer } from "../peers/peer.ts";
 import type { RelayKernel } from "../services.ts";
 
 /** A member that has not renewed for this long loses its place. */
--- a/packages/relay/test/peers/silence-limit.test.ts
+++ b/packages/relay/test/peers/silence-limit.test.ts
@@ -12,28 +12,32 @@
 }
 
 describe("SilenceLimit", () => {
-  it("calls once when no message comes, so that a dead peer is dropped", async () => {
-    const { clock, seen } = start();
-    await clock.advance(899);
-    expect(seen.calls).toBe(0);
-    await clock.advance(2000);
-    expect(seen.calls).toBe(1);
-  });
+  describe("a silent peer", () => {
+    it("calls once when no message comes, so that a dead peer is dropped", async () => {
+      const { clock, seen } = start();
+      await clock.advance(899);
+      expect(seen.calls).toBe(0);
+      await clock.advance(2000);
+      expect(seen.calls).toBe(1);
+    });
 
-  it("counts from the last message", async () => {
-    const { clock, seen, limit } = start();
-    await clock.advance(800);
-    limit.reset(900);
-    await clock.advance(899);
-    expect(seen.calls).toBe(0);
-    await clock.advance(1);
-    expect(seen.calls).toBe(1);
+    it("counts from the last message", async () => {
+      const { clock, seen, limit } = start();
+      await clock.advance(800);
+      limit.reset(900);
+      await clock.advance(899);
+      expect(seen.calls).toBe(0);
+      await clock.advance(1);
+      expect(seen.calls).toBe(1);
+    });
   });
 
-  it("does not call after its end", async () => {
-    const { clock, seen, limit } = start();
-    limit.cancel();
-    await clock.advance(2000);
-    expect(seen.calls).toBe(0);
+  describe("an ended conversation", () => {
+    it("does not call after its end", async () => {
+      const { clock, seen, limit } = start();
+      limit.cancel();
+      await clock.advance(2000);
+      expect(seen.calls).toBe(0);
+    });
   });
 });
--- a/packages/relay/test/placement/holder.test.ts
+++ b/packages/relay/test/placement/holder.test.ts
@@ -2,7 +2,8 @@
 import { Result } from "true-myth";
 import { afterEach, describe, expect, it } from "vitest";
 import type { Seat, Standing } from "../../src/index.ts";
-import type { Mesh, Peer } from "../../src/peers/mesh.ts";
+import type { Mesh } from "../../src/peers/mesh.ts";
+import type { Peer } from "../../src/peers/peer.ts";
 import { Holder } from "../../src/placement/holder.ts";
 import type { RelayKernel, RelayServices } from "../../src/services.ts";
 
--- a/packages/relay/test/serving/caller-watch.test.ts
+++ b/packages/relay/test/serving/caller-watch.test.ts
@@ -28,31 +28,35 @@
 });
 
 describe("watchCaller", () => {
-  it("aborts in the turn in which the caller's end is read", async () => {
-    const seen = new Promise<boolean>((resolve) => {
-      void listen((request, response) => {
-        const gone = watchCaller(response);
-        request.socket.once("end", () => resolve(gone.aborted));
-      }).then((port) => {
-        const caller = connect(port, "127.0.0.1");
-        caller.write(REQUEST, () => caller.end());
+  describe("a caller that leaves before its reply", () => {
+    it("aborts in the turn in which the caller's end is read", async () => {
+      const seen = new Promise<boolean>((resolve) => {
+        void listen((request, response) => {
+          const gone = watchCaller(response);
+          request.socket.once("end", () => resolve(gone.aborted));
+        }).then((port) => {
+          const caller = connect(port, "127.0.0.1");
+          caller.write(REQUEST, () => caller.end());
+        });
       });
+      expect(await seen).toBe(true);
     });
-    expect(await seen).toBe(true);
   });
 
-  it("does not abort for a caller that leaves after its reply", async () => {
-    let gone: AbortSignal | undefined;
-    const port = await listen((_request, response) => {
-      gone = watchCaller(response);
-      response.end("whole");
-    });
-    await new Promise<void>((resolve) => {
-      request({ port, agent: false }, (incoming) => {
-        incoming.resume().on("close", () => resolve());
-      }).end();
+  describe("a caller that leaves after its reply", () => {
+    it("is not taken for gone, as nothing is left to be cancelled", async () => {
+      let gone: AbortSignal | undefined;
+      const port = await listen((_request, response) => {
+        gone = watchCaller(response);
+        response.end("whole");
+      });
+      await new Promise<void>((resolve) => {
+        request({ port, agent: false }, (incoming) => {
+          incoming.resume().on("close", () => resolve());
+        }).end();
+      });
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      expect(gone!.aborted).toBe(false);
     });
-    await new Promise((resolve) => setTimeout(resolve, 20));
-    expect(gone!.aborted).toBe(false);
   });
 });
