Let no node wait for one that lost the store to take placement

Cause: a member says that it seeks placement, and the others wait for it. A holder that is cut off from the store stays a member by its own count, so its peers waited until their patience of 3 s was over. Ruled out: the term at the store (1.5 s).

A node now seeks only while the store answers it. Test: holder.test, a holder that is cut off among 32 nodes is followed within 2.5 s; failed before.

--- a/packages/relay/src/placement/holder.ts
+++ b/packages/relay/src/placement/holder.ts
@@ -68,6 +68,8 @@
   #mesh: Mesh;
   #intake: Intake;
   #isMember = false;
+  /** Whether this node may become the holder, as far as the store answers. */
+  #seeks = false;
   #tasks: TaskGroup;
   #machine = interpret(machine, () => {});
   #generation = 0;
@@ -94,7 +96,7 @@
     this.#feeds.hurryWhile(() => this.isHolder);
     this.#mesh.reportPlacement(() => ({
       holds: this.isHolder,
-      seeks: this.#isMember,
+      seeks: this.#seeks,
     }));
     // A restarted process must not take its predecessor's place for granted.
     this.#member = `${kernel.find("settings").node.name}/${this.#random.id()}`;
@@ -227,6 +229,7 @@
   #noteJoining(): void {
     if (!this.#isMember) {
       this.#isMember = true;
+      this.#seeks = true;
       this.#joinAt = undefined;
       this.#mesh.beatNow();
     }
@@ -237,6 +240,7 @@
       return;
     }
     this.#isMember = false;
+    this.#seeks = false;
     const left = await this.#seat.leave(this.#member, signal);
     if (left.isErr) {
       this.#logger.warn("membership_leave_failed", {
@@ -255,6 +259,7 @@
       });
     }
     this.#generation = generation;
+    this.#seeks = true;
     if (!isHolder) {
       this.#lose("another node holds placement");
       return;
@@ -270,6 +275,7 @@
   }
 
   #noteFailure(error: string): void {
+    this.#seeks = false;
     this.#logger.debug("membership_renewal_failed", { error });
     if (this.#clock.now() >= this.#heldUntil) {
       this.#lose("the term ended without a renewal");
--- a/packages/relay/test/placement/holder.test.ts
+++ b/packages/relay/test/placement/holder.test.ts
@@ -102,13 +102,27 @@
 
 /** A membership that is dealt anew with each change of the members. */
 class SharedSeat {
+  #clock: ManualClock;
   #members: string[] = [];
+  #renewedAt = new Map<string, number>();
   /** Changes of the members. */
   generation = 0;
 
-  of(): Seat {
+  constructor(clock: ManualClock) {
+    this.#clock = clock;
+  }
+
+  /** The membership as one node reaches it. */
+  of(node: { isCutOff: boolean }): Seat {
     return {
-      renew: (member) => {
+      renew: (member, _generation, termMs) => {
+        if (node.isCutOff) {
+          return Promise.resolve(
+            Result.err({ verdict: "may-have-run", message: "no reply" }),
+          );
+        }
+        this.#expire(termMs);
+        this.#renewedAt.set(member, this.#clock.now());
         if (!this.#members.includes(member)) {
           this.#change([...this.#members, member]);
         }
@@ -129,6 +143,16 @@
     };
   }
 
+  #expire(termMs: number): void {
+    const least = this.#clock.now() - termMs;
+    const living = this.#members.filter((member) =>
+      this.#renewedAt.get(member)! > least
+    );
+    if (living.length < this.#members.length) {
+      this.#change(living);
+    }
+  }
+
   #change(members: string[]): void {
     this.#members = members;
     this.generation++;
@@ -139,7 +163,7 @@
 async function startMany(count: number) {
   const clock = new ManualClock();
   const random = new SeededRandom(5);
-  const seat = new SharedSeat();
+  const seat = new SharedSeat(clock);
   const nodes = await Promise.all(
     Array.from({ length: count }, async (_, index) => {
       const node = {
@@ -148,6 +172,7 @@
         readClaim: () => ({ holds: false, seeks: false }),
         holder: undefined as unknown as Holder,
         lifecycle: { isDraining: false },
+        isCutOff: false,
       };
       const say = () => {
         const { holds, seeks } = node.readClaim();
@@ -186,7 +211,7 @@
           [],
           () => ({ hurryWhile: () => {}, isReachable: () => true }) as never,
         )
-        .provide("seat", [], () => seat.of());
+        .provide("seat", [], () => seat.of(node));
       await kernel.start();
       node.holder = new Holder(kernel);
       const beat = () => {
@@ -305,6 +330,22 @@
     );
   });
 
+  describe("a holder that is cut off from the store", () => {
+    // Guards against the incident SHORT: it went on to say that it sought
+    // placement, and its peers waited for it for 3 s.
+    it("is followed by a peer as soon as its term has ended", async () => {
+      const { clock, nodes } = await startMany(32);
+      await clock.advance(3000);
+      const first = nodes.find(({ holder }) => holder.isHolder)!;
+      first.isCutOff = true;
+      await clock.advance(2500);
+      const held = nodes.filter(({ holder }) => holder.isHolder);
+      expect(held).toHaveLength(1);
+      expect(held[0]).not.toBe(first);
+      await Promise.all(nodes.map(({ holder }) => holder.stop()));
+    });
+  });
+
   describe("a slow node", () => {
     it("leaves placement to a faster peer", async () => {
       const { clock, seat, peers } = await startHolder(false, true, 0.1);
