Close connections with an unread body by a timer of their own

Cause: the linger of a refused request was the socket's own timeout, which Node resets to the server's timeout (none) with each read of the request, so a caller that kept sending was never disconnected. Both public servers had it. Change: closeAfterLinger in packages/clients, with a timer, used by both.

--- a/packages/node/src/serving/http.ts
+++ b/packages/node/src/serving/http.ts
@@ -10,6 +10,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { closeAfterLinger } from "@zinniahill/clients";
 import { Refusal } from "@zinniahill/schema";
 import polka, { type Polka } from "polka";
 import type { z } from "zod";
@@ -165,19 +166,6 @@
   return new Refusal("too-large", "not-run", message);
 }
 
-/**
- * Ends a connection whose body was not read, but not at once: bytes that are
- * still unread would reset it before the caller has read the reply.
- */
-function closeUnread(response: ServerResponse): void {
-  const { socket } = response;
-  response.once("finish", () => {
-    socket?.pause();
-    socket?.end();
-    socket?.setTimeout(UNREAD_LINGER_MS, () => socket.destroy());
-  });
-}
-
 /** Reads a request's body as JSON of a schema. */
 export async function readJson<Value>(
   request: IncomingMessage,
@@ -223,7 +211,7 @@
     return;
   }
   if (refusal.code === "too-large") {
-    closeUnread(response);
+    closeAfterLinger(response, UNREAD_LINGER_MS);
   }
   if (refusal.retryAfterMs !== undefined) {
     const seconds = Math.ceil(refusal.retryAfterMs / MS_PER_SECOND);
--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -9,8 +9,8 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { closeAfterLinger } from "@zinniahill/clients";
 import {
   type Clock,
   describeError,
@@ -223,7 +223,7 @@
       this.#logger.error("request_failed", { request: id, error: stack });
     }
     if (!incoming.complete) {
-      closeUnreadConnection(response);
+      closeAfterLinger(response, UNREAD_LINGER_MS);
     }
     writeRefusal(response, refusal);
   }
@@ -241,16 +241,3 @@
     );
   }
 }
-
-/**
- * Closes a connection with an unread request body, but not at once: the unread
- * bytes would reset it before the caller has read the response.
- */
-function closeUnreadConnection(response: ServerResponse): void {
-  const socket: Socket | null = response.socket;
-  response.setHeader("connection", "close");
-  response.once("finish", () => {
-    socket?.end();
-    socket?.setTimeout(UNREAD_LINGER_MS, () => socket.destroy());
-  });
-}
