Obey what upstreams say of themselves, and bound what entries may hold

Cause: nothing read Server-Leaving or the Retry-After of a refusal, and an entry of another writer with a port or address out of range was taken in: the client threw outside the attempt, so requests failed and the entry stayed in use. An epoch far ahead would have exhausted the numbers of later groups. Change: an instance that says it leaves counts as draining until a later process has its id; one that asks for a delay receives nothing until then (5 minutes at most), and requests are refused at once until the first returns. A renewal of an entry is recognized without decoding it.

--- a/packages/relay/src/adapter.ts
+++ b/packages/relay/src/adapter.ts
@@ -102,6 +102,11 @@
 export interface RecordDecoder {
   configuration(value: string): Result<Configuration, string>;
   instance(id: string, value: string): Result<Instance, string>;
+  /**
+   * Returns an entry without the count by which engines renew it, so that a
+   * renewal is recognized without decoding.
+   */
+  removeRenewalCount(value: string): string;
   node(value: string): Result<NodeEntry, string>;
 }
 
@@ -142,6 +147,10 @@
   readonly isEncoded: boolean;
   /** Instance that the upstream names as the cause of a refusal. */
   readonly faultyInstance: string | undefined;
+  /** Whether the upstream is about to leave. */
+  readonly isLeaving: boolean;
+  /** How long the upstream, which refused, asks for no further request. */
+  readonly backOffMs: number | undefined;
   /** Running and waiting requests at the upstream, if it reports them. */
   readonly upstreamLoad: number | undefined;
 }
@@ -154,5 +163,8 @@
     request: IncomingMessage,
     metadata: ForwardMetadata,
   ): string[];
-  parseResponse(headers: ReadonlyMap<string, string>): ResponseMetadata;
+  parseResponse(
+    status: number,
+    headers: ReadonlyMap<string, string>,
+  ): ResponseMetadata;
 }
--- a/packages/relay/src/hosts/groups.ts
+++ b/packages/relay/src/hosts/groups.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { Clock, Logger, Service } from "@zinniahill/kernel";
-import type { Instance, MemberState } from "../model/instance.ts";
+import {
+  type Instance,
+  isEndpointAddress,
+  type MemberState,
+} from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
 import type { Instances } from "./instances.ts";
 
@@ -53,7 +57,8 @@
  */
 export function parseGroupLead(name: string): InstanceEndpoint | undefined {
   const [, , id, address] = name.split(NAME_SEPARATOR);
-  return id === undefined || address === undefined
+  return id === undefined || address === undefined ||
+      !isEndpointAddress(address)
     ? undefined
     : { id, address };
 }
--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -27,6 +27,8 @@
  * last up to 10 s.
  */
 const DEPARTED_RETENTION_MS = 30_000;
+/** More than the instances of any deployment that leave in a day. */
+const MAX_LEAVING = 10_000;
 
 /** Called after each read with the records that changed anything. */
 export type UpdateListener = (changes: readonly KeyRecord[]) => void;
@@ -40,6 +42,13 @@
   #decoder: RecordDecoder;
   #instances = new Map<string, Instance>();
   #departed = new Map<string, DepartedInstance>();
+  /** Entries as last read, without the count that renewals change. */
+  #entries = new Map<string, string>();
+  /**
+   * Start times of the processes that have said in a response that they leave,
+   * by id. The store may list them as ready for some time.
+   */
+  #leaving = new Map<string, number>();
   #updateListeners = new Set<UpdateListener>();
   #version = 0;
   #lastAddedAt = -Infinity;
@@ -86,6 +95,27 @@
     return this.#instances.get(id);
   }
 
+  /**
+   * Treats an instance as draining from now on, as it has said itself that it
+   * leaves. A later process with the same id is in use again.
+   */
+  markLeaving({ id, bornAt }: Instance): void {
+    const listed = this.#instances.get(id);
+    if (this.#leaving.get(id) === bornAt) {
+      return;
+    }
+    this.#leaving.set(id, bornAt);
+    if (this.#leaving.size > MAX_LEAVING) {
+      const [oldest] = this.#leaving.keys();
+      this.#leaving.delete(oldest!);
+    }
+    this.#logger.info("instance_leaving", { instance: id, born_at: bornAt });
+    if (listed?.bornAt === bornAt && !listed.isDraining) {
+      this.#put(listed);
+      this.#notifyChanged();
+    }
+  }
+
   /** Lists recently unlisted members of a group that were not draining. */
   listDeparted(group: string, epoch: number): Instance[] {
     return [...this.#departed.values()]
@@ -97,7 +127,11 @@
   }
 
   dump(): unknown {
-    return { listed: this.list(), departed: [...this.#departed.values()] };
+    return {
+      listed: this.list(),
+      departed: [...this.#departed.values()],
+      leaving: [...this.#leaving.keys()],
+    };
   }
 
   #apply(records: readonly KeyRecord[]): void {
@@ -106,14 +140,23 @@
       value === undefined ? this.#remove(key) : this.#update(key, value)
     );
     if (changes.length > 0) {
-      this.#version++;
-      this.changed.notify();
+      this.#notifyChanged();
     }
     this.#updateListeners.forEach((listener) => listener(changes));
   }
 
+  #notifyChanged(): void {
+    this.#version++;
+    this.changed.notify();
+  }
+
   /** Applies an entry and returns whether it changed anything. */
   #update(id: string, value: string): boolean {
+    const entry = this.#decoder.removeRenewalCount(value);
+    if (this.#entries.get(id) === entry) {
+      return false;
+    }
+    this.#entries.set(id, entry);
     return this.#decoder.instance(id, value).match({
       Ok: (instance) => this.#put(instance),
       Err: (error) => {
@@ -123,7 +166,9 @@
     });
   }
 
-  #put(instance: Instance): boolean {
+  #put(listed: Instance): boolean {
+    const isLeaving = this.#leaving.get(listed.id) === listed.bornAt;
+    const instance = isLeaving ? { ...listed, isDraining: true } : listed;
     const previous = this.#instances.get(instance.id);
     if (isDeepStrictEqual(previous, instance)) {
       return false;
@@ -161,6 +206,7 @@
   }
 
   #remove(id: string): boolean {
+    this.#entries.delete(id);
     const instance = this.#instances.get(id);
     if (instance === undefined) {
       return false;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -16,6 +16,7 @@
   ServiceProfile,
 } from "./model/configuration.ts";
 export {
+  EndpointAddress,
   EngineReport,
   EngineState,
   Instance,
--- a/packages/relay/src/model/instance.ts
+++ b/packages/relay/src/model/instance.ts
@@ -3,8 +3,26 @@
  *
  * @module
  */
+import { isIPv4 } from "node:net";
 import * as z from "zod";
 
+const MAX_PORT = 65_535;
+
+/** Whether a text is an IPv4 address with a port. */
+export function isEndpointAddress(text: string): boolean {
+  const [host = "", port = "", ...others] = text.split(":");
+  return others.length === 0 && isIPv4(host) && /^\d{1,5}$/.test(port) &&
+    Number(port) >= 1 && Number(port) <= MAX_PORT;
+}
+
+/** Address and port of an upstream process. */
+export const EndpointAddress = z.string().refine(
+  isEndpointAddress,
+  "expected an IPv4 address and a port from 1 to 65535",
+);
+/** Address and port of an upstream process. */
+export type EndpointAddress = z.infer<typeof EndpointAddress>;
+
 /** State of a member within its group; the lead's state is the group's. */
 export const MemberState = z.enum([
   "joining",
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -18,6 +18,7 @@
 import type { Mesh } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
 import type { Demand } from "./demand.ts";
+import { EpochSequence } from "./epoch-sequence.ts";
 import { type FormingGroup, GroupFormer } from "./group-former.ts";
 import { FreeHosts, getFabricDomain } from "./free-hosts.ts";
 import { GroupChecker } from "./group-checker.ts";
@@ -40,11 +41,6 @@
  * store.
  */
 const TAKEOVER_DELAY_MS = 300;
-/**
- * Epochs of a later holder are always higher, even if it has not read the
- * latest ones.
- */
-const EPOCHS_PER_FENCE = 10_000;
 
 /** A service with engines. */
 interface EngineService {
@@ -72,7 +68,7 @@
   #weightStager: WeightStager;
   #groupDissolver: GroupDissolver;
   #freeHosts: FreeHosts;
-  #highestEpoch = 0;
+  #epochs = new EpochSequence();
   /** Groups and hosts with a task in progress. */
   #busyGroups = new Set<string>();
   #busyHosts = new Set<string>();
@@ -178,7 +174,7 @@
     if (!this.#elector.isHolder || this.#elector.heldMs < TAKEOVER_DELAY_MS) {
       return;
     }
-    this.#updateHighestEpoch();
+    this.#recordEpochs();
     this.#groupChecker.requestPending();
     for (const service of this.#listEngineServices()) {
       this.#repairGroups(service);
@@ -193,18 +189,14 @@
     );
   }
 
-  #updateHighestEpoch(): void {
-    for (const { epoch } of this.#groups.list()) {
-      this.#highestEpoch = Math.max(this.#highestEpoch, epoch);
+  #recordEpochs(): void {
+    for (const { name, epoch } of this.#groups.list()) {
+      if (!this.#epochs.record(epoch, this.#elector.fence)) {
+        this.#logger.warn("group_epoch_implausible", { group: name, epoch });
+      }
     }
   }
 
-  #allocateEpoch(): number {
-    const baseEpoch = this.#elector.fence * EPOCHS_PER_FENCE;
-    this.#highestEpoch = Math.max(this.#highestEpoch, baseEpoch) + 1;
-    return this.#highestEpoch;
-  }
-
   /** Dissolves groups that lost a member and resumes unfinished formations. */
   #repairGroups(service: EngineService): void {
     for (const group of this.#groups.list()) {
@@ -381,7 +373,7 @@
   }
 
   #startFormation(service: EngineService, formation: Formation): void {
-    const epoch = this.#allocateEpoch();
+    const epoch = this.#epochs.next(this.#elector.fence);
     const lead = this.#instances.find(formation.members[0]!);
     if (lead === undefined) {
       return;
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -185,7 +185,14 @@
     )
     .provide(
       "attempts",
-      [...CORE_SERVICES, "format", "dispatcher", "outstanding", "mesh"],
+      [
+        ...CORE_SERVICES,
+        "format",
+        "instances",
+        "dispatcher",
+        "outstanding",
+        "mesh",
+      ],
       (services) => new Attempts(services),
     )
     .provide(
--- a/packages/relay/src/routing/dispatcher.ts
+++ b/packages/relay/src/routing/dispatcher.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Clock, Random, Service } from "@zinniahill/kernel";
+import type { Clock, Logger, Random, Service } from "@zinniahill/kernel";
 import { Refusal } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import type { Group, Groups } from "../hosts/groups.ts";
@@ -52,19 +52,25 @@
 const RETRY_JITTER = 0.3;
 /** How long an instance that refused a connection gets no requests. */
 const UNREACHABLE_MS = 1000;
+/** An upstream that asks for more is faulty. */
+const MAX_BACK_OFF_MS = 300_000;
 
 /** Selects instances by their requests in progress from all nodes. */
 export class Dispatcher implements Service {
   #clock: Clock;
   #random: Random;
+  #logger: Logger;
   #instances: Instances;
   #groups: Groups;
   #outstanding: OutstandingRequests;
   #unreachableUntil = new Map<string, number>();
+  /** Until when instances have asked this node for no further request. */
+  #backingOffUntil = new Map<string, number>();
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
     this.#random = kernel.find("random");
+    this.#logger = kernel.find("logger");
     this.#instances = kernel.find("instances");
     this.#groups = kernel.find("groups");
     this.#outstanding = kernel.find("outstanding");
@@ -91,14 +97,34 @@
     this.#unreachableUntil.set(id, this.#clock.now() + UNREACHABLE_MS);
   }
 
+  /** Sends an instance nothing until the time that it asked for has passed. */
+  backOff({ id }: Instance, requestedMs: number, request: string): void {
+    const backOffMs = Math.min(requestedMs, MAX_BACK_OFF_MS);
+    const until = this.#clock.now() + backOffMs;
+    const currentUntil = this.#backingOffUntil.get(id) ?? -Infinity;
+    this.#backingOffUntil.set(id, Math.max(currentUntil, until));
+    this.#logger.info("instance_backing_off", {
+      request,
+      instance: id,
+      back_off_ms: Math.round(backOffMs),
+      requested_ms: requestedMs === backOffMs ? undefined : requestedMs,
+    });
+  }
+
   dump(): unknown {
-    return { unreachable: [...this.#unreachableUntil.keys()] };
+    return {
+      unreachable: [...this.#unreachableUntil.keys()],
+      backingOff: [...this.#backingOffUntil.keys()],
+    };
   }
 
   #selectPlainInstance(
     criteria: SelectionCriteria,
   ): Result<Selection, Refusal> {
-    const listed = this.#instances.listAvailable(criteria.service.name);
+    const available = this.#instances.listAvailable(criteria.service.name);
+    const listed = available.filter((instance) =>
+      !this.#isBackingOff(instance)
+    );
     const reachable = listed.filter((instance) => this.#isReachable(instance));
     const instances = reachable.length > 0 ? reachable : listed;
     const candidates = instances
@@ -106,7 +132,7 @@
       .map((instance) => this.#createSelection(instance, undefined));
     const selected = this.#selectByLoad(candidates, Infinity);
     return selected === undefined
-      ? Result.err(this.#refuseWithoutUpstream(criteria))
+      ? Result.err(this.#refuseWithoutUpstream(criteria, available))
       : Result.ok(selected);
   }
 
@@ -122,7 +148,8 @@
       this.#listLead(group, criteria)
     );
     if (candidates.length === 0) {
-      return Result.err(this.#refuseWithoutUpstream(criteria));
+      const leads = groups.flatMap(({ lead }) => lead ?? []);
+      return Result.err(this.#refuseWithoutUpstream(criteria, leads));
     }
     const selected = this.#selectByLoad(
       candidates,
@@ -146,14 +173,23 @@
     );
   }
 
-  #refuseWithoutUpstream(criteria: SelectionCriteria): Refusal {
+  /** Refuses a request until the first of the instances takes requests again. */
+  #refuseWithoutUpstream(
+    criteria: SelectionCriteria,
+    instances: readonly Instance[],
+  ): Refusal {
     const { service: { name }, model } = criteria;
     const target = model === undefined ? name : `${name} ${model}`;
+    const backOffsMs = instances
+      .filter((instance) => this.#isBackingOff(instance))
+      .map(({ id }) => this.#backingOffUntil.get(id)! - this.#clock.now());
     return new Refusal(
       "no-upstream",
       "not-run",
       `no instance of ${target} is available`,
-      this.#drawRetryAfterMs(criteria),
+      backOffsMs.length > 0
+        ? Math.min(...backOffsMs)
+        : this.#drawRetryAfterMs(criteria),
     );
   }
 
@@ -170,7 +206,7 @@
   #listLead(group: Group, { excluded }: SelectionCriteria): Selection[] {
     const { lead } = group;
     return lead === undefined || excluded.has(lead.id) ||
-        !this.#isReachable(lead)
+        !this.#isReachable(lead) || this.#isBackingOff(lead)
       ? []
       : [this.#createSelection(lead, { name: group.name, epoch: group.epoch })];
   }
@@ -190,16 +226,24 @@
     return index === undefined ? undefined : candidates[index];
   }
 
-  #isReachable({ id }: Instance): boolean {
-    const until = this.#unreachableUntil.get(id);
+  #isReachable(instance: Instance): boolean {
+    return !this.#isExcluded(this.#unreachableUntil, instance);
+  }
+
+  #isBackingOff(instance: Instance): boolean {
+    return this.#isExcluded(this.#backingOffUntil, instance);
+  }
+
+  #isExcluded(exclusions: Map<string, number>, { id }: Instance): boolean {
+    const until = exclusions.get(id);
     if (until === undefined) {
-      return true;
+      return false;
     }
     if (this.#clock.now() < until) {
-      return false;
+      return true;
     }
-    this.#unreachableUntil.delete(id);
-    return true;
+    exclusions.delete(id);
+    return false;
   }
 }
 
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -7,6 +7,8 @@
 import { Refusal, type Verdict } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import type { HeaderCodec, ResponseMetadata } from "../adapter.ts";
+import type { Instances } from "../hosts/instances.ts";
+import type { Instance } from "../model/instance.ts";
 import type { Dispatcher, Selection } from "../routing/dispatcher.ts";
 import type {
   OutstandingRequest,
@@ -53,6 +55,7 @@
   #clock: Clock;
   #logger: Logger;
   #headerCodec: HeaderCodec;
+  #instances: Instances;
   #dispatcher: Dispatcher;
   #outstanding: OutstandingRequests;
   #retryBudget: RetryBudget;
@@ -61,6 +64,7 @@
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#headerCodec = kernel.find("format");
+    this.#instances = kernel.find("instances");
     this.#dispatcher = kernel.find("dispatcher");
     this.#outstanding = kernel.find("outstanding");
     const mesh = kernel.find("mesh");
@@ -196,8 +200,10 @@
     }
     const upstreamResponse = sent.value;
     const responseMetadata = this.#headerCodec.parseResponse(
+      upstreamResponse.status,
       upstreamResponse.headers,
     );
+    this.#noteUpstreamState(request, instance, responseMetadata);
     const fault = findFault(request, upstreamResponse, responseMetadata);
     if (fault !== undefined) {
       if (upstreamResponse.status === MISDIRECTED_STATUS) {
@@ -216,6 +222,20 @@
     });
   }
 
+  /** Notes what an upstream says of itself in its response. */
+  #noteUpstreamState(
+    { id }: RelayedRequest,
+    instance: Instance,
+    { isLeaving, backOffMs }: ResponseMetadata,
+  ): void {
+    if (isLeaving) {
+      this.#instances.markLeaving(instance);
+    }
+    if (backOffMs !== undefined) {
+      this.#dispatcher.backOff(instance, backOffMs, id);
+    }
+  }
+
   #createRequest(
     request: RelayedRequest,
     { instance }: Selection,
--- a/packages/relay/test/hosts/instances.test.ts
+++ b/packages/relay/test/hosts/instances.test.ts
@@ -11,7 +11,8 @@
 const DRAINING_PREFIX = "leaving";
 const UNREADABLE = "?";
 
-const decoder: Pick<RecordDecoder, "instance"> = {
+const decoder: Pick<RecordDecoder, "instance" | "removeRenewalCount"> = {
+  removeRenewalCount: (value) => value,
   instance: (id, value) =>
     value === UNREADABLE
       ? Result.err<Instance, string>("not an entry")
--- a/stand-ins/src/fleet/fleet.ts
+++ b/stand-ins/src/fleet/fleet.ts
@@ -35,6 +35,11 @@
     this.#options = options;
   }
 
+  /** The version of the newest configuration. */
+  get version(): number {
+    return this.#version;
+  }
+
   /** The store's address. */
   get address(): string {
     return this.#address;
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -66,6 +66,8 @@
   readonly id = `i-${randomBytes(4).toString("hex")}`;
   /** Requests that began to run, in order. */
   readonly runs: RunRecord[] = [];
+  /** Requests that arrived, refused ones included. */
+  readonly arrivals: string[] = [];
   /** Orders that were accepted, in order. */
   readonly orders: OrderBody[] = [];
   /** Whether connections are accepted but nothing is answered. */
@@ -74,6 +76,12 @@
   isStalled = false;
   /** Whether requests run and their connections are reset without an answer. */
   losesAnswers = false;
+  /** Whether all answers say that the runner leaves, unlike its entry. */
+  isLeaving = false;
+  /** Seconds for which a refused caller must not return, if it is set. */
+  refusesFor: string | undefined;
+  /** Attempt whose earlier refusal is sent again in place of each answer. */
+  repeatsRefusalOf: string | undefined;
   /** Events after which a stream breaks off, if it is set. */
   breaksAfter: number | undefined;
   #options: RunnerOptions;
@@ -136,6 +144,18 @@
     this.#options.store.put("keyed.servers", this.id, undefined);
   }
 
+  /** Starts again under the same id, without anything of before. */
+  restart(): void {
+    this.#born++;
+    this.#state = "ready";
+    this.#orderCount = 0;
+    this.#fence = 0;
+    this.#epoch = 0;
+    this.#model = undefined;
+    this.#membership = undefined;
+    this.register();
+  }
+
   drain(): void {
     this.#state = "draining";
     this.register();
@@ -164,6 +184,9 @@
     if (this.isSilent) {
       return;
     }
+    if (this.isLeaving) {
+      response.setHeader("server-leaving", "1");
+    }
     const expected = request.headers["x-target-instance"];
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421, REFUSED_HEADERS).end();
@@ -291,6 +314,14 @@
       return;
     }
     const attempt = String(request.headers["x-attempt-id"] ?? "");
+    this.arrivals.push(attempt);
+    if (this.refusesFor !== undefined) {
+      response.writeHead(503, {
+        ...REFUSED_HEADERS,
+        "retry-after": this.refusesFor,
+      }).end();
+      return;
+    }
     this.runs.push({
       attempt,
       account: request.headers["x-tenant"] as string | undefined,
@@ -302,6 +333,13 @@
       request.socket.resetAndDestroy();
       return;
     }
+    if (this.repeatsRefusalOf !== undefined) {
+      response.writeHead(503, {
+        ...REFUSED_HEADERS,
+        "x-attempt-id": this.repeatsRefusalOf,
+      }).end();
+      return;
+    }
     const headers = {
       "x-attempt-id": attempt,
       "x-response-seal": `seal-${this.id}`,
