Connect many nodes through hubs instead of a full mesh

Cause: every node kept a connection to every other one and received 66 heartbeats a second whatever the number of nodes, each sent on by a write of its own. With 77 nodes over the stand-ins that took 0.1 of a core of a node at rest; opening the connections came on top of it at the start. Hubs are connected with each other, every other node with one of them; hubs forward heartbeats with their own and other messages at once. Spokes take configuration and instances from their hub while it is up to date and do not read the store. Loads of peers are kept by instance, so that a choice does not visit every peer. Small deployments keep the full mesh.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -12,6 +12,7 @@
 export { createFault, type Fault } from "./fault.ts";
 export { type HostList, HostListClient } from "./host-list.ts";
 export { callJson, type JsonCall } from "./http.ts";
+export { hashName } from "./name-hash.ts";
 export { closeAfterLinger } from "./lingering-close.ts";
 export {
   type Log,
--- a/packages/node/src/peers/peers.ts
+++ b/packages/node/src/peers/peers.ts
@@ -27,7 +27,7 @@
 import type { ControlState } from "../state/control-state.ts";
 import { Conversation, type Peer } from "./conversation.ts";
 import { EvidenceFilter } from "./evidence-filter.ts";
-import { hashName } from "./name-hash.ts";
+import { hashName } from "@zinniahill/clients";
 import { PeerRegistry } from "./registry.ts";
 import { isRelayable, Relay } from "./relay.ts";
 import { PeerSlots } from "./slots.ts";
--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -11,7 +11,7 @@
   TaskGroup,
 } from "@zinniahill/kernel";
 import type { Result } from "true-myth";
-import type { KeyRecord } from "../model/peer-message.ts";
+import type { KeyRecord, SharedFeed } from "../model/peer-message.ts";
 import type { Batch, FeedName, FeedStore } from "../adapter.ts";
 import type { RelayKernel } from "../services.ts";
 import { RecordTable } from "./record-table.ts";
@@ -52,12 +52,14 @@
   nodes: {
     waitMs: 5000,
     batchDelayMs: 200,
-    perNode: { waitMs: 0, batchDelayMs: 0 },
+    perNode: { waitMs: 100, batchDelayMs: 10 },
   },
 };
 /** Up to this number of nodes, each reads at the full rate. */
 const FULL_RATE_NODES = 4;
 const FEEDS = Object.keys(READ_SCHEDULES) as FeedName[];
+/** How often a paused feed is checked; peers send heartbeats as often. */
+const PAUSE_CHECK_MS = 300;
 const RETRY_DELAY_MS = 150;
 const MAX_RETRY_DELAY_MS = 700;
 /** A node whose reads fail receives records from its peers meanwhile. */
@@ -79,6 +81,8 @@
   readonly table: RecordTable;
   readonly listeners: Set<FeedListener>;
   isLoaded: boolean;
+  /** Whether the store has returned the whole topic at least once. */
+  hasBeenLoaded: boolean;
   /** The time up to which all records are known to have been read. */
   upToDateAt: number;
   isReachable: boolean;
@@ -102,6 +106,7 @@
   #tasks: TaskGroup;
   #feeds: Record<FeedName, FeedState>;
   #isAtFullRate = () => false;
+  #isSupplied: (feed: SharedFeed) => boolean = () => false;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -136,6 +141,17 @@
     this.#isAtFullRate = isRequired;
   }
 
+  /** Sets when this node does not read a feed, as a peer supplies it. */
+  pauseReadsWhile(isSupplied: (feed: SharedFeed) => boolean): void {
+    this.#isSupplied = isSupplied;
+  }
+
+  /** Whether a peer supplies the feed in place of the store. */
+  isPaused(feed: FeedName): boolean {
+    return feed !== "nodes" && this.#feeds[feed].hasBeenLoaded &&
+      !this.#isAtFullRate() && this.#isSupplied(feed);
+  }
+
   /** The delay between two reads that return records. */
   batchDelayMs(feed: FeedName): number {
     const { batchDelayMs, perNode } = READ_SCHEDULES[feed];
@@ -229,6 +245,9 @@
   async #follow(feed: FeedName, signal: AbortSignal): Promise<void> {
     let failures = 0;
     while (!signal.aborted) {
+      while (this.isPaused(feed)) {
+        await this.#clock.sleep(PAUSE_CHECK_MS, signal);
+      }
       const startedAt = this.#clock.now();
       const read = await this.#read(feed, signal);
       if (signal.aborted) {
@@ -295,6 +314,7 @@
     return snapshot.map(({ records, next }) => {
       this.#apply(feed, (table) => table.applySnapshot(records, next));
       this.#feeds[feed].isLoaded = true;
+      this.#feeds[feed].hasBeenLoaded = true;
       return 0;
     });
   }
@@ -357,6 +377,7 @@
     table: new RecordTable(),
     listeners: new Set(),
     isLoaded: false,
+    hasBeenLoaded: false,
     upToDateAt: -Infinity,
     isReachable: false,
     failingSince: -Infinity,
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -17,6 +17,11 @@
 /** Identity and addresses of a node. */
 export type NodeEntry = z.infer<typeof NodeEntry>;
 
+/** How a node is connected with the others. */
+export const TopologyRole = z.enum(["peer", "hub", "spoke"]);
+/** How a node is connected with the others. */
+export type TopologyRole = z.infer<typeof TopologyRole>;
+
 /** The latest record of a key; a record without a value deletes the key. */
 export const KeyRecord = z.object({
   key: z.string(),
@@ -56,15 +61,36 @@
 /** Outcome of a node's attempts to make a lead leave its group. */
 export type LeadReleaseOutcome = z.infer<typeof LeadReleaseOutcome>;
 
+/** A message that reaches nodes to which its origin has no connection. */
+const ForwardedMessage = z.object({
+  /** Name of the node that sent it. */
+  origin: z.string(),
+  incarnation: z.string(),
+  /** Name of the only node that it is meant for, if there is one. */
+  target: z.string().optional(),
+  /** Time since it was sent. */
+  ageMs: z.number(),
+  /** The encoded message. */
+  content: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
+});
+/** A message that reaches nodes to which its origin has no connection. */
+export type ForwardedMessage = z.infer<typeof ForwardedMessage>;
+
 /** A message between two nodes. */
 export const PeerMessage = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("hello"),
     entry: NodeEntry,
+    /** The sender's role in the topology. */
+    role: TopologyRole.default("peer"),
     known: z.array(NodeEntry),
   }),
   z.object({
     kind: z.literal("beat"),
+    /** Increases with each heartbeat of a process. */
+    sequence: z.number().optional(),
+    /** Whether hubs forward it at once, not with their next heartbeat. */
+    isUrgent: z.boolean().default(false),
     isServing: z.boolean(),
     /** Whether the node holds placement and gives the orders. */
     holdsPlacement: z.boolean(),
@@ -77,6 +103,12 @@
     /** Time since each shared feed was last known to be complete. */
     agesMs: z.record(SharedFeed, z.number()),
     outstanding: z.array(OutstandingCount),
+    /** Heartbeats of other nodes since the sender's last one. */
+    forwarded: z.array(ForwardedMessage).default([]),
+  }),
+  z.object({
+    kind: z.literal("forward"),
+    messages: z.array(ForwardedMessage),
   }),
   z.object({
     kind: z.literal("fetch"),
--- a/packages/relay/src/peers/feed-exchange.ts
+++ b/packages/relay/src/peers/feed-exchange.ts
@@ -24,6 +24,12 @@
   readonly since: number;
 }
 
+/** The ages of a peer's feeds, by its last heartbeat. */
+interface Report {
+  readonly agesMs: Heartbeat["agesMs"];
+  readonly receivedAt: number;
+}
+
 /** Compares the offsets of this node and its peers, and transfers records. */
 export class FeedExchange {
   #clock: Clock;
@@ -31,6 +37,7 @@
   #feeds: Feeds;
   /** How far this node is behind a peer, by peer and feed. */
   #lags = new Map<string, Lag>();
+  #reports = new Map<string, Report>();
   /** When records of a feed were last requested from a peer. */
   #fetchedAt = new Map<SharedFeed, number>();
 
@@ -53,11 +60,26 @@
 
   /** Creates fetches for a peer's records that the store has not returned. */
   listFetches(peer: string, heartbeat: Heartbeat): MessageOf<"fetch">[] {
+    this.#reports.set(peer, {
+      agesMs: heartbeat.agesMs,
+      receivedAt: this.#clock.now(),
+    });
     return SharedFeed.options.flatMap((feed) =>
       this.#compareFeed(peer, heartbeat, feed)
     );
   }
 
+  /**
+   * Time since a peer, by its last heartbeat, knew that its feed was complete;
+   * infinite without a heartbeat.
+   */
+  suppliedAgeMs(peer: string, feed: SharedFeed): number {
+    const report = this.#reports.get(peer);
+    return report === undefined
+      ? Infinity
+      : report.agesMs[feed] + this.#clock.now() - report.receivedAt;
+  }
+
   /** The reply to a peer's fetch. */
   answerFetch({ feed, from }: MessageOf<"fetch">): MessageOf<"records"> {
     const table = this.#feeds.table(feed);
@@ -85,6 +107,7 @@
 
   /** Removes a peer whose connection has ended. */
   remove(peer: string): void {
+    this.#reports.delete(peer);
     SharedFeed.options.forEach((feed) =>
       this.#lags.delete(createKey(peer, feed))
     );
@@ -113,6 +136,7 @@
       ? known
       : { offset: peerNext, since: now };
     const isLate = !this.#feeds.isReachable(feed) ||
+      this.#feeds.isPaused(feed) ||
       now - lag.since >= FETCH_DELAY_MS + this.#feeds.batchDelayMs(feed);
     const fetchedAt = this.#fetchedAt.get(feed) ?? -Infinity;
     const isDue = isLate && now - fetchedAt >= MIN_FETCH_INTERVAL_MS;
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -1,29 +1,31 @@
 /**
- * Connections to the other nodes, with one task for each.
+ * Messages between the nodes: heartbeats, records that the store did not give,
+ * and messages of other services.
  *
  * @module
  */
-import type { PeerConnection, PeerTransport } from "@zinniahill/clients";
 import {
   type Clock,
-  describeError,
   type Logger,
   type Random,
   type Service,
   TaskGroup,
-  withDeadline,
 } from "@zinniahill/kernel";
 import type { CapacityMonitor } from "../entry/capacity-monitor.ts";
 import type { Lifecycle } from "../lifecycle.ts";
 import type {
+  ForwardedMessage,
   MessageOf,
   NodeEntry,
   PeerMessage,
 } from "../model/peer-message.ts";
 import type { FeedStore, RecordDecoder } from "../adapter.ts";
 import type { RelayKernel } from "../services.ts";
-import { NodeDirectory } from "./node-directory.ts";
+import { Connector, type LinkListener } from "./connector.ts";
 import { FeedExchange } from "./feed-exchange.ts";
+import { createForwardedMessage, Forwarder } from "./forwarder.ts";
+import { type Link, sendBytes } from "./link.ts";
+import { NodeDirectory } from "./node-directory.ts";
 import { decodeMessage, encodeMessage } from "./peer-codec.ts";
 import type {
   ForwardedKind,
@@ -32,8 +34,9 @@
   Peer,
   PlacementRole,
 } from "./peer.ts";
-import { PeerLoads } from "./peer-loads.ts";
-import { IdleTimeout } from "./idle-timeout.ts";
+import type { PeerLoads } from "./peer-loads.ts";
+import { PeerTable } from "./peer-table.ts";
+import { TopologyRole } from "../model/peer-message.ts";
 
 type Heartbeat = MessageOf<"beat">;
 
@@ -45,43 +48,33 @@
   ) => void;
 };
 
-/** An open connection to another node. */
-interface Link {
-  readonly entry: NodeEntry;
-  readonly connection: PeerConnection;
-  lastMessageAt: number;
-  lastHeartbeat: Heartbeat | undefined;
-}
-
 const MIN_HEARTBEAT_INTERVAL_MS = 150;
-/** Keeps the total rate linear, not quadratic, in the number of nodes. */
+/** Keeps the total rate of a full mesh linear in the number of nodes. */
 const HEARTBEAT_INTERVAL_MS_PER_PEER = 15;
-/** Heartbeat intervals without a message after which a connection is closed. */
+/** A hub sends each spoke one message in this time. */
+const HUB_HEARTBEAT_INTERVAL_MS = 300;
+/** Heartbeat intervals without a message after which a peer is lost. */
 const MAX_MISSED_HEARTBEATS = 6;
-const CONNECT_TIMEOUT_MS = 500;
-const RECONNECT_DELAY_MS = 200;
-const MAX_RECONNECT_DELAY_MS = 2000;
-/** A peer that does not read is disconnected, so that no sender waits. */
-const MAX_QUEUED_BYTES = 4 * 1024 * 1024;
 const ANNOUNCE_RETRY_DELAY_MS = 500;
+/** A hub whose feed is older than this does not replace reads of the store. */
+const MAX_SUPPLIED_AGE_MS = 2500;
 
-/** Keeps a connection to each other node. */
+/** Exchanges messages with all other nodes, directly or through hubs. */
 export class Mesh implements Service {
   #clock: Clock;
   #logger: Logger;
   #random: Random;
-  #transport: PeerTransport;
   #store: FeedStore;
   #decoder: RecordDecoder;
   #exchange: FeedExchange;
   #lifecycle: Lifecycle;
   #capacityMonitor: CapacityMonitor;
-  #ownEntry: NodeEntry;
   #directory: NodeDirectory;
+  #connector: Connector;
+  #peers: PeerTable;
+  #forwarder: Forwarder;
   #tasks: TaskGroup;
-  #links = new Map<string, Link>();
-  #peerLoads = new PeerLoads();
-  #dialed = new Set<string>();
+  #sequence = 0;
   #readOutstanding: OutstandingSource = () => [];
   #readRole = (): PlacementRole => ({ isHolder: false, isCandidate: false });
   #listeners: MessageListeners = {};
@@ -90,23 +83,33 @@
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#random = kernel.find("random");
-    this.#transport = kernel.find("peerTransport");
     this.#store = kernel.find("topics");
     this.#decoder = kernel.find("decoder");
     this.#exchange = new FeedExchange(kernel);
     this.#lifecycle = kernel.find("lifecycle");
     this.#capacityMonitor = kernel.find("intake");
     const { node } = kernel.find("settings");
-    this.#ownEntry = {
+    this.#directory = new NodeDirectory({
       name: node.name,
       incarnation: this.#random.id(),
       dataCentre: node.dataCentre,
       publicAddress: node.publicAddress,
       peerAddress: node.peerAddress,
-    };
-    this.#directory = new NodeDirectory(this.#ownEntry);
+    });
+    this.#peers = new PeerTable(this.#clock);
+    this.#connector = new Connector(
+      kernel,
+      this.#directory,
+      this.#linkListener,
+    );
+    this.#forwarder = new Forwarder(
+      this.#clock,
+      this.#connector.links,
+      (name) => this.#peers.findVia(name),
+    );
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
-    kernel.find("feeds").onChange("nodes", (records) => {
+    const feeds = kernel.find("feeds");
+    feeds.onChange("nodes", (records) => {
       for (const { value } of records) {
         const entry = value === undefined
           ? undefined
@@ -117,28 +120,29 @@
         });
       }
     });
+    feeds.pauseReadsWhile((feed) =>
+      this.#connector.links.listByRole("hub").some((hub) =>
+        this.#connector.role === "spoke" &&
+        this.#exchange.suppliedAgeMs(hub.entry.name, feed) <
+          MAX_SUPPLIED_AGE_MS
+      )
+    );
   }
 
   async start(): Promise<void> {
-    await this.#transport.listen(
-      this.#ownEntry.peerAddress,
-      (connection) => this.#accept(connection),
-    );
+    await this.#connector.start();
     this.#tasks.run("announce", (signal) => this.#announce(signal));
     this.#tasks.run("beat", (signal) => this.#sendHeartbeats(signal));
     this.#lifecycle.onChange(() => this.broadcastHeartbeat());
   }
 
   async stop(): Promise<void> {
-    for (const link of this.#links.values()) {
-      link.connection.close();
-    }
-    await this.#tasks.stop();
+    await Promise.all([this.#connector.stop(), this.#tasks.stop()]);
   }
 
   /** This node's entry. */
   get ownEntry(): NodeEntry {
-    return this.#ownEntry;
+    return this.#directory.own;
   }
 
   /** Sets the source of the requests in progress that heartbeats report. */
@@ -159,64 +163,64 @@
     this.#listeners[kind] = listener;
   }
 
-  /** Connected nodes other than this one. */
+  /** Other nodes whose heartbeats arrive. */
   list(): Peer[] {
-    const now = this.#clock.now();
-    return [...this.#links.values()].map((
-      { entry, lastHeartbeat, lastMessageAt },
-    ) => ({
-      entry,
-      isServing: lastHeartbeat?.isServing ?? false,
-      holdsPlacement: lastHeartbeat?.holdsPlacement ?? false,
-      seeksPlacement: lastHeartbeat?.seeksPlacement ?? false,
-      capacity: lastHeartbeat?.capacity ?? 0,
-      silentMs: now - lastMessageAt,
-    }));
+    return this.#peers.list();
   }
 
   /** The requests in progress that the other nodes report. */
   get peerLoads(): Omit<PeerLoads, "update" | "remove"> {
-    return this.#peerLoads;
+    return this.#peers.loads;
   }
 
   /** Number of known nodes, connected or not, including this one. */
   countNodes(): number {
-    return Math.max(this.#links.size, this.#directory.list().length) + 1;
+    return this.#directory.count;
   }
 
-  /** Sends a message to one peer, if it is connected. */
+  /** Sends a message to one node, if there is a way to it. */
   sendTo({ name }: NodeEntry, message: PeerMessage): void {
-    const link = this.#links.get(name);
+    const link = this.#connector.links.find(name);
     if (link !== undefined) {
-      this.#send(link, message);
+      this.#connector.links.send([link], encodeMessage(message));
+      return;
     }
+    this.#forwarder.forward(
+      createForwardedMessage(this.ownEntry, message, { target: name }),
+      undefined,
+    );
   }
 
-  /** Sends a message to every peer. */
+  /** Sends a message to every node. */
   broadcast(message: PeerMessage): void {
-    const bytes = encodeMessage(message);
-    this.#links.forEach((link) => this.#sendBytes(link, bytes));
+    const { links } = this.#connector;
+    links.send(links.list(), encodeMessage(message));
   }
 
-  /** Sends a heartbeat to all peers immediately. */
+  /** Sends a heartbeat to all nodes immediately. */
   broadcastHeartbeat(): void {
-    this.broadcast(this.#createHeartbeat());
+    this.broadcast({ ...this.#createHeartbeat(), isUrgent: true });
   }
 
   dump(): unknown {
-    return [...this.#links.values()].map((
-      { entry, lastMessageAt, lastHeartbeat },
-    ) => ({
-      name: entry.name,
-      heardMsAgo: Math.round(this.#clock.now() - lastMessageAt),
-      isServing: lastHeartbeat?.isServing,
-      offsets: lastHeartbeat?.offsets,
-    }));
+    return {
+      role: this.#connector.role,
+      links: this.#connector.links.list().map(({ entry, role }) => ({
+        name: entry.name,
+        role,
+      })),
+      peers: this.list().map(({ entry, silentMs, isServing }) => ({
+        name: entry.name,
+        heardMsAgo: Math.round(silentMs),
+        isServing,
+        offsets: this.#peers.findHeartbeat(entry.name)?.offsets,
+      })),
+    };
   }
 
   async #announce(signal: AbortSignal): Promise<void> {
     for (;;) {
-      const written = await this.#store.announceNode(this.#ownEntry, signal);
+      const written = await this.#store.announceNode(this.ownEntry, signal);
       if (written.isOk || signal.aborted) {
         return;
       }
@@ -229,205 +233,188 @@
 
   async #sendHeartbeats(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      this.broadcastHeartbeat();
+      this.#sendHeartbeat();
+      this.#peers.removeSilent(this.#timeoutMs);
       await this.#clock.sleep(this.#heartbeatIntervalMs, signal);
     }
   }
 
+  /** Sends a heartbeat, and those of others to the ends that need them. */
+  #sendHeartbeat(): void {
+    const heartbeat = this.#createHeartbeat();
+    const { links } = this.#connector;
+    for (const role of TopologyRole.options) {
+      const targets = links.listByRole(role);
+      if (targets.length > 0) {
+        const forwarded = this.#forwarder.listHeartbeats(role);
+        links.send(targets, encodeMessage({ ...heartbeat, forwarded }));
+      }
+    }
+    this.#forwarder.clearHeartbeats();
+  }
+
+  get #timeoutMs(): number {
+    return MAX_MISSED_HEARTBEATS * this.#heartbeatIntervalMs;
+  }
+
   get #heartbeatIntervalMs(): number {
-    return Math.max(
-      MIN_HEARTBEAT_INTERVAL_MS,
-      HEARTBEAT_INTERVAL_MS_PER_PEER * this.#links.size,
-    );
+    return this.#connector.role === "peer"
+      ? Math.max(
+        MIN_HEARTBEAT_INTERVAL_MS,
+        HEARTBEAT_INTERVAL_MS_PER_PEER * this.#connector.links.list().length,
+      )
+      : HUB_HEARTBEAT_INTERVAL_MS;
   }
 
   #createHeartbeat(): Heartbeat {
     const { isHolder, isCandidate } = this.#readRole();
+    this.#sequence++;
     return {
       kind: "beat",
+      sequence: this.#sequence,
+      isUrgent: false,
       isServing: this.#lifecycle.isServing,
       holdsPlacement: isHolder,
       seeksPlacement: isCandidate,
       capacity: this.#capacityMonitor.capacity,
       ...this.#exchange.describeProgress(),
       outstanding: [...this.#readOutstanding()],
+      forwarded: [],
     };
   }
 
-  /** Adds a node; of two nodes, the one whose name sorts first connects. */
   #addNode(entry: NodeEntry): void {
-    if (!this.#directory.add(entry)) {
-      return;
-    }
-    const { name } = entry;
-    if (this.#ownEntry.name < name && !this.#dialed.has(name)) {
-      this.#dialed.add(name);
-      this.#tasks.run(`dial_${name}`, (signal) => this.#dial(name, signal));
-    }
-  }
-
-  async #dial(name: string, signal: AbortSignal): Promise<void> {
-    let failures = 0;
-    while (!signal.aborted) {
-      const entry = this.#directory.find(name)!;
-      try {
-        const connection = await withDeadline(
-          this.#clock,
-          CONNECT_TIMEOUT_MS,
-          signal,
-          (connectSignal) =>
-            this.#transport.connect(entry.peerAddress, connectSignal),
-        );
-        failures = 0;
-        await this.#serveConnection(connection, signal);
-      } catch (error) {
-        failures++;
-        this.#logger.debug("peer_unreachable", {
-          peer: name,
-          error: describeError(error),
-        });
-      }
-      const delayMs = Math.min(
-        MAX_RECONNECT_DELAY_MS,
-        RECONNECT_DELAY_MS * 2 ** failures,
-      );
-      await this.#clock.sleep(
-        delayMs * (1 + this.#random.fraction()) / 2,
-        signal,
-      );
+    if (this.#directory.add(entry)) {
+      this.#connector.planSoon();
     }
   }
 
-  #accept(connection: PeerConnection): void {
-    this.#tasks.run(
-      "accepted_peer",
-      (signal) => this.#serveConnection(connection, signal),
-    );
-  }
-
-  /** Serves one connection until it ends or times out. */
-  async #serveConnection(
-    connection: PeerConnection,
-    signal: AbortSignal,
-  ): Promise<void> {
-    let link: Link | undefined;
-    const idleTimeout = new IdleTimeout(
-      this.#clock,
-      MAX_MISSED_HEARTBEATS * this.#heartbeatIntervalMs,
-      () => connection.close(),
-    );
-    connection.send(encodeMessage({
-      kind: "hello",
-      entry: this.#ownEntry,
-      known: this.#directory.listAll(),
-    }));
-    connection.send(encodeMessage(this.#createHeartbeat()));
-    try {
-      for (;;) {
-        const bytes = await connection.receive(signal);
-        if (bytes === undefined) {
-          return;
-        }
-        idleTimeout.reset(MAX_MISSED_HEARTBEATS * this.#heartbeatIntervalMs);
-        link = this.#handleMessage(connection, link, bytes);
-      }
-    } finally {
-      idleTimeout.cancel();
-      connection.close();
-      this.#removeLink(link);
-    }
-  }
-
-  /** Handles one message; the first one identifies the peer. */
-  #handleMessage(
-    connection: PeerConnection,
-    link: Link | undefined,
-    bytes: Uint8Array,
-  ): Link | undefined {
-    const decoded = decodeMessage(bytes);
-    if (decoded.isErr) {
-      this.#logger.warn("peer_message_unreadable", {
-        peer: link?.entry.name,
-        error: decoded.error,
-      });
-      return link;
-    }
-    const message = decoded.value;
-    const identified = message.kind === "hello"
-      ? this.#addLink(connection, message)
-      : link;
-    if (identified !== undefined) {
-      identified.lastMessageAt = this.#clock.now();
+  readonly #linkListener: LinkListener = {
+    createFirstMessages: () => [this.#createHeartbeat()],
+    getIdleTimeoutMs: () => this.#timeoutMs,
+    onMessage: (link, message) => {
+      this.#peers.recordMessage(link.entry, link.entry.name);
       const handle = this.#handlers[message.kind] as (
         link: Link,
         message: PeerMessage,
       ) => void;
-      handle(identified, message);
-    }
-    return identified;
-  }
-
-  #addLink(connection: PeerConnection, { entry }: MessageOf<"hello">): Link {
-    const { name } = entry;
-    this.#links.get(name)?.connection.close();
-    const link: Link = {
-      entry,
-      connection,
-      lastMessageAt: this.#clock.now(),
-      lastHeartbeat: undefined,
-    };
-    this.#links.set(name, link);
-    this.#logger.info("peer_connected", { peer: name });
-    return link;
-  }
-
-  #removeLink(link: Link | undefined): void {
-    if (link !== undefined && this.#links.get(link.entry.name) === link) {
-      this.#links.delete(link.entry.name);
-      this.#exchange.remove(link.entry.name);
-      this.#peerLoads.remove(link.entry.name);
-      this.#logger.info("peer_lost", {
-        peer: link.entry.name,
-        heard_ms_ago: Math.round(this.#clock.now() - link.lastMessageAt),
-      });
-    }
-  }
+      handle(link, message);
+    },
+    onClose: ({ entry }) => {
+      this.#exchange.remove(entry.name);
+      this.#peers.remove(entry.name);
+      this.#logger.info("peer_lost", { peer: entry.name });
+    },
+  };
 
+  /** Handlers of messages from the other end of a link. */
   readonly #handlers: Handlers = {
-    hello: (_link, { entry, known }) => {
+    hello: (link, { entry, known }) => {
       this.#addNode(entry);
       known.forEach((other) => this.#addNode(other));
+      if (link.role === "spoke") {
+        // A spoke that starts has to know at once who holds placement.
+        const forwarded = this.#peers.listForwarded();
+        this.#reply(link, { ...this.#createHeartbeat(), forwarded });
+      }
     },
     beat: (link, heartbeat) => {
-      link.lastHeartbeat = heartbeat;
-      this.#peerLoads.update(
-        link.entry.name,
-        heartbeat.outstanding,
-        this.#clock.now(),
+      const { name } = link.entry;
+      this.#peers.recordHeartbeat(link.entry, heartbeat);
+      this.#exchange.listFetches(name, heartbeat)
+        .forEach((fetch) => this.#reply(link, fetch));
+      const own = { ...heartbeat, forwarded: [] };
+      this.#forwardHeartbeat(
+        link,
+        heartbeat,
+        createForwardedMessage(link.entry, own),
+      );
+      heartbeat.forwarded.forEach((message) =>
+        this.#handleForwarded(link, message)
       );
-      this.#exchange.listFetches(link.entry.name, heartbeat)
-        .forEach((fetch) => this.#send(link, fetch));
     },
+    forward: (link, { messages }) =>
+      messages.forEach((message) => this.#handleForwarded(link, message)),
     fetch: (link, message) =>
-      this.#send(link, this.#exchange.answerFetch(message)),
+      this.#reply(link, this.#exchange.answerFetch(message)),
     records: (link, message) =>
       this.#exchange.applyRecords(link.entry.name, message),
-    news: (link, message) => this.#listeners.news?.(message, link.entry),
-    suspect: (link, message) => this.#listeners.suspect?.(message, link.entry),
-    release: (link, message) => this.#listeners.release?.(message, link.entry),
+    news: (link, message) => this.#handleAndForward(link, message),
+    suspect: (link, message) => this.#handleAndForward(link, message),
+    release: (link, message) => this.#handleAndForward(link, message),
     released: (link, message) =>
       this.#listeners.released?.(message, link.entry),
   };
 
-  #send(link: Link, message: PeerMessage): void {
-    this.#sendBytes(link, encodeMessage(message));
+  #handleAndForward(
+    link: Link,
+    message: MessageOf<Exclude<ForwardedKind, "released">>,
+  ): void {
+    this.#notifyListener(link.entry, message);
+    this.#forwarder.forward(createForwardedMessage(link.entry, message), link);
   }
 
-  #sendBytes({ connection }: Link, bytes: Uint8Array): void {
-    if (connection.queuedBytes > MAX_QUEUED_BYTES) {
-      connection.close();
+  /** Handles a message that another node sent, and forwards it further. */
+  #handleForwarded(link: Link, message: ForwardedMessage): void {
+    const { origin, incarnation, target, ageMs, content } = message;
+    const { own } = this.#directory;
+    if (origin === own.name) {
+      return;
+    }
+    if (target !== undefined && target !== own.name) {
+      this.#forwarder.forward(message, link);
       return;
     }
-    connection.send(bytes);
+    const decoded = decodeMessage(content);
+    if (decoded.isErr) {
+      this.#logger.warn("peer_message_unreadable", {
+        peer: origin,
+        error: decoded.error,
+      });
+      return;
+    }
+    const entry = this.#directory.find(origin);
+    const isKnown = entry?.incarnation === incarnation;
+    // Messages of a linked node also arrive directly.
+    const isLinked = this.#connector.links.find(origin) !== undefined;
+    if (isKnown && !isLinked) {
+      this.#peers.recordMessage(entry, link.entry.name, ageMs);
+    }
+    if (decoded.value.kind === "beat") {
+      if (isKnown && !isLinked) {
+        this.#peers.recordHeartbeat(entry, decoded.value, ageMs);
+      }
+      this.#forwardHeartbeat(link, decoded.value, message);
+      return;
+    }
+    if (isKnown) {
+      this.#notifyListener(entry, decoded.value);
+    }
+    if (target === undefined) {
+      this.#forwarder.forward(message, link);
+    }
+  }
+
+  #forwardHeartbeat(
+    link: Link,
+    { isUrgent }: Heartbeat,
+    message: ForwardedMessage,
+  ): void {
+    if (isUrgent) {
+      this.#forwarder.forward(message, link);
+    } else {
+      this.#forwarder.addHeartbeat(message, link);
+    }
+  }
+
+  #notifyListener(sender: NodeEntry, message: PeerMessage): void {
+    const listener = this.#listeners[message.kind as ForwardedKind] as
+      | ((message: PeerMessage, sender: NodeEntry) => void)
+      | undefined;
+    listener?.(message, sender);
+  }
+
+  #reply({ connection }: Link, message: PeerMessage): void {
+    sendBytes(connection, encodeMessage(message));
   }
 }
--- a/packages/relay/src/peers/node-directory.ts
+++ b/packages/relay/src/peers/node-directory.ts
@@ -14,6 +14,16 @@
     this.#own = own;
   }
 
+  /** This node's entry. */
+  get own(): NodeEntry {
+    return this.#own;
+  }
+
+  /** Number of known nodes, including this one. */
+  get count(): number {
+    return this.#entries.size + 1;
+  }
+
   /** The other nodes. */
   list(): NodeEntry[] {
     return [...this.#entries.values()];
--- a/packages/relay/src/peers/peer-loads.ts
+++ b/packages/relay/src/peers/peer-loads.ts
@@ -5,44 +5,56 @@
  */
 import type { OutstandingCount } from "../model/peer-message.ts";
 
-/** One node's requests at one instance. */
+/** One node's requests at one instance, by its last heartbeat. */
 interface InstanceLoad {
   readonly requests: number;
+  /** When the heartbeat was sent, by this node's clock. */
+  readonly reportedAt: number;
   /** When that node last received an event, by this node's clock. */
   readonly lastEventAt: number;
 }
 
-/** The content of one node's last heartbeat. */
-interface PeerReport {
-  readonly receivedAt: number;
-  readonly loads: ReadonlyMap<string, InstanceLoad>;
-}
-
-/** The loads that each peer's last heartbeat reported, by peer and instance. */
+/** The loads that each peer's last heartbeat reported, by instance and peer. */
 export class PeerLoads {
-  #reports = new Map<string, PeerReport>();
+  #loads = new Map<string, Map<string, InstanceLoad>>();
+  #instancesByPeer = new Map<string, readonly string[]>();
 
-  /** Replaces the loads of a peer by those of a heartbeat that arrived now. */
-  update(peer: string, counts: readonly OutstandingCount[], now: number): void {
-    const loads = new Map(
-      counts.map(([instance, requests, eventAgeMs]) => [instance, {
+  /** Replaces the loads of a peer by those of a heartbeat sent at `sentAt`. */
+  update(
+    peer: string,
+    counts: readonly OutstandingCount[],
+    sentAt: number,
+  ): void {
+    this.remove(peer);
+    for (const [instance, requests, eventAgeMs] of counts) {
+      const byPeer = this.#loads.get(instance) ?? new Map();
+      this.#loads.set(instance, byPeer);
+      byPeer.set(peer, {
         requests,
-        lastEventAt: eventAgeMs === null ? -Infinity : now - eventAgeMs,
-      }]),
-    );
-    this.#reports.set(peer, { receivedAt: now, loads });
+        reportedAt: sentAt,
+        lastEventAt: eventAgeMs === null ? -Infinity : sentAt - eventAgeMs,
+      });
+    }
+    this.#instancesByPeer.set(peer, counts.map(([instance]) => instance));
   }
 
   /** Removes a peer whose connection ended. */
   remove(peer: string): void {
-    this.#reports.delete(peer);
+    for (const instance of this.#instancesByPeer.get(peer) ?? []) {
+      const byPeer = this.#loads.get(instance);
+      byPeer?.delete(peer);
+      if (byPeer?.size === 0) {
+        this.#loads.delete(instance);
+      }
+    }
+    this.#instancesByPeer.delete(peer);
   }
 
   /** Requests of all peers at an instance. */
   count(instance: string): number {
     let count = 0;
-    for (const { loads } of this.#reports.values()) {
-      count += loads.get(instance)?.requests ?? 0;
+    for (const { requests } of this.#list(instance)) {
+      count += requests;
     }
     return count;
   }
@@ -53,22 +65,22 @@
    */
   estimateCount(instance: string, meanMs: number, now: number): number {
     let count = 0;
-    for (const { receivedAt, loads } of this.#reports.values()) {
-      const requests = loads.get(instance)?.requests ?? 0;
-      count += requests * Math.exp((receivedAt - now) / meanMs);
+    for (const { requests, reportedAt } of this.#list(instance)) {
+      count += requests * Math.exp((reportedAt - now) / meanMs);
     }
     return count;
   }
 
   /** When any peer last received an event of an instance. */
   findLastEventAt(instance: string): number {
-    let lastEventAt = -Infinity;
-    for (const { loads } of this.#reports.values()) {
-      lastEventAt = Math.max(
-        lastEventAt,
-        loads.get(instance)?.lastEventAt ?? -Infinity,
-      );
+    let latest = -Infinity;
+    for (const { lastEventAt } of this.#list(instance)) {
+      latest = Math.max(latest, lastEventAt);
     }
-    return lastEventAt;
+    return latest;
+  }
+
+  #list(instance: string): Iterable<InstanceLoad> {
+    return this.#loads.get(instance)?.values() ?? [];
   }
 }
--- a/packages/relay/src/placement/holder-elector.ts
+++ b/packages/relay/src/placement/holder-elector.ts
@@ -37,9 +37,11 @@
 const MAX_YIELD_MS = 3000;
 /**
  * A node that has just started waits this long to hear from the nodes that it
- * knows. Connections to running nodes are open and in use within 0.3 s.
+ * knows. Connections to running nodes are open and in use within 0.3 s, and the
+ * more nodes there are, the longer a node waits before it connects.
  */
 const STARTUP_WAIT_MS = 1000;
+const STARTUP_WAIT_MS_PER_NODE = 10;
 /** Nodes without a holder join at random times, on average this far apart. */
 const JOIN_JITTER_MS_PER_NODE = 15;
 /** Orders end this long before the store may give placement to another node. */
@@ -196,7 +198,9 @@
     canYield: boolean,
     now: number,
   ): boolean {
-    const isWaitingForReports = now - this.#startedAt < STARTUP_WAIT_MS &&
+    const startupWaitMs = STARTUP_WAIT_MS +
+      STARTUP_WAIT_MS_PER_NODE * this.#mesh.countNodes();
+    const isWaitingForReports = now - this.#startedAt < startupWaitMs &&
       !this.#hasReportsFromAll(peers);
     const isPeerJoining = canYield &&
       peers.some(({ seeksPlacement }) => seeksPlacement);
--- a/packages/relay/test/peers/feed-exchange.test.ts
+++ b/packages/relay/test/peers/feed-exchange.test.ts
@@ -15,6 +15,8 @@
     offsets: { configuration: 0, instances },
     agesMs: { configuration: 5, instances: 7 },
     outstanding: [],
+    isUrgent: false,
+    forwarded: [],
   };
 }
 
@@ -29,6 +31,7 @@
     delayMs: 0,
     batchDelayMs: () => feeds.delayMs,
     isReachable: () => feeds.isStoreReachable,
+    isPaused: () => false,
     markUpToDate: (_feed: string, ageMs: number) => {
       feeds.currentAges.push(ageMs);
     },
