Keep connections to upstreams for requests that may be repeated

Requests that may run once never use a kept connection. On a kept connection a response has to name the attempt; another one says nothing about the request and closes the connection, as does any end before the response is complete.

--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -15,6 +15,7 @@
   OutstandingRequests,
 } from "../routing/outstanding-requests.ts";
 import { RetryBudget } from "../routing/retry-budget.ts";
+import { ConnectionPool } from "./connection-pool.ts";
 import type { RelayKernel } from "../services.ts";
 import {
   type AttemptFault,
@@ -59,6 +60,7 @@
   #dispatcher: Dispatcher;
   #outstanding: OutstandingRequests;
   #retryBudget: RetryBudget;
+  #pool: ConnectionPool;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -67,6 +69,7 @@
     this.#instances = kernel.find("instances");
     this.#dispatcher = kernel.find("dispatcher");
     this.#outstanding = kernel.find("outstanding");
+    this.#pool = new ConnectionPool(this.#clock);
     const mesh = kernel.find("mesh");
     this.#retryBudget = new RetryBudget(
       this.#clock,
@@ -125,8 +128,15 @@
       this.#retryBudget.tryWithdraw(service.name);
   }
 
+  stop(): void {
+    this.#pool.close();
+  }
+
   dump(): unknown {
-    return { budget: this.#retryBudget.dump() };
+    return {
+      budget: this.#retryBudget.dump(),
+      idleConnections: this.#pool.size,
+    };
   }
 
   #choose(
@@ -151,7 +161,7 @@
     lastEventId: string | undefined,
   ): Promise<Result<OpenAttempt, AttemptFault>> {
     const { instance, group } = choice;
-    const exchange = new Exchange(instance.address);
+    const exchange = this.#createExchange(request, instance);
     const outstandingRequest = this.#outstanding.begin(
       instance.id,
       group,
@@ -204,7 +214,12 @@
       upstreamResponse.headers,
     );
     this.#noteUpstreamState(request, instance, responseMetadata);
-    const fault = findFault(request, upstreamResponse, responseMetadata);
+    const fault = findFault(
+      request,
+      upstreamResponse,
+      responseMetadata,
+      exchange.isKept,
+    );
     if (fault !== undefined) {
       if (upstreamResponse.status === MISDIRECTED_STATUS) {
         this.#dispatcher.markMisdirected(choice);
@@ -222,6 +237,21 @@
     });
   }
 
+  /**
+   * A request that must not run twice gets a connection of its own: the close
+   * of a kept one may cross with the request, which then may have run.
+   */
+  #createExchange({ route }: RelayedRequest, instance: Instance): Exchange {
+    if (route.kind !== "idempotent" && !route.isResumable) {
+      return new Exchange(instance.address);
+    }
+    return new Exchange(
+      instance.address,
+      this.#pool.take(instance),
+      (connection) => this.#pool.put(instance, connection),
+    );
+  }
+
   /** Notes what an upstream says of itself in its response. */
   #noteUpstreamState(
     { id }: RelayedRequest,
@@ -348,8 +378,13 @@
   { metadata: { attemptId } }: RelayedRequest,
   { status }: UpstreamResponse,
   metadata: ResponseMetadata,
+  isKeptConnection: boolean,
 ): AttemptFault | undefined {
-  if (metadata.attemptId !== undefined && metadata.attemptId !== attemptId) {
+  // On a kept connection, a response without an id may belong to any request.
+  const isOther = metadata.attemptId === undefined
+    ? isKeptConnection
+    : metadata.attemptId !== attemptId;
+  if (isOther) {
     return createFault(
       "may-have-run",
       "the response belongs to another request",
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -1,17 +1,19 @@
 /**
- * One request to one upstream instance, on its own connection.
+ * One request to one upstream instance.
  *
- * A reused connection may carry a late response to an earlier request. The
- * upstream may also close it just as a request is sent that must not run twice.
+ * A kept connection may carry a late response to an earlier request, so the
+ * response must name the request. The upstream may also close the connection
+ * just as a request is sent, so a request that must not run twice never uses a
+ * kept one.
  *
  * @module
  */
 import type { Buffer } from "node:buffer";
-import type { Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import { type Clock, describeError } from "@zinniahill/kernel";
 import type { Verdict } from "@zinniahill/schema";
 import { Result } from "true-myth";
-import { buildConnector, Client } from "undici";
+import { UpstreamConnection } from "./upstream-connection.ts";
 
 /** A request to an upstream instance. */
 export interface UpstreamRequest {
@@ -40,51 +42,50 @@
   readonly message: string;
 }
 
-/** A reachable upstream accepts a connection within a few ms. */
-const CONNECT_TIMEOUT_MS = 250;
-
 /** Buffered responses are a few kB; a node holds hundreds of them at once. */
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
-/** An empty line before the next request, which HTTP servers ignore. */
-const RESET_PROBE = "\r\n";
+/** Where an exchange leaves a connection that it does not need any more. */
+type ConnectionSink = (connection: UpstreamConnection) => void;
 
 /** One attempt; it must be closed after use. */
 export class Exchange {
-  #client: Client;
+  #connection: UpstreamConnection;
+  #isKept: boolean;
+  #keep: ConnectionSink | undefined;
   #controller = new AbortController();
-  #hasConnected = false;
-  #isReset = false;
-
-  constructor(address: string) {
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-    this.#client = new Client(`http://${address}`, {
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      pipelining: 1,
-      connect: (target, callback) => {
-        connect(target, (...result) => {
-          // A caller disconnect that is read in the same event loop turn is
-          // handled first, so that its request is not sent.
-          setImmediate(() => {
-            // With a failure, undici passes no socket argument, not even null.
-            if (result[0] === null && result[1] !== null && !this.#isClosed) {
-              this.#watch(result[1]);
-            }
-            callback(...result);
-          });
-        });
-      },
-    });
+  #isSent = false;
+  /** Whether the connection has carried a complete response, and is open. */
+  #isReusable = false;
+  /** Whether the connection no longer belongs to this exchange. */
+  #isKeptFurther = false;
+
+  /**
+   * Uses a new connection, or a kept one. With `keep`, the connection goes
+   * there once the response was read completely.
+   */
+  constructor(
+    address: string,
+    kept?: UpstreamConnection | undefined,
+    keep?: ConnectionSink | undefined,
+  ) {
+    this.#connection = kept ?? new UpstreamConnection(address);
+    this.#isKept = kept !== undefined;
+    this.#keep = keep;
   }
 
   /** Whether the upstream may have received the request. */
   get hasConnected(): boolean {
-    return this.#hasConnected;
+    return this.#isKept ? this.#isSent : this.#connection.hasConnected;
+  }
+
+  /** Whether the connection has carried responses to other requests. */
+  get isKept(): boolean {
+    return this.#isKept;
   }
 
   get #isClosed(): boolean {
-    return this.#controller.signal.aborted;
+    return this.#isKeptFurther || this.#controller.signal.aborted;
   }
 
   /** Sends a request and waits for the response head. */
@@ -92,12 +93,18 @@
     request: UpstreamRequest,
   ): Promise<Result<UpstreamResponse, AttemptFault>> {
     try {
-      const response = await this.#client.request({
+      if (this.#isKept) {
+        // A caller disconnect that is read in the same event loop turn is
+        // handled first, so that its request is not sent.
+        await setImmediate();
+      }
+      this.#isSent = !this.#isClosed;
+      const response = await this.#connection.request({
         method: request.method as "GET",
         path: request.target,
         headers: [...request.headers],
         body: request.body.length > 0 ? request.body : null,
-        reset: true,
+        reset: this.#keep === undefined,
         responseHeaders: "raw",
         signal: this.#controller.signal,
       });
@@ -105,6 +112,11 @@
       const headers = indexHeaders(rawHeaders);
       // Ignores the error that a body emits when it is discarded unread.
       response.body.on("error", () => {});
+      if (this.#keep !== undefined && isKeepAlive(headers)) {
+        response.body.once("end", () => {
+          this.#isReusable = true;
+        });
+      }
       return Result.ok({
         status: response.statusCode,
         rawHeaders,
@@ -118,28 +130,13 @@
     }
   }
 
-  #watch(socket: Socket): void {
-    this.#hasConnected = true;
-    // undici also closes connections with errors of its own, which have no
-    // `syscall`.
-    socket.on("error", (failure) => {
-      this.#isReset ||= "syscall" in failure;
-    });
-    // A reset that arrives together with the last bytes is reported as a normal
-    // end. Only a write tells the two apart: after a reset it fails at once.
-    socket.on("end", () => {
-      socket.write(RESET_PROBE);
-      this.#isReset ||= socket.errored !== null;
-    });
-  }
-
   /**
    * Reads a body without a length, which ends with its connection. undici
    * treats it as complete even if the connection was reset.
    */
   async *#readUntilClose(body: AsyncIterable<Buffer>): AsyncGenerator<Buffer> {
     yield* body;
-    if (this.#isReset) {
+    if (this.#connection.isReset) {
       throw new Error("the connection was reset within the body");
     }
   }
@@ -147,18 +144,26 @@
   /** Converts an error of this attempt to a fault. */
   createFault(failure: unknown): AttemptFault {
     return {
-      verdict: this.#hasConnected ? "may-have-run" : "not-run",
+      verdict: this.hasConnected ? "may-have-run" : "not-run",
       message: describeError(failure),
     };
   }
 
-  /** Closes the connection at once, which also aborts the upstream's work. */
+  /**
+   * Ends the exchange. Unless the response was read completely, this closes the
+   * connection, which also aborts the upstream's work.
+   */
   close(reason: Error): void {
-    if (!this.#isClosed) {
-      this.#controller.abort(reason);
-      // Errors while closing are irrelevant: the attempt has already ended.
-      this.#client.destroy(reason).catch(() => {});
+    if (this.#isClosed) {
+      return;
     }
+    if (this.#isReusable && this.#connection.isOpen) {
+      this.#isKeptFurther = true;
+      this.#keep?.(this.#connection);
+      return;
+    }
+    this.#controller.abort(reason);
+    this.#connection.close(reason);
   }
 }
 
@@ -167,6 +172,12 @@
   return headers.has("content-length") || headers.has("transfer-encoding");
 }
 
+/** Whether the connection stays open after the response. */
+function isKeepAlive(headers: ReadonlyMap<string, string>): boolean {
+  const connection = headers.get("connection")?.toLowerCase() ?? "";
+  return hasBodyFraming(headers) && !connection.includes("close");
+}
+
 /** With `responseHeaders: "raw"`, undici returns a list instead of a record. */
 function convertRawHeaders(headers: unknown): string[] {
   return Array.isArray(headers) ? headers.map(String) : [];
--- /dev/null
+++ b/packages/relay/src/serving/upstream-connection.ts
@@ -0,0 +1,101 @@
+/**
+ * A connection to an upstream instance, which serves one request at a time.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+import { buildConnector, Client } from "undici";
+
+/** A reachable upstream accepts a connection within a few ms. */
+const CONNECT_TIMEOUT_MS = 250;
+/** An idle connection is closed after this time. */
+export const MAX_IDLE_MS = 1000;
+/** A connection is closed this long before the upstream closes it. */
+const IDLE_MARGIN_MS = 500;
+/** An empty line before the next request, which HTTP servers ignore. */
+const RESET_PROBE = "\r\n";
+
+/** Parameters of a request, as undici takes them. */
+export type UpstreamCall = Parameters<Client["request"]>[0];
+
+/** Connects with its first request. */
+export class UpstreamConnection {
+  #client: Client;
+  #socket: Socket | undefined;
+  #hasConnected = false;
+  #isReset = false;
+  #isClosed = false;
+  /** Called when the upstream or this node has closed the connection. */
+  onClose: () => void = () => {};
+
+  constructor(address: string) {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    this.#client = new Client(`http://${address}`, {
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      pipelining: 1,
+      keepAliveTimeout: MAX_IDLE_MS,
+      keepAliveMaxTimeout: MAX_IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      connect: (target, callback) => {
+        connect(target, (...result) => {
+          // A caller disconnect that is read in the same event loop turn is
+          // handled first, so that its request is not sent.
+          setImmediate(() => {
+            // With a failure, undici passes no socket argument, not even null.
+            if (result[0] === null && result[1] !== null && !this.#isClosed) {
+              this.#watch(result[1]);
+            }
+            callback(...result);
+          });
+        });
+      },
+    });
+  }
+
+  /** Whether the upstream may have received bytes. */
+  get hasConnected(): boolean {
+    return this.#hasConnected;
+  }
+
+  /** Whether the upstream has reset the connection. */
+  get isReset(): boolean {
+    return this.#isReset;
+  }
+
+  /** Whether the connection has been established and not closed. */
+  get isOpen(): boolean {
+    return !this.#isClosed && this.#socket?.readyState === "open";
+  }
+
+  request(call: UpstreamCall) {
+    return this.#client.request(call);
+  }
+
+  /** Closes the connection at once, which also aborts the upstream's work. */
+  close(reason: Error): void {
+    if (!this.#isClosed) {
+      this.#isClosed = true;
+      // Errors while closing are irrelevant: nothing waits for a response.
+      this.#client.destroy(reason).catch(() => {});
+      this.onClose();
+    }
+  }
+
+  #watch(socket: Socket): void {
+    this.#socket = socket;
+    this.#hasConnected = true;
+    // undici also closes connections with errors of its own, which have no
+    // `syscall`.
+    socket.on("error", (failure) => {
+      this.#isReset ||= "syscall" in failure;
+    });
+    // A reset that arrives together with the last bytes is reported as a normal
+    // end. Only a write tells the two apart: after a reset it fails at once.
+    socket.on("end", () => {
+      socket.write(RESET_PROBE);
+      this.#isReset ||= socket.errored !== null;
+    });
+    socket.on("close", () => this.onClose());
+  }
+}
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -10,7 +10,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { FleetStore } from "./store.ts";
 
 /** What a runner is created with. */
@@ -82,6 +82,17 @@
   refusesFor: string | undefined;
   /** Attempt whose earlier refusal is sent again in place of each answer. */
   repeatsRefusalOf: string | undefined;
+  /** When a second copy of each plain answer follows it, if it is set. */
+  repeatsAnswersAfterMs: number | undefined;
+  /**
+   * Creates a response to the attempt that was answered last on a connection,
+   * which is sent again before the answer to the next one.
+   */
+  createStaleResponse: ((attempt: string) => string) | undefined;
+  /** Requests whose connection was closed before the answer was complete. */
+  closedRequests = 0;
+  /** Connections that were accepted. */
+  connectionCount = 0;
   /** Events after which a stream breaks off, if it is set. */
   breaksAfter: number | undefined;
   #options: RunnerOptions;
@@ -95,12 +106,14 @@
   #model: string | undefined;
   #staged: string[] = [];
   #membership: Membership | undefined;
+  #lastAttempts = new WeakMap<Socket, string>();
 
   constructor(options: RunnerOptions) {
     this.#options = options;
     this.#server = createServer((request, response) => {
       void this.#serve(request, response);
     });
+    this.#server.on("connection", () => this.connectionCount++);
   }
 
   get address(): string {
@@ -345,16 +358,44 @@
       "x-response-seal": `seal-${this.id}`,
     };
     if (!isEngine) {
+      this.#sendStaleResponse(request, attempt);
       response.writeHead(200, headers).end(`answer to ${attempt}`);
+      this.#repeatAnswer(request, attempt, headers);
       return;
     }
     response.writeHead(200, {
       ...headers,
       "content-type": "text/event-stream",
     });
+    response.on("close", () => {
+      this.closedRequests += Number(!response.writableFinished);
+    });
     void this.#stream(request, response);
   }
 
+  #sendStaleResponse({ socket }: IncomingMessage, attempt: string): void {
+    const previous = this.#lastAttempts.get(socket);
+    this.#lastAttempts.set(socket, attempt);
+    if (previous !== undefined && this.createStaleResponse !== undefined) {
+      socket.write(this.createStaleResponse(previous));
+    }
+  }
+
+  #repeatAnswer(
+    { socket }: IncomingMessage,
+    attempt: string,
+    headers: Readonly<Record<string, string>>,
+  ): void {
+    if (this.repeatsAnswersAfterMs === undefined) {
+      return;
+    }
+    const body = `answer to ${attempt}`;
+    const lines = Object.entries({ ...headers, "content-length": body.length })
+      .map(([name, value]) => `${name}: ${value}`);
+    const copy = ["HTTP/1.1 200 OK", ...lines, "", body].join("\r\n");
+    setTimeout(() => socket.write(copy), this.repeatsAnswersAfterMs);
+  }
+
   async #stream(
     request: IncomingMessage,
     response: ServerResponse,
