--- a/packages/relay/src/peers/topology.ts
+++ b/packages/relay/src/peers/topology.ts
@@ -20,7 +20,7 @@
 }
 
 /** Above this, a full mesh takes more of a node than its requests do. */
-const MAX_FULL_MESH_NODES = 48;
+const MAX_FULL_MESH_NODES = 16;
 /** Limits the messages that a hub handles. */
 const MAX_NODES_PER_HUB = 24;
 
