Split the handling of peers' messages from the mesh

Change: MessageRouter holds the handlers by kind and the forwarding; the mesh keeps heartbeats, topology and its interface. Result: 39 tests of packages/relay/test/peers pass; no behaviour changed.

--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -14,19 +14,18 @@
 import type { CapacityMonitor } from "../entry/capacity-monitor.ts";
 import type { Lifecycle } from "../lifecycle.ts";
 import type {
-  ForwardedMessage,
   MessageOf,
   NodeEntry,
   PeerMessage,
 } from "../model/peer-message.ts";
 import type { FeedStore, RecordDecoder } from "../adapter.ts";
 import type { RelayKernel } from "../services.ts";
-import { Connector, type LinkListener } from "./connector.ts";
+import { Connector } from "./connector.ts";
 import { FeedExchange } from "./feed-exchange.ts";
 import { createForwardedMessage, Forwarder } from "./forwarder.ts";
-import { type Link, sendBytes } from "./link.ts";
+import { MessageRouter } from "./message-router.ts";
 import { NodeDirectory } from "./node-directory.ts";
-import { decodeMessage, encodeMessage } from "./peer-codec.ts";
+import { encodeMessage } from "./peer-codec.ts";
 import type {
   ForwardedKind,
   MessageListeners,
@@ -40,14 +39,6 @@
 
 type Heartbeat = MessageOf<"beat">;
 
-/** Handlers of messages, by kind. */
-type Handlers = {
-  [Kind in PeerMessage["kind"]]: (
-    link: Link,
-    message: MessageOf<Kind>,
-  ) => void;
-};
-
 const MIN_HEARTBEAT_INTERVAL_MS = 150;
 /** Keeps the total rate of a full mesh linear in the number of nodes. */
 const HEARTBEAT_INTERVAL_MS_PER_PEER = 15;
@@ -77,7 +68,7 @@
   #sequence = 0;
   #readOutstanding: OutstandingSource = () => [];
   #readRole = (): PlacementRole => ({ isHolder: false, isCandidate: false });
-  #listeners: MessageListeners = {};
+  #router: MessageRouter;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -97,16 +88,27 @@
       peerAddress: node.peerAddress,
     });
     this.#peers = new PeerTable(this.#clock);
-    this.#connector = new Connector(
-      kernel,
-      this.#directory,
-      this.#linkListener,
-    );
+    this.#connector = new Connector(kernel, this.#directory, {
+      createFirstMessages: () => [this.#createHeartbeat()],
+      getIdleTimeoutMs: () => this.#timeoutMs,
+      onMessage: (link, message) => this.#router.handle(link, message),
+      onClose: ({ entry }) => this.#removePeer(entry),
+    });
     this.#forwarder = new Forwarder(
       this.#clock,
       this.#connector.links,
       (name) => this.#peers.findVia(name),
     );
+    this.#router = new MessageRouter({
+      logger: this.#logger,
+      directory: this.#directory,
+      links: this.#connector.links,
+      peers: this.#peers,
+      forwarder: this.#forwarder,
+      exchange: this.#exchange,
+      addNode: (entry) => this.#addNode(entry),
+      createHeartbeat: () => this.#createHeartbeat(),
+    });
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
     const feeds = kernel.find("feeds");
     feeds.onChange("nodes", (records) => {
@@ -160,7 +162,7 @@
     kind: Kind,
     listener: MessageListeners[Kind] & object,
   ): void {
-    this.#listeners[kind] = listener;
+    this.#router.setListener(kind, listener);
   }
 
   /** Other nodes whose heartbeats arrive. */
@@ -289,132 +291,9 @@
     }
   }
 
-  readonly #linkListener: LinkListener = {
-    createFirstMessages: () => [this.#createHeartbeat()],
-    getIdleTimeoutMs: () => this.#timeoutMs,
-    onMessage: (link, message) => {
-      this.#peers.recordMessage(link.entry, link.entry.name);
-      const handle = this.#handlers[message.kind] as (
-        link: Link,
-        message: PeerMessage,
-      ) => void;
-      handle(link, message);
-    },
-    onClose: ({ entry }) => {
-      this.#exchange.remove(entry.name);
-      this.#peers.remove(entry.name);
-      this.#logger.info("peer_lost", { peer: entry.name });
-    },
-  };
-
-  /** Handlers of messages from the other end of a link. */
-  readonly #handlers: Handlers = {
-    hello: (link, { entry, known }) => {
-      this.#addNode(entry);
-      known.forEach((other) => this.#addNode(other));
-      if (link.role === "spoke") {
-        // A spoke that starts has to know at once who holds placement.
-        const forwarded = this.#peers.listForwarded();
-        this.#reply(link, { ...this.#createHeartbeat(), forwarded });
-      }
-    },
-    beat: (link, heartbeat) => {
-      const { name } = link.entry;
-      this.#peers.recordHeartbeat(link.entry, heartbeat);
-      this.#exchange.listFetches(name, heartbeat)
-        .forEach((fetch) => this.#reply(link, fetch));
-      const own = { ...heartbeat, forwarded: [] };
-      this.#forwardHeartbeat(
-        link,
-        heartbeat,
-        createForwardedMessage(link.entry, own),
-      );
-      heartbeat.forwarded.forEach((message) =>
-        this.#handleForwarded(link, message)
-      );
-    },
-    forward: (link, { messages }) =>
-      messages.forEach((message) => this.#handleForwarded(link, message)),
-    fetch: (link, message) =>
-      this.#reply(link, this.#exchange.answerFetch(message)),
-    records: (link, message) =>
-      this.#exchange.applyRecords(link.entry.name, message),
-    news: (link, message) => this.#handleAndForward(link, message),
-    suspect: (link, message) => this.#handleAndForward(link, message),
-    release: (link, message) => this.#handleAndForward(link, message),
-    released: (link, message) =>
-      this.#listeners.released?.(message, link.entry),
-  };
-
-  #handleAndForward(
-    link: Link,
-    message: MessageOf<Exclude<ForwardedKind, "released">>,
-  ): void {
-    this.#notifyListener(link.entry, message);
-    this.#forwarder.forward(createForwardedMessage(link.entry, message), link);
-  }
-
-  /** Handles a message that another node sent, and forwards it further. */
-  #handleForwarded(link: Link, message: ForwardedMessage): void {
-    const { origin, incarnation, target, ageMs, content } = message;
-    const { own } = this.#directory;
-    if (origin === own.name) {
-      return;
-    }
-    if (target !== undefined && target !== own.name) {
-      this.#forwarder.forward(message, link);
-      return;
-    }
-    const decoded = decodeMessage(content);
-    if (decoded.isErr) {
-      this.#logger.warn("peer_message_unreadable", {
-        peer: origin,
-        error: decoded.error,
-      });
-      return;
-    }
-    const entry = this.#directory.find(origin);
-    const isKnown = entry?.incarnation === incarnation;
-    // Messages of a linked node also arrive directly.
-    const isLinked = this.#connector.links.find(origin) !== undefined;
-    if (isKnown && !isLinked) {
-      this.#peers.recordMessage(entry, link.entry.name, ageMs);
-    }
-    if (decoded.value.kind === "beat") {
-      if (isKnown && !isLinked) {
-        this.#peers.recordHeartbeat(entry, decoded.value, ageMs);
-      }
-      this.#forwardHeartbeat(link, decoded.value, message);
-      return;
-    }
-    if (isKnown) {
-      this.#notifyListener(entry, decoded.value);
-    }
-    if (target === undefined) {
-      this.#forwarder.forward(message, link);
-    }
-  }
-
-  #forwardHeartbeat(
-    link: Link,
-    { isUrgent }: Heartbeat,
-    message: ForwardedMessage,
-  ): void {
-    if (isUrgent) {
-      this.#forwarder.forward(message, link);
-    } else {
-      this.#forwarder.addHeartbeat(message, link);
-    }
-  }
-
-  #notifyListener(sender: NodeEntry, message: PeerMessage): void {
-    const listener = this.#listeners[message.kind as ForwardedKind] as
-      | ((message: PeerMessage, sender: NodeEntry) => void)
-      | undefined;
-    listener?.(message, sender);
-  }
-
-  #reply({ connection }: Link, message: PeerMessage): void {
-    sendBytes(connection, encodeMessage(message));
+  #removePeer({ name }: NodeEntry): void {
+    this.#exchange.remove(name);
+    this.#peers.remove(name);
+    this.#logger.info("peer_lost", { peer: name });
   }
 }
