Let only hubs read the store often, and bound how old their reads may be

Cause: a hub spaced its reads by the number of all nodes, so its configuration could be 2.6 s old and its spokes began to read the store themselves in between. A spoke that becomes holder would not know of an outage that it had not noticed, and would repair groups whose members are not listed again yet. Change: hubs space their reads by the number of hubs, a supply is valid up to 1.8 s, and a pause of 1 s or more counts as a possible outage.

--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -76,6 +76,14 @@
  */
 const MIN_OUTAGE_MS = 1000;
 
+/** How nodes share the reads of the store. */
+export interface ReadSharing {
+  /** Whether a peer supplies the feed, so that this node does not read it. */
+  isSupplied(feed: SharedFeed): boolean;
+  /** Returns how many of the announced nodes read as often as this one. */
+  countReaders(announced: number): number;
+}
+
 /** The state of one feed. */
 interface FeedState {
   readonly table: RecordTable;
@@ -106,7 +114,10 @@
   #tasks: TaskGroup;
   #feeds: Record<FeedName, FeedState>;
   #isAtFullRate = () => false;
-  #isSupplied: (feed: SharedFeed) => boolean = () => false;
+  #sharing: ReadSharing = {
+    isSupplied: () => false,
+    countReaders: (announced) => announced,
+  };
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -141,15 +152,15 @@
     this.#isAtFullRate = isRequired;
   }
 
-  /** Sets when this node does not read a feed, as a peer supplies it. */
-  pauseReadsWhile(isSupplied: (feed: SharedFeed) => boolean): void {
-    this.#isSupplied = isSupplied;
+  /** Sets how the nodes share the reads of the store. */
+  shareReads(sharing: ReadSharing): void {
+    this.#sharing = sharing;
   }
 
   /** Whether a peer supplies the feed in place of the store. */
   isPaused(feed: FeedName): boolean {
     return feed !== "nodes" && this.#feeds[feed].hasBeenLoaded &&
-      !this.#isAtFullRate() && this.#isSupplied(feed);
+      !this.#isAtFullRate() && this.#sharing.isSupplied(feed);
   }
 
   /** The delay between two reads that return records. */
@@ -232,9 +243,11 @@
     }]));
   }
 
-  /** Announced nodes above `FULL_RATE_NODES`; some may be offline. */
+  /** Nodes above `FULL_RATE_NODES` that read the store. */
   #countExtraNodes(): number {
-    return Math.max(0, this.#feeds.nodes.table.list().length - FULL_RATE_NODES);
+    const announced = this.#feeds.nodes.table.list().length;
+    const readers = this.#sharing.countReaders(announced);
+    return Math.max(0, readers - FULL_RATE_NODES);
   }
 
   #waitMs(feed: FeedName): number {
@@ -245,9 +258,7 @@
   async #follow(feed: FeedName, signal: AbortSignal): Promise<void> {
     let failures = 0;
     while (!signal.aborted) {
-      while (this.isPaused(feed)) {
-        await this.#clock.sleep(PAUSE_CHECK_MS, signal);
-      }
+      await this.#waitWhilePaused(feed, signal);
       const startedAt = this.#clock.now();
       const read = await this.#read(feed, signal);
       if (signal.aborted) {
@@ -267,6 +278,18 @@
     }
   }
 
+  async #waitWhilePaused(feed: FeedName, signal: AbortSignal): Promise<void> {
+    const pausedAt = this.#clock.now();
+    while (this.isPaused(feed)) {
+      await this.#clock.sleep(PAUSE_CHECK_MS, signal);
+    }
+    const now = this.#clock.now();
+    if (now - pausedAt >= MIN_OUTAGE_MS) {
+      // This node would not have noticed an outage meanwhile.
+      this.#feeds[feed].outageEndedAt = now;
+    }
+  }
+
   /** Delays the next read, for longer while a peer sends updates. */
   async #delayNextRead(feed: FeedName, signal: AbortSignal): Promise<void> {
     const state = this.#feeds[feed];
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -17,6 +17,7 @@
   MessageOf,
   NodeEntry,
   PeerMessage,
+  SharedFeed,
 } from "../model/peer-message.ts";
 import type { FeedStore, RecordDecoder } from "../adapter.ts";
 import type { RelayKernel } from "../services.ts";
@@ -47,8 +48,12 @@
 /** Heartbeat intervals without a message after which a peer is lost. */
 const MAX_MISSED_HEARTBEATS = 6;
 const ANNOUNCE_RETRY_DELAY_MS = 500;
-/** A hub whose feed is older than this does not replace reads of the store. */
-const MAX_SUPPLIED_AGE_MS = 2500;
+/**
+ * A hub whose feed is older than this does not replace reads of the store. It
+ * exceeds the time between a hub's reads, and leaves time to read a change
+ * before it has to be in force.
+ */
+const MAX_SUPPLIED_AGE_MS = 1800;
 
 /** Exchanges messages with all other nodes, directly or through hubs. */
 export class Mesh implements Service {
@@ -122,13 +127,13 @@
         });
       }
     });
-    feeds.pauseReadsWhile((feed) =>
-      this.#connector.links.listByRole("hub").some((hub) =>
-        this.#connector.role === "spoke" &&
-        this.#exchange.suppliedAgeMs(hub.entry.name, feed) <
-          MAX_SUPPLIED_AGE_MS
-      )
-    );
+    feeds.shareReads({
+      isSupplied: (feed) => this.#isSupplied(feed),
+      countReaders: (announced) =>
+        this.#connector.role === "hub"
+          ? 1 + this.#connector.links.listByRole("hub").length
+          : announced,
+    });
   }
 
   async start(): Promise<void> {
@@ -220,6 +225,14 @@
     };
   }
 
+  /** Whether a spoke's hub reads the feed for it. */
+  #isSupplied(feed: SharedFeed): boolean {
+    return this.#connector.role === "spoke" &&
+      this.#connector.links.listByRole("hub").some(({ entry }) =>
+        this.#exchange.suppliedAgeMs(entry.name, feed) < MAX_SUPPLIED_AGE_MS
+      );
+  }
+
   async #announce(signal: AbortSignal): Promise<void> {
     for (;;) {
       const written = await this.#store.announceNode(this.ownEntry, signal);
--- a/packages/relay/test/feeds/feeds.test.ts
+++ b/packages/relay/test/feeds/feeds.test.ts
@@ -171,6 +171,52 @@
     });
   });
 
+  describe("a feed that a peer supplies", () => {
+    async function startSupplied() {
+      const started = await startFeeds();
+      const supply = { isActive: false };
+      started.feeds.shareReads({
+        isSupplied: () => supply.isActive,
+        countReaders: (announced) => announced,
+      });
+      started.store.hasInstanceRecords = true;
+      await started.clock.advance(1000);
+      supply.isActive = true;
+      await started.clock.advance(200);
+      started.store.instanceReads = 0;
+      return { ...started, supply };
+    }
+
+    it("is not read from the store", async () => {
+      const { clock, store } = await startSupplied();
+      await clock.advance(5000);
+      expect(store.instanceReads).toBe(0);
+    });
+
+    it("is read again soon after the peer has stopped", async () => {
+      const { clock, store, supply } = await startSupplied();
+      await clock.advance(2000);
+      supply.isActive = false;
+      await clock.advance(400);
+      expect(store.instanceReads).toBeGreaterThan(0);
+    });
+
+    it("is read on a node whose orders depend on it", async () => {
+      const { clock, store, feeds } = await startSupplied();
+      feeds.readAtFullRateWhile(() => true);
+      await clock.advance(1000);
+      expect(store.instanceReads).toBeGreaterThan(10);
+    });
+
+    it("may have missed an outage meanwhile", async () => {
+      const { clock, feeds, supply } = await startSupplied();
+      await clock.advance(5000);
+      supply.isActive = false;
+      await clock.advance(400);
+      expect(feeds.sinceOutageMs("instances")).toBeLessThan(500);
+    });
+  });
+
   describe("time since the last outage", () => {
     it("continues through a short failure, in which no entry can expire", async () => {
       const { clock, store, feeds } = await startFeeds();
--- a/packages/relay/test/peers/mesh.test.ts
+++ b/packages/relay/test/peers/mesh.test.ts
@@ -85,8 +85,8 @@
         _feed: string,
         listener: (records: readonly KeyRecord[]) => void,
       ) => this.announcements.onChange(listener),
-      pauseReadsWhile: (test: Node["isPaused"]) => {
-        isPaused = test;
+      shareReads: ({ isSupplied }: { isSupplied: Node["isPaused"] }) => {
+        isPaused = isSupplied;
       },
       table: () => ({ next: 0, listFrom: () => [] }),
       ageMs: () => 5,
