Read the store's configuration often enough at hubs for their spokes

Change: hubs let the store hold a read open for 0.8 s; a supply is valid up to 2.3 s, so a change is in force within 2.7 s even if a hub has lost the store.

--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -82,6 +82,8 @@
   isSupplied(feed: SharedFeed): boolean;
   /** Returns how many of the announced nodes read as often as this one. */
   countReaders(announced: number): number;
+  /** The longest time that the store may hold a read open. */
+  getMaxWaitMs(): number;
 }
 
 /** The state of one feed. */
@@ -117,6 +119,7 @@
   #sharing: ReadSharing = {
     isSupplied: () => false,
     countReaders: (announced) => announced,
+    getMaxWaitMs: () => Infinity,
   };
 
   constructor(kernel: RelayKernel) {
@@ -252,7 +255,10 @@
 
   #waitMs(feed: FeedName): number {
     const { waitMs, perNode } = READ_SCHEDULES[feed];
-    return waitMs + perNode.waitMs * this.#countExtraNodes();
+    return Math.min(
+      waitMs + perNode.waitMs * this.#countExtraNodes(),
+      this.#sharing.getMaxWaitMs(),
+    );
   }
 
   async #follow(feed: FeedName, signal: AbortSignal): Promise<void> {
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -48,12 +48,18 @@
 /** Heartbeat intervals without a message after which a peer is lost. */
 const MAX_MISSED_HEARTBEATS = 6;
 const ANNOUNCE_RETRY_DELAY_MS = 500;
+/**
+ * The longest time that the store may hold a read of a hub open. Just before a
+ * read ends, a hub knows its feed to be complete only up to the start of the
+ * read before.
+ */
+const HUB_READ_WAIT_MS = 800;
 /**
  * A hub whose feed is older than this does not replace reads of the store. It
- * exceeds the time between a hub's reads, and leaves time to read a change
- * before it has to be in force.
+ * exceeds the age that a hub's feed reaches and the delay of its heartbeats,
+ * and leaves time to read a change before it has to be in force.
  */
-const MAX_SUPPLIED_AGE_MS = 1800;
+const MAX_SUPPLIED_AGE_MS = 2300;
 
 /** Exchanges messages with all other nodes, directly or through hubs. */
 export class Mesh implements Service {
@@ -133,6 +139,8 @@
         this.#connector.role === "hub"
           ? 1 + this.#connector.links.listByRole("hub").length
           : announced,
+      getMaxWaitMs: () =>
+        this.#connector.role === "hub" ? HUB_READ_WAIT_MS : Infinity,
     });
   }
 
--- a/packages/relay/test/feeds/feeds.test.ts
+++ b/packages/relay/test/feeds/feeds.test.ts
@@ -178,6 +178,7 @@
       started.feeds.shareReads({
         isSupplied: () => supply.isActive,
         countReaders: (announced) => announced,
+        getMaxWaitMs: () => Infinity,
       });
       started.store.hasInstanceRecords = true;
       await started.clock.advance(1000);
