Pass response bodies and log lines on with less work

Cause: each event of a stream went through undici's body stream and its iterator, and each log line through a thread of the pool: with 27 requests of 6 events a second a node made 50 system calls a request, 6 of them futex calls. Change: the exchange receives chunks from undici's dispatcher and hands them on by a small iterator; lines go to a pipe without a thread; the entries of a bulk read are logged as one line.

--- a/packages/kernel/src/bounded-sink.ts
+++ b/packages/kernel/src/bounded-sink.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { write } from "node:fs";
+import { fstatSync, write } from "node:fs";
+import { Socket } from "node:net";
 import { Writable } from "node:stream";
 
 /** Lines over this buffer size are dropped while the reader stalls. */
@@ -12,12 +13,47 @@
 const RETRY_MS = 50;
 const TEXT_ENCODING = "utf8";
 
+/** Called with the number of bytes that were written. */
+type WriteCallback = (
+  failure: NodeJS.ErrnoException | null,
+  written: number,
+) => void;
+
+/** Writes bytes in the background. */
+type Writer = (bytes: Buffer, onDone: WriteCallback) => void;
+
+/** Kinds of descriptors, which are written in different ways. */
+type DescriptorKind = "pipe" | "file";
+
+const WRITERS: Readonly<
+  Record<DescriptorKind, (descriptor: number) => Writer>
+> = {
+  // Needs no thread of the pool, which costs more than the write.
+  pipe: (descriptor) => {
+    const socket = new Socket({ fd: descriptor, readable: false });
+    // Each write reports its failure itself.
+    socket.on("error", () => {});
+    socket.unref();
+    return (bytes, onDone) => {
+      socket.write(bytes, (failure) => {
+        onDone(failure ?? null, bytes.length);
+      });
+    };
+  },
+  file: (descriptor) => (bytes, onDone) => write(descriptor, bytes, onDone),
+};
+
+function findKind(descriptor: number): DescriptorKind {
+  const status = fstatSync(descriptor);
+  return status.isFIFO() || status.isSocket() ? "pipe" : "file";
+}
+
 /**
  * Writes lines to a file descriptor in the background, one write at a time.
  * Lines that would exceed the buffer limit are dropped and counted.
  */
 export class BoundedSink extends Writable {
-  #descriptor: number;
+  #write: Writer;
   #maxBytes: number;
   #pending: Buffer[] = [];
   #pendingBytes = 0;
@@ -26,7 +62,7 @@
 
   constructor(descriptor: number, maxBytes: number = MAX_PENDING_BYTES) {
     super({ decodeStrings: false });
-    this.#descriptor = descriptor;
+    this.#write = WRITERS[findKind(descriptor)](descriptor);
     this.#maxBytes = maxBytes;
   }
 
@@ -61,7 +97,7 @@
   }
 
   #writeAll(bytes: Buffer): void {
-    write(this.#descriptor, bytes, (failure, written) => {
+    this.#write(bytes, (failure, written) => {
       if (failure !== null) {
         this.#onFailure(failure, bytes);
         return;
--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -27,6 +27,8 @@
  * last up to 10 s.
  */
 const DEPARTED_RETENTION_MS = 30_000;
+/** When more entries are read at once, as at the start, only a sum is logged. */
+const MAX_LOGGED_AT_ONCE = 50;
 /** More than the instances of any deployment that leave in a day. */
 const MAX_LEAVING = 10_000;
 
@@ -135,10 +137,18 @@
   }
 
   #apply(records: readonly KeyRecord[]): void {
+    const countBefore = this.#instances.size;
+    const isBulk = records.length > MAX_LOGGED_AT_ONCE;
     // Most records renew an entry without changing it.
     const changes = records.filter(({ key, value }) =>
-      value === undefined ? this.#remove(key) : this.#update(key, value)
+      value === undefined ? this.#remove(key) : this.#update(key, value, isBulk)
     );
+    if (isBulk && this.#instances.size !== countBefore) {
+      this.#logger.info("instances_listed", {
+        instances: this.#instances.size,
+        before: countBefore,
+      });
+    }
     if (changes.length > 0) {
       this.#notifyChanged();
     }
@@ -151,14 +161,14 @@
   }
 
   /** Applies an entry and returns whether it changed anything. */
-  #update(id: string, value: string): boolean {
+  #update(id: string, value: string, isBulk: boolean): boolean {
     const entry = this.#decoder.removeRenewalCount(value);
     if (this.#entries.get(id) === entry) {
       return false;
     }
     this.#entries.set(id, entry);
     return this.#decoder.instance(id, value).match({
-      Ok: (instance) => this.#put(instance),
+      Ok: (instance) => this.#put(instance, isBulk),
       Err: (error) => {
         this.#logger.warn("instance_unreadable", { instance: id, error });
         return false;
@@ -166,7 +176,7 @@
     });
   }
 
-  #put(listed: Instance): boolean {
+  #put(listed: Instance, isBulk = false): boolean {
     const isLeaving = this.#leaving.get(listed.id) === listed.bornAt;
     const instance = isLeaving ? { ...listed, isDraining: true } : listed;
     const previous = this.#instances.get(instance.id);
@@ -177,11 +187,13 @@
     this.#departed.delete(instance.id);
     if (previous === undefined) {
       this.#lastAddedAt = this.#clock.now();
-      this.#logger.info("instance_listed", {
-        instance: instance.id,
-        service: instance.service,
-        address: instance.address,
-      });
+      if (!isBulk) {
+        this.#logger.info("instance_listed", {
+          instance: instance.id,
+          service: instance.service,
+          address: instance.address,
+        });
+      }
     } else if (previous.isDraining !== instance.isDraining) {
       this.#logger.info("instance_draining", { instance: instance.id });
     }
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -13,6 +13,7 @@
 import { type Clock, describeError } from "@zinniahill/kernel";
 import type { Verdict } from "@zinniahill/schema";
 import { Result } from "true-myth";
+import { ResponseBody } from "./response-body.ts";
 import { UpstreamConnection } from "./upstream-connection.ts";
 
 /** A request to an upstream instance. */
@@ -45,6 +46,10 @@
 /** Buffered responses are a few kB; a node holds hundreds of them at once. */
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+/** Lower statuses announce a response. */
+const MIN_FINAL_STATUS = 200;
+const CLOSED = new Error("the attempt has ended");
+
 /** Where an exchange leaves a connection that it does not need any more. */
 type ConnectionSink = (connection: UpstreamConnection) => void;
 
@@ -53,12 +58,10 @@
   #connection: UpstreamConnection;
   #isKept: boolean;
   #keep: ConnectionSink | undefined;
-  #controller = new AbortController();
   #isSent = false;
-  /** Whether the connection has carried a complete response, and is open. */
-  #isReusable = false;
-  /** Whether the connection no longer belongs to this exchange. */
-  #isKeptFurther = false;
+  #isClosed = false;
+  /** The body, if the connection may be kept once it was read. */
+  #keptBody: ResponseBody | undefined;
 
   /**
    * Uses a new connection, or a kept one. With `keep`, the connection goes
@@ -84,50 +87,69 @@
     return this.#isKept;
   }
 
-  get #isClosed(): boolean {
-    return this.#isKeptFurther || this.#controller.signal.aborted;
-  }
-
   /** Sends a request and waits for the response head. */
   async send(
     request: UpstreamRequest,
   ): Promise<Result<UpstreamResponse, AttemptFault>> {
-    try {
-      if (this.#isKept) {
-        // A caller disconnect that is read in the same event loop turn is
-        // handled first, so that its request is not sent.
-        await setImmediate();
-      }
-      this.#isSent = !this.#isClosed;
-      const response = await this.#connection.request({
-        method: request.method as "GET",
-        path: request.target,
-        headers: [...request.headers],
-        body: request.body.length > 0 ? request.body : null,
-        reset: this.#keep === undefined,
-        responseHeaders: "raw",
-        signal: this.#controller.signal,
-      });
-      const rawHeaders = convertRawHeaders(response.headers);
-      const headers = indexHeaders(rawHeaders);
-      // Ignores the error that a body emits when it is discarded unread.
-      response.body.on("error", () => {});
-      if (this.#keep !== undefined && isKeepAlive(headers)) {
-        response.body.once("end", () => {
-          this.#isReusable = true;
-        });
-      }
-      return Result.ok({
-        status: response.statusCode,
-        rawHeaders,
-        headers,
-        body: hasBodyFraming(headers)
-          ? response.body
-          : this.#readUntilClose(response.body),
-      });
-    } catch (failure) {
-      return Result.err(this.createFault(failure));
+    if (this.#isKept) {
+      // A caller disconnect that is read in the same event loop turn is
+      // handled first, so that its request is not sent.
+      await setImmediate();
     }
+    if (this.#isClosed) {
+      return Result.err(this.createFault(CLOSED));
+    }
+    this.#isSent = true;
+    return new Promise((resolve) => this.#dispatch(request, resolve));
+  }
+
+  #dispatch(
+    { method, target, headers, body }: UpstreamRequest,
+    resolve: (sent: Result<UpstreamResponse, AttemptFault>) => void,
+  ): void {
+    let responseBody: ResponseBody | undefined;
+    this.#connection.dispatch({
+      method: method as "GET",
+      path: target,
+      headers: [...headers],
+      body: body.length > 0 ? body : null,
+      reset: this.#keep === undefined,
+    }, {
+      onRequestStart: () => {},
+      onResponseStart: (controller, status) => {
+        if (status < MIN_FINAL_STATUS) {
+          return;
+        }
+        responseBody = new ResponseBody(controller);
+        const rawHeaders = convertRawHeaders(controller.rawHeaders);
+        resolve(Result.ok(
+          this.#createResponse(status, rawHeaders, responseBody),
+        ));
+      },
+      onResponseData: (_controller, chunk) => responseBody?.push(chunk),
+      onResponseEnd: () => responseBody?.complete(),
+      onResponseError: (_controller, failure) => {
+        responseBody?.fail(failure);
+        resolve(Result.err(this.createFault(failure)));
+      },
+    });
+  }
+
+  #createResponse(
+    status: number,
+    rawHeaders: readonly string[],
+    body: ResponseBody,
+  ): UpstreamResponse {
+    const headers = indexHeaders(rawHeaders);
+    if (this.#keep !== undefined && isKeepAlive(headers)) {
+      this.#keptBody = body;
+    }
+    return {
+      status,
+      rawHeaders,
+      headers,
+      body: hasBodyFraming(headers) ? body : this.#readUntilClose(body),
+    };
   }
 
   /**
@@ -157,13 +179,12 @@
     if (this.#isClosed) {
       return;
     }
-    if (this.#isReusable && this.#connection.isOpen) {
-      this.#isKeptFurther = true;
+    this.#isClosed = true;
+    if (this.#keptBody?.isRead === true && this.#connection.isOpen) {
       this.#keep?.(this.#connection);
-      return;
+    } else {
+      this.#connection.close(reason);
     }
-    this.#controller.abort(reason);
-    this.#connection.close(reason);
   }
 }
 
@@ -178,7 +199,7 @@
   return hasBodyFraming(headers) && !connection.includes("close");
 }
 
-/** With `responseHeaders: "raw"`, undici returns a list instead of a record. */
+/** Converts header names and values, which undici passes as buffers. */
 function convertRawHeaders(headers: unknown): string[] {
   return Array.isArray(headers) ? headers.map(String) : [];
 }
--- /dev/null
+++ b/packages/relay/src/serving/response-body.ts
@@ -0,0 +1,99 @@
+/**
+ * The body of an upstream's response, chunk by chunk as it arrives.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+
+/** Controls the connection that a body arrives on. */
+export interface BodySource {
+  pause(): void;
+  resume(): void;
+}
+
+/** A reader that waits for the next chunk. */
+interface Waiter {
+  resolve(result: IteratorResult<Buffer>): void;
+  reject(failure: Error): void;
+}
+
+/** The source is paused while more bytes are buffered. */
+const MAX_BUFFERED_BYTES = 256 * 1024;
+const DONE: IteratorResult<Buffer> = { done: true, value: undefined };
+
+/** Can be read once. A stream costs several times as much for each chunk. */
+export class ResponseBody implements AsyncIterableIterator<Buffer> {
+  #source: BodySource;
+  #chunks: Buffer[] = [];
+  #bufferedBytes = 0;
+  #waiter: Waiter | undefined;
+  #isComplete = false;
+  #failure: Error | undefined;
+
+  constructor(source: BodySource) {
+    this.#source = source;
+  }
+
+  /** Whether all chunks have arrived and been read. */
+  get isRead(): boolean {
+    return this.#isComplete && this.#chunks.length === 0;
+  }
+
+  push(chunk: Buffer): void {
+    if (this.#waiter !== undefined) {
+      this.#takeWaiter().resolve({ done: false, value: chunk });
+      return;
+    }
+    this.#chunks.push(chunk);
+    this.#bufferedBytes += chunk.length;
+    if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
+      this.#source.pause();
+    }
+  }
+
+  /** Ends the body after its last chunk. */
+  complete(): void {
+    this.#isComplete = true;
+    if (this.#waiter !== undefined) {
+      this.#takeWaiter().resolve(DONE);
+    }
+  }
+
+  /** Ends the body, which is not complete. */
+  fail(failure: Error): void {
+    this.#failure ??= failure;
+    if (this.#waiter !== undefined) {
+      this.#takeWaiter().reject(failure);
+    }
+  }
+
+  next(): Promise<IteratorResult<Buffer>> {
+    const chunk = this.#chunks.shift();
+    if (chunk !== undefined) {
+      this.#bufferedBytes -= chunk.length;
+      if (this.#chunks.length === 0) {
+        this.#source.resume();
+      }
+      return Promise.resolve({ done: false, value: chunk });
+    }
+    if (this.#isComplete) {
+      return Promise.resolve(DONE);
+    }
+    if (this.#failure !== undefined) {
+      return Promise.reject(this.#failure);
+    }
+    return new Promise((resolve, reject) => {
+      this.#waiter = { resolve, reject };
+    });
+  }
+
+  [Symbol.asyncIterator](): this {
+    return this;
+  }
+
+  #takeWaiter(): Waiter {
+    const waiter = this.#waiter!;
+    this.#waiter = undefined;
+    return waiter;
+  }
+}
--- a/packages/relay/src/serving/upstream-connection.ts
+++ b/packages/relay/src/serving/upstream-connection.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Socket } from "node:net";
-import { buildConnector, Client } from "undici";
+import { buildConnector, Client, type Dispatcher } from "undici";
 
 /** A reachable upstream accepts a connection within a few ms. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -15,9 +15,6 @@
 /** An empty line before the next request, which HTTP servers ignore. */
 const RESET_PROBE = "\r\n";
 
-/** Parameters of a request, as undici takes them. */
-export type UpstreamCall = Parameters<Client["request"]>[0];
-
 /** Connects with its first request. */
 export class UpstreamConnection {
   #client: Client;
@@ -68,8 +65,12 @@
     return !this.#isClosed && this.#socket?.readyState === "open";
   }
 
-  request(call: UpstreamCall) {
-    return this.#client.request(call);
+  /** Sends a request; the handler receives its response. */
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): void {
+    this.#client.dispatch(options, handler);
   }
 
   /** Closes the connection at once, which also aborts the upstream's work. */
