Check for stalled groups only while there are requests

Cause: a node at rest woke 20 times a second for a check without requests (50 wake-ups in all with 20 nodes over the stand-ins, by strace). Change: the check waits for the first request.

--- a/packages/relay/src/routing/outstanding-requests.ts
+++ b/packages/relay/src/routing/outstanding-requests.ts
@@ -6,6 +6,7 @@
  */
 import {
   type Clock,
+  Condition,
   type Logger,
   type Service,
   TaskGroup,
@@ -84,6 +85,8 @@
   #placement: PlacementController;
   #tasks: TaskGroup;
   #byInstance = new Map<string, InstanceRequests>();
+  /** Notified when a request begins at an instance without others. */
+  #begun = new Condition();
   #durations: RequestDurations;
 
   constructor(kernel: RelayKernel) {
@@ -106,9 +109,9 @@
           : null,
       ])
     );
-    this.#tasks.repeat("find_stalls", CHECK_INTERVAL_MS, () => {
+    this.#tasks.repeat("find_stalls", CHECK_INTERVAL_MS, async (signal) => {
+      await this.#begun.until(() => this.#byInstance.size > 0, signal);
       this.#findStalls();
-      return Promise.resolve();
     });
     this.#tasks.repeat("prune_times", PRUNE_INTERVAL_MS, () => {
       this.#durations.prune();
@@ -210,6 +213,7 @@
       lastEventAt: -Infinity,
     };
     this.#byInstance.set(instance, created);
+    this.#begun.notify();
     return created;
   }
 
