--- a/packages/relay/src/serving/upstream-connection.ts
+++ b/packages/relay/src/serving/upstream-connection.ts
@@ -9,7 +9,7 @@
 /** A reachable upstream accepts a connection within a few ms. */
 const CONNECT_TIMEOUT_MS = 250;
 /** An idle connection is closed after this time. */
-export const MAX_IDLE_MS = 1000;
+export const MAX_IDLE_MS = 4000;
 /** A connection is closed this long before the upstream closes it. */
 const IDLE_MARGIN_MS = 500;
 /** An empty line before the next request, which HTTP servers ignore. */
