Ask other nodes to release a lead only if it does not follow at once

Cause: each unlisted lead was ordered to leave by every node at the same time, each with up to two orders and reports. Change: the holder's own first attempt has 250 ms before the others are asked. A lead that is only cut off from the store answers it; one that is gone is known to be gone 250 ms later than before.

--- a/packages/relay/src/placement/lead-release.ts
+++ b/packages/relay/src/placement/lead-release.ts
@@ -25,8 +25,8 @@
 
 const MAX_ATTEMPTS = 2;
 const ATTEMPT_TIMEOUT_MS = 250;
-/** Time for the attempts of all nodes and for their replies. */
-const RELEASE_TIMEOUT_MS = 1300;
+/** Time for one's own first attempt, those of all nodes, and their replies. */
+const RELEASE_TIMEOUT_MS = 1550;
 
 /**
  * Whether a lead is still in its group, by the attempts of all nodes: `absent`
@@ -80,7 +80,10 @@
     return this.#tasks.stop();
   }
 
-  /** Asks every node to order the lead to leave, and combines the outcomes. */
+  /**
+   * Orders the lead to leave, and asks every other node to do so if it does not
+   * follow; combines the outcomes.
+   */
   async release(
     { id, address }: InstanceEndpoint,
     group: string,
@@ -104,17 +107,23 @@
       epoch,
       fence,
     };
-    this.#mesh.broadcast(message);
     await withDeadline(
       this.#clock,
       RELEASE_TIMEOUT_MS,
       signal,
       async (bounded) => {
-        this.#recordAttempt(
-          key,
-          ownName,
-          await this.#attemptRelease(message, bounded),
-        );
+        const ownAttempt = this.#attemptRelease(message, bounded)
+          .then((outcome) => this.#recordAttempt(key, ownName, outcome));
+        await Promise.race([
+          ownAttempt,
+          this.#clock.sleep(ATTEMPT_TIMEOUT_MS, bounded),
+        ]);
+        // Most leads that are not listed are only disconnected from the store,
+        // and then this node's order is enough.
+        if (!isDecided(release)) {
+          this.#mesh.broadcast(message);
+          await ownAttempt;
+        }
         await this.#changed.until(() => isDecided(release), bounded);
       },
     ).catch(() => {
--- a/packages/relay/test/placement/lead-release.test.ts
+++ b/packages/relay/test/placement/lead-release.test.ts
@@ -54,6 +54,7 @@
 }
 
 const NO_OTHERS: OtherNodes = { answers: [], disconnected: 0 };
+let broadcasts = 0;
 
 /** Releases a lead, with engines and peers that answer as the test sets. */
 async function release(
@@ -61,6 +62,7 @@
   report: EngineReport | undefined,
   { answers, disconnected }: OtherNodes = NO_OTHERS,
 ): Promise<string> {
+  broadcasts = 0;
   const clock = new ManualClock();
   const engines: EngineControl = {
     sendOrder: () =>
@@ -86,6 +88,7 @@
       })),
     countNodes: () => 1 + answers.length + disconnected,
     broadcast: () => {
+      broadcasts++;
       answers.forEach((outcome, index) => {
         if (outcome !== "silent") {
           const answer = { group: "g", epoch: 1, outcome };
@@ -120,6 +123,13 @@
       expect(await release("accepted", undefined)).toBe("left");
     });
 
+    it("is not ordered by other nodes as well once it has left", async () => {
+      const answers = ["left", "left"] as const;
+      expect(await release("accepted", undefined, { answers, disconnected: 0 }))
+        .toBe("left");
+      expect(broadcasts).toBe(0);
+    });
+
     it("has left if its report names another group", async () => {
       expect(await release(undefined, createReport("other"))).toBe("left");
     });
