Log fewer lines of groups that are being formed

Change: more than ten entries of a read are logged as one line; a lead's change is logged if the group served before or serves after it. The holder logs each step of a formation as before.

--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -10,7 +10,7 @@
   type Logger,
   type Service,
 } from "@zinniahill/kernel";
-import type { Instance } from "../model/instance.ts";
+import type { Instance, Membership, MemberState } from "../model/instance.ts";
 import type { KeyRecord } from "../model/peer-message.ts";
 import type { RecordDecoder } from "../adapter.ts";
 import type { RelayKernel } from "../services.ts";
@@ -28,10 +28,16 @@
  */
 const DEPARTED_RETENTION_MS = 30_000;
 /** When more entries are read at once, as at the start, only a sum is logged. */
-const MAX_LOGGED_AT_ONCE = 50;
+const MAX_LOGGED_AT_ONCE = 10;
 /** More than the instances of any deployment that leave in a day. */
 const MAX_LEAVING = 10_000;
 
+const SERVING_STATES: ReadonlySet<MemberState> = new Set([
+  "open",
+  "closing",
+  "broken",
+]);
+
 /** Called after each read with the records that changed anything. */
 export type UpdateListener = (changes: readonly KeyRecord[]) => void;
 
@@ -206,7 +212,9 @@
     const after = instance.engine?.membership;
     const isUnchanged = before?.group === after?.group &&
       before?.epoch === after?.epoch && before?.state === after?.state;
-    if (!isUnchanged && (before ?? after)?.rank === 0) {
+    // The holder logs the steps until a group opens.
+    const isLogged = isServingState(before) || isServingState(after);
+    if (!isUnchanged && isLogged && (before ?? after)?.rank === 0) {
       this.#logger.info("group_changed", {
         lead: instance.id,
         group: (after ?? before)?.group,
@@ -239,3 +247,8 @@
     this.#departed.set(instance.id, { instance, at: now });
   }
 }
+
+/** Whether a lead in this state has or may have requests. */
+function isServingState(membership: Membership | undefined): boolean {
+  return membership !== undefined && SERVING_STATES.has(membership.state);
+}
