--- a/packages/cli/src/explanation.ts
+++ b/packages/cli/src/explanation.ts
@@ -27,6 +27,8 @@
   "dependency_lost",
   "dependency_regained",
   "group_changed",
+  "instance_backing_off",
+  "instance_leaving",
   "group_checked",
   "group_dissolved",
   "group_opened",
