--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -217,11 +217,11 @@
       progress.lastEventId ?? metadata.lastEventId,
     );
     for await (const chunk of upstreamResponse.body) {
-      outstandingRequest.recordEvent();
       const block = splitter.push(chunk);
       if (block === undefined) {
         continue;
       }
+      outstandingRequest.recordEvent();
       if (!response.headersSent) {
         writeStreamHead(response, upstreamResponse);
       }
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -59,6 +59,7 @@
 const OPEN_MS = 10;
 const EVENT_MS = 5;
 const EVENTS = 6;
+const TRICKLE_MS = 40;
 const REFUSED_HEADERS = { "x-not-executed": "1" };
 
 /** Serves one runner's interface over HTTP and registers it in the store. */
@@ -80,6 +81,8 @@
   isLeaving = false;
   /** Seconds for which a refused caller must not return, if it is set. */
   refusesFor: string | undefined;
+  /** Events after which a stream sends single bytes only, if it is set. */
+  tricklesAfter: number | undefined;
   /** Attempt whose earlier refusal is sent again in place of each answer. */
   repeatsRefusalOf: string | undefined;
   /** When a second copy of each plain answer follows it, if it is set. */
@@ -373,6 +376,14 @@
     void this.#stream(request, response);
   }
 
+  /** Sends a byte now and then until the connection is closed. */
+  async #trickle(response: ServerResponse): Promise<void> {
+    while (!response.destroyed) {
+      response.write(".");
+      await new Promise((resolve) => setTimeout(resolve, TRICKLE_MS));
+    }
+  }
+
   #sendStaleResponse({ socket }: IncomingMessage, attempt: string): void {
     const previous = this.#lastAttempts.get(socket);
     this.#lastAttempts.set(socket, attempt);
@@ -407,6 +418,10 @@
       if (this.isStalled) {
         return;
       }
+      if (this.tricklesAfter === sent) {
+        await this.#trickle(response);
+        return;
+      }
       if (this.breaksAfter === sent) {
         response.write(`id: ${id}\nda`, () => response.destroy());
         return;
