Split the pace of reads and the check of responses from their users

Change: ReadPace decides how often a topic is read; response-check.ts decides whether a response answers a request. Some comments begin with what a field is.

--- a/packages/relay/src/adapter.ts
+++ b/packages/relay/src/adapter.ts
@@ -149,7 +149,7 @@
   readonly faultyInstance: string | undefined;
   /** Whether the upstream is about to leave. */
   readonly isLeaving: boolean;
-  /** How long the upstream, which refused, asks for no further request. */
+  /** The time for which the upstream, which refused, wants no request. */
   readonly backOffMs: number | undefined;
   /** Running and waiting requests at the upstream, if it reports them. */
   readonly upstreamLoad: number | undefined;
--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -11,59 +11,18 @@
   TaskGroup,
 } from "@zinniahill/kernel";
 import type { Result } from "true-myth";
-import type { KeyRecord, SharedFeed } from "../model/peer-message.ts";
+import type { KeyRecord } from "../model/peer-message.ts";
 import type { Batch, FeedName, FeedStore } from "../adapter.ts";
 import type { RelayKernel } from "../services.ts";
+import { ReadPace, type ReadSharing } from "./read-pace.ts";
 import { RecordTable } from "./record-table.ts";
 
 /** Called with the records that changed a feed. */
 export type FeedListener = (records: readonly KeyRecord[]) => void;
 
-/** How often a topic is read. */
-interface ReadSchedule {
-  /** How long the store may hold a read open until a record arrives. */
-  readonly waitMs: number;
-  /** Delay after a read with records, so that the next one returns several. */
-  readonly batchDelayMs: number;
-  /** Added to both for each node above `FULL_RATE_NODES`. */
-  readonly perNode: {
-    /** Peers supply the records that a silent connection hides meanwhile. */
-    readonly waitMs: number;
-    /** Limits all nodes together to about 50 reads a second. */
-    readonly batchDelayMs: number;
-  };
-}
-
-/**
- * A longer wait hides a silent connection for longer; a shorter one takes more
- * calls. Changes must be in force within 2 s of their confirmation.
- */
-const READ_SCHEDULES: Readonly<Record<FeedName, ReadSchedule>> = {
-  configuration: {
-    waitMs: 1200,
-    batchDelayMs: 20,
-    perNode: { waitMs: 45, batchDelayMs: 0 },
-  },
-  instances: {
-    waitMs: 1200,
-    batchDelayMs: 60,
-    perNode: { waitMs: 0, batchDelayMs: 20 },
-  },
-  nodes: {
-    waitMs: 5000,
-    batchDelayMs: 200,
-    perNode: { waitMs: 100, batchDelayMs: 10 },
-  },
-};
-/** Up to this number of nodes, each reads at the full rate. */
-const FULL_RATE_NODES = 4;
-const FEEDS = Object.keys(READ_SCHEDULES) as FeedName[];
-/** How often a paused feed is checked; peers send heartbeats as often. */
+const FEEDS: readonly FeedName[] = ["configuration", "instances", "nodes"];
+/** Interval of the checks of a paused feed; peers send heartbeats as often. */
 const PAUSE_CHECK_MS = 300;
-const RETRY_DELAY_MS = 150;
-const MAX_RETRY_DELAY_MS = 700;
-/** A node whose reads fail receives records from its peers meanwhile. */
-const MAX_RETRY_DELAY_MS_PER_NODE = 45;
 /** The longest time between reads while a peer sends the updates of a feed. */
 const MAX_READ_DELAY_MS = 3000;
 /** Without an update for this long, a node reads at its own rate again. */
@@ -76,16 +35,6 @@
  */
 const MIN_OUTAGE_MS = 1000;
 
-/** How nodes share the reads of the store. */
-export interface ReadSharing {
-  /** Whether a peer supplies the feed, so that this node does not read it. */
-  isSupplied(feed: SharedFeed): boolean;
-  /** Returns how many of the announced nodes read as often as this one. */
-  countReaders(announced: number): number;
-  /** The longest time that the store may hold a read open. */
-  getMaxWaitMs(): number;
-}
-
 /** The state of one feed. */
 interface FeedState {
   readonly table: RecordTable;
@@ -115,12 +64,7 @@
   #store: FeedStore;
   #tasks: TaskGroup;
   #feeds: Record<FeedName, FeedState>;
-  #isAtFullRate = () => false;
-  #sharing: ReadSharing = {
-    isSupplied: () => false,
-    countReaders: (announced) => announced,
-    getMaxWaitMs: () => Infinity,
-  };
+  #pace: ReadPace;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -128,6 +72,10 @@
     this.#random = kernel.find("random");
     this.#store = kernel.find("topics");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
+    this.#pace = new ReadPace(
+      this.#random,
+      () => this.#feeds.nodes.table.list().length,
+    );
     this.#feeds = {
       configuration: createState(),
       instances: createState(),
@@ -152,26 +100,22 @@
 
   /** Sets when this node reads at the full rate for any number of nodes. */
   readAtFullRateWhile(isRequired: () => boolean): void {
-    this.#isAtFullRate = isRequired;
+    this.#pace.readAtFullRateWhile(isRequired);
   }
 
   /** Sets how the nodes share the reads of the store. */
   shareReads(sharing: ReadSharing): void {
-    this.#sharing = sharing;
+    this.#pace.share(sharing);
   }
 
   /** Whether a peer supplies the feed in place of the store. */
   isPaused(feed: FeedName): boolean {
-    return feed !== "nodes" && this.#feeds[feed].hasBeenLoaded &&
-      !this.#isAtFullRate() && this.#sharing.isSupplied(feed);
+    return this.#feeds[feed].hasBeenLoaded && this.#pace.isSupplied(feed);
   }
 
   /** The delay between two reads that return records. */
   batchDelayMs(feed: FeedName): number {
-    const { batchDelayMs, perNode } = READ_SCHEDULES[feed];
-    return this.#isAtFullRate()
-      ? batchDelayMs
-      : batchDelayMs + perNode.batchDelayMs * this.#countExtraNodes();
+    return this.#pace.batchDelayMs(feed);
   }
 
   /** The newest records of a feed. */
@@ -246,21 +190,6 @@
     }]));
   }
 
-  /** Nodes above `FULL_RATE_NODES` that read the store. */
-  #countExtraNodes(): number {
-    const announced = this.#feeds.nodes.table.list().length;
-    const readers = this.#sharing.countReaders(announced);
-    return Math.max(0, readers - FULL_RATE_NODES);
-  }
-
-  #waitMs(feed: FeedName): number {
-    const { waitMs, perNode } = READ_SCHEDULES[feed];
-    return Math.min(
-      waitMs + perNode.waitMs * this.#countExtraNodes(),
-      this.#sharing.getMaxWaitMs(),
-    );
-  }
-
   async #follow(feed: FeedName, signal: AbortSignal): Promise<void> {
     let failures = 0;
     while (!signal.aborted) {
@@ -273,7 +202,7 @@
       if (read.isErr) {
         failures++;
         this.#recordFailure(feed, startedAt, read.error.message);
-        await this.#clock.sleep(this.#drawRetryDelayMs(failures), signal);
+        await this.#clock.sleep(this.#pace.drawRetryDelayMs(failures), signal);
         continue;
       }
       failures = 0;
@@ -301,7 +230,7 @@
     const state = this.#feeds[feed];
     const startedAt = this.#clock.now();
     const isUpdatedByPeer = () =>
-      !this.#isAtFullRate() &&
+      !this.#pace.isAtFullRate &&
       this.#clock.now() - state.updatedAt < UPDATE_VALIDITY_MS &&
       this.#clock.now() - startedAt < MAX_READ_DELAY_MS;
     do {
@@ -321,7 +250,7 @@
     const batch = await this.#store.readFrom(
       feed,
       state.table.next,
-      this.#waitMs(feed),
+      this.#pace.waitMs(feed),
       signal,
     );
     if (batch.isErr && batch.error.isHistoryLost) {
@@ -391,14 +320,6 @@
       });
     }
   }
-
-  /** Half of the delay is random, so that nodes do not retry in step. */
-  #drawRetryDelayMs(failures: number): number {
-    const maxMs = MAX_RETRY_DELAY_MS +
-      MAX_RETRY_DELAY_MS_PER_NODE * this.#countExtraNodes();
-    const delayMs = Math.min(maxMs, RETRY_DELAY_MS * 2 ** (failures - 1));
-    return delayMs * (1 + this.#random.fraction()) / 2;
-  }
 }
 
 function createState(): FeedState {
--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -27,7 +27,7 @@
  * last up to 10 s.
  */
 const DEPARTED_RETENTION_MS = 30_000;
-/** When more entries are read at once, as at the start, only a sum is logged. */
+/** Of more entries that are read at once only the sum is logged. */
 const MAX_LOGGED_AT_ONCE = 10;
 /** More than the instances of any deployment that leave in a day. */
 const MAX_LEAVING = 10_000;
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -17,9 +17,9 @@
 /** Identity and addresses of a node. */
 export type NodeEntry = z.infer<typeof NodeEntry>;
 
-/** How a node is connected with the others. */
+/** The role of a node in the connections with the others. */
 export const TopologyRole = z.enum(["peer", "hub", "spoke"]);
-/** How a node is connected with the others. */
+/** The role of a node in the connections with the others. */
 export type TopologyRole = z.infer<typeof TopologyRole>;
 
 /** The latest record of a key; a record without a value deletes the key. */
--- a/packages/relay/src/peers/connector.ts
+++ b/packages/relay/src/peers/connector.ts
@@ -43,9 +43,9 @@
  */
 const SETTLE_MS_PER_NODE = 20;
 const MAX_SETTLE_MS = 600;
-/** How often a hub that was unreachable is tried. */
+/** The interval at which a hub that was unreachable is tried. */
 const RETRY_INTERVAL_MS = 5000;
-/** What a link's other end is to the node that dials, by its own role. */
+/** The role of a link's other end for the node that dials, by its own role. */
 const DIALED_ROLES: Readonly<Record<TopologyRole, TopologyRole>> = {
   peer: "peer",
   hub: "hub",
--- a/packages/relay/src/peers/peer-loads.ts
+++ b/packages/relay/src/peers/peer-loads.ts
@@ -8,7 +8,7 @@
 /** One node's requests at one instance, by its last heartbeat. */
 interface InstanceLoad {
   readonly requests: number;
-  /** When the heartbeat was sent, by this node's clock. */
+  /** The time at which the heartbeat was sent, by this node's clock. */
   readonly reportedAt: number;
   /** When that node last received an event, by this node's clock. */
   readonly lastEventAt: number;
--- a/packages/relay/src/peers/peer-table.ts
+++ b/packages/relay/src/peers/peer-table.ts
@@ -15,7 +15,7 @@
 
 type Heartbeat = MessageOf<"beat">;
 
-/** What is known of one node. */
+/** The state of one node. */
 interface PeerState {
   readonly entry: NodeEntry;
   /** Name of the node at the other end of the link that messages came over. */
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -15,6 +15,7 @@
   OutstandingRequests,
 } from "../routing/outstanding-requests.ts";
 import { RetryBudget } from "../routing/retry-budget.ts";
+import { findFault, MISDIRECTED_STATUS } from "./response-check.ts";
 import { ConnectionPool } from "./connection-pool.ts";
 import type { RelayKernel } from "../services.ts";
 import {
@@ -36,9 +37,6 @@
   end(reason: Error): void;
 }
 
-/** Statuses that tell a caller that its request has not run. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
-const MISDIRECTED_STATUS = 421;
 /** Shared abort reasons; each abort without one captures a stack trace. */
 export const ATTEMPT_ENDED = new Error("the attempt has ended");
 const CALLER_DISCONNECTED = new Error("the caller disconnected");
@@ -372,49 +370,3 @@
       REFUSED_RETRY_AFTER_MS,
     );
 }
-
-/** Returns why a response cannot be forwarded, or undefined if it can. */
-function findFault(
-  { metadata: { attemptId } }: RelayedRequest,
-  { status }: UpstreamResponse,
-  metadata: ResponseMetadata,
-  isKeptConnection: boolean,
-): AttemptFault | undefined {
-  // On a kept connection, a response without an id may belong to any request.
-  const isOther = metadata.attemptId === undefined
-    ? isKeptConnection
-    : metadata.attemptId !== attemptId;
-  if (isOther) {
-    return createFault(
-      "may-have-run",
-      "the response belongs to another request",
-    );
-  }
-  if (metadata.hasNotRun || status === MISDIRECTED_STATUS) {
-    return createFault(
-      "not-run",
-      `the upstream refused the request with status ${status}`,
-    );
-  }
-  if (NOT_RUN_STATUSES.has(status)) {
-    return createFault(
-      "may-have-run",
-      `status ${status} does not guarantee that the request has not run`,
-    );
-  }
-  const isSuccess = status >= 200 && status < 300;
-  if (isSuccess && (!metadata.isSigned || metadata.isEncoded)) {
-    return createFault(
-      "may-have-run",
-      "the response is unsigned or was encoded in transit",
-    );
-  }
-  return undefined;
-}
-
-function createFault(
-  verdict: AttemptFault["verdict"],
-  message: string,
-): AttemptFault {
-  return { verdict, message };
-}
--- /dev/null
+++ b/packages/relay/src/serving/response-check.ts
@@ -0,0 +1,59 @@
+/**
+ * Checks whether the head of an upstream's response answers a request.
+ *
+ * @module
+ */
+import type { ResponseMetadata } from "../adapter.ts";
+import type { AttemptFault, UpstreamResponse } from "./exchange.ts";
+import type { RelayedRequest } from "./relayed-request.ts";
+
+/** Statuses that tell a caller that its request has not run. */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+/** The instance no longer leads the group of the request. */
+export const MISDIRECTED_STATUS = 421;
+
+/** Returns why a response cannot be forwarded, or undefined if it can. */
+export function findFault(
+  { metadata: { attemptId } }: RelayedRequest,
+  { status }: UpstreamResponse,
+  metadata: ResponseMetadata,
+  isKeptConnection: boolean,
+): AttemptFault | undefined {
+  // On a kept connection, a response without an id may belong to any request.
+  const isOther = metadata.attemptId === undefined
+    ? isKeptConnection
+    : metadata.attemptId !== attemptId;
+  if (isOther) {
+    return createFault(
+      "may-have-run",
+      "the response belongs to another request",
+    );
+  }
+  if (metadata.hasNotRun || status === MISDIRECTED_STATUS) {
+    return createFault(
+      "not-run",
+      `the upstream refused the request with status ${status}`,
+    );
+  }
+  if (NOT_RUN_STATUSES.has(status)) {
+    return createFault(
+      "may-have-run",
+      `status ${status} does not guarantee that the request has not run`,
+    );
+  }
+  const isSuccess = status >= 200 && status < 300;
+  if (isSuccess && (!metadata.isSigned || metadata.isEncoded)) {
+    return createFault(
+      "may-have-run",
+      "the response is unsigned or was encoded in transit",
+    );
+  }
+  return undefined;
+}
+
+function createFault(
+  verdict: AttemptFault["verdict"],
+  message: string,
+): AttemptFault {
+  return { verdict, message };
+}
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -85,7 +85,7 @@
   tricklesAfter: number | undefined;
   /** Attempt whose earlier refusal is sent again in place of each answer. */
   repeatsRefusalOf: string | undefined;
-  /** When a second copy of each plain answer follows it, if it is set. */
+  /** Time until a second copy of each plain answer follows, if it is set. */
   repeatsAnswersAfterMs: number | undefined;
   /**
    * Creates a response to the attempt that was answered last on a connection,
