Do not suspect groups for requests whose events are only reported late

Cause: a node whose requests at a group had no event for 600 ms suspected the group, unless events had reached another node. Reports of those are up to 0.9 s old through hubs, so they could not come in time. A group with unlisted members was checked again every 400 ms although all members answered. Change: the timeout before a first event is at least the delay of reports and 350 ms (unchanged up to 16 nodes); if most of eight or more groups of a model are suspected, all are used; an unlisted but complete group is checked every 3 s.

--- a/packages/relay/src/hosts/groups.ts
+++ b/packages/relay/src/hosts/groups.ts
@@ -28,6 +28,10 @@
 
 /** Separates the parts of a group's name. */
 const NAME_SEPARATOR = "~";
+/** With fewer unsuspected groups of a model, all of them are used. */
+const MIN_UNSUSPECTED_SHARE = 0.5;
+/** A few groups may well fail together, as those of one fabric domain. */
+const MIN_GROUPS_IN_OVERLOAD = 8;
 /** A suspicion without new evidence expires after this time. */
 const SUSPICION_MS = 1500;
 
@@ -90,11 +94,18 @@
     return [...this.#groups.values()];
   }
 
-  /** Lists the groups of a model that can take requests. */
+  /**
+   * Lists the groups of a model that can take requests. If most groups are
+   * suspected, an overload is more likely than their failure, and the others
+   * could not take their requests.
+   */
   listServable(service: string, model: string): Group[] {
     this.#refresh();
     const groups = this.#servableGroups.get(`${service} ${model}`) ?? [];
-    return groups.filter((group) => !this.isSuspected(group));
+    const unsuspected = groups.filter((group) => !this.isSuspected(group));
+    const isOverload = groups.length >= MIN_GROUPS_IN_OVERLOAD &&
+      unsuspected.length < groups.length * MIN_UNSUSPECTED_SHARE;
+    return isOverload ? groups : unsuspected;
   }
 
   /** Returns the group of that name and epoch, if it has a listed member. */
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -45,6 +45,8 @@
 const HEARTBEAT_INTERVAL_MS_PER_PEER = 15;
 /** A hub sends each spoke one message in this time. */
 const HUB_HEARTBEAT_INTERVAL_MS = 300;
+/** A report waits for the next heartbeat at its origin and at two hubs. */
+const MAX_HUB_HOPS = 3;
 /** Heartbeat intervals without a message after which a peer is lost. */
 const MAX_MISSED_HEARTBEATS = 6;
 const ANNOUNCE_RETRY_DELAY_MS = 500;
@@ -188,6 +190,13 @@
     return this.#peers.loads;
   }
 
+  /** The longest time until a node's report reaches all others. */
+  get reportDelayMs(): number {
+    return this.#connector.role === "peer"
+      ? this.#heartbeatIntervalMs
+      : MAX_HUB_HOPS * HUB_HEARTBEAT_INTERVAL_MS;
+  }
+
   /** Number of known nodes, connected or not, including this one. */
   countNodes(): number {
     return this.#directory.count;
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -139,9 +139,9 @@
     return this.#tasks.stop();
   }
 
-  /** Checks all members of a group, once this node holds placement. */
+  /** Checks all members of a stalled group, once this node holds placement. */
   checkGroup(name: string, epoch: number): void {
-    this.#groupChecker.request(name, epoch);
+    this.#groupChecker.request(name, epoch, "stalled");
   }
 
   /** Number of weight loads in progress that this node has permitted. */
@@ -244,7 +244,7 @@
     } else if (
       !isComplete && this.#feeds.sinceOutageMs("instances") >= RELISTING_MS
     ) {
-      this.checkGroup(group.name, group.epoch);
+      this.#groupChecker.request(group.name, group.epoch, "unlisted");
     }
   }
 
--- a/packages/relay/src/placement/group-checker.ts
+++ b/packages/relay/src/placement/group-checker.ts
@@ -16,8 +16,20 @@
 import { PendingChecks } from "./pending-checks.ts";
 import type { FreeHost } from "./plan.ts";
 
-/** Minimum time between two checks of one suspected group. */
+/** The reason for a check. */
+export type CheckCause =
+  /** The group has stalled for some node. */
+  | "stalled"
+  /** The store does not list all members. */
+  | "unlisted";
+
+/** Minimum time between two checks of one group. */
 const RECHECK_INTERVAL_MS = 400;
+/**
+ * The same if the last check found all members: some are only disconnected from
+ * the store. If one fails meanwhile, the group stalls.
+ */
+const UNLISTED_RECHECK_INTERVAL_MS = 3000;
 
 /** What the checker uses of the placement controller. */
 export interface GroupCheckerContext {
@@ -42,6 +54,7 @@
   #context: GroupCheckerContext;
   #pending: PendingChecks;
   #lastCheckedAt = new Map<string, number>();
+  #lastCompleteAt = new Map<string, number>();
 
   constructor(kernel: RelayKernel, context: GroupCheckerContext) {
     this.#clock = kernel.find("clock");
@@ -55,16 +68,14 @@
   }
 
   /** Checks a group now, or once this node holds placement. */
-  request(name: string, epoch: number): void {
+  request(name: string, epoch: number, cause: CheckCause): void {
     if (!this.#elector.isHolder) {
       this.#pending.add(name, epoch);
       return;
     }
     const group = this.#groups.find(name, epoch);
-    const isDue =
-      this.#clock.now() - (this.#lastCheckedAt.get(name) ?? -Infinity) >
-        RECHECK_INTERVAL_MS;
-    if (group === undefined || !isDue || this.#context.isBusy(group)) {
+    const isBusy = group !== undefined && this.#context.isBusy(group);
+    if (group === undefined || isBusy || !this.#isDue(name, cause)) {
       return;
     }
     this.#lastCheckedAt.set(name, this.#clock.now());
@@ -74,13 +85,21 @@
   /** Checks the groups that were suspected before this node held placement. */
   requestPending(): void {
     this.#pending.take()
-      .forEach(({ group, epoch }) => this.request(group, epoch));
+      .forEach(({ group, epoch }) => this.request(group, epoch, "stalled"));
   }
 
   dump(): unknown {
     return this.#pending.dump();
   }
 
+  #isDue(name: string, cause: CheckCause): boolean {
+    const now = this.#clock.now();
+    const checkedAt = this.#lastCheckedAt.get(name) ?? -Infinity;
+    const completeAt = this.#lastCompleteAt.get(name) ?? -Infinity;
+    return now - checkedAt > RECHECK_INTERVAL_MS &&
+      (cause === "stalled" || now - completeAt > UNLISTED_RECHECK_INTERVAL_MS);
+  }
+
   /**
    * Dissolves the group if a member is missing, has left, or is slow and
    * replaceable.
@@ -97,6 +116,9 @@
       isMemberOf(report?.engine.membership, group.name, group.epoch)
     );
     const isComplete = present.length === size;
+    if (isComplete) {
+      this.#lastCompleteAt.set(group.name, this.#clock.now());
+    }
     const slowReports = reports.filter((report) =>
       report !== undefined && isSlowReport(report)
     );
--- a/packages/relay/src/routing/outstanding-requests.ts
+++ b/packages/relay/src/routing/outstanding-requests.ts
@@ -72,9 +72,9 @@
  * Longer than STALL_TIMEOUT_MS, as requests without an event may be queued
  * behind long prompts or behind requests of other nodes. With many nodes, each
  * has few requests at a group, so events that other nodes received count as
- * well.
+ * well. Their reports are late, so with many nodes the timeout is longer.
  */
-const FIRST_EVENT_TIMEOUT_MS = 600;
+const MIN_FIRST_EVENT_TIMEOUT_MS = 600;
 
 /** Counts this node's requests by instance and detects groups that stall. */
 export class OutstandingRequests implements Service {
@@ -255,7 +255,10 @@
   #getTimeoutMs(hasBegun: boolean, group: GroupRef): number {
     return hasBegun || this.#groups.isSuspected(group)
       ? STALL_TIMEOUT_MS
-      : FIRST_EVENT_TIMEOUT_MS;
+      : Math.max(
+        MIN_FIRST_EVENT_TIMEOUT_MS,
+        STALL_TIMEOUT_MS + this.#mesh.reportDelayMs,
+      );
   }
 
   #reportStall(
--- a/packages/relay/test/routing/outstanding-requests.test.ts
+++ b/packages/relay/test/routing/outstanding-requests.test.ts
@@ -16,6 +16,9 @@
     checks: 0,
     broadcasts: 0,
     peerEventAt: -Infinity,
+    setReportDelayMs: (delayMs: number) => {
+      mesh.reportDelayMs = delayMs;
+    },
   };
   const groups = {
     isSuspected: () => env.isSuspectedByPeer,
@@ -25,6 +28,7 @@
     clearSuspicion: () => {},
   };
   const mesh = {
+    reportDelayMs: 150,
     peerLoads: { count: () => 0, findLastEventAt: () => env.peerEventAt },
     setOutstandingSource: () => {},
     broadcast: () => {
@@ -112,6 +116,16 @@
       expect(env.suspicions).toBe(1);
     });
 
+    it("reveal a stall later if reports of events take longer to arrive", async () => {
+      const { env, outstanding } = await start();
+      env.setReportDelayMs(900);
+      outstanding.begin(LEAD, GROUP, true);
+      await env.clock.advance(1200);
+      expect(env.suspicions).toBe(0);
+      await env.clock.advance(150);
+      expect(env.suspicions).toBe(1);
+    });
+
     it("reveal no stall while events reach another node", async () => {
       const { env, outstanding } = await start();
       outstanding.begin(LEAD, GROUP, true);
