Hold back prompts on which upstreams crash

Callers of all kinds saw streams break and requests refused, as upstream after upstream ended: nothing remembered what a request held when its upstream ended, and each such request was also repeated once by the node, which ended a second one. 17 processes ended in 22 s.

A node now examines an upstream that closes connections before it answered them, and shares the parts of these prompts with all others.

--- a/packages/cli/src/explanation.ts
+++ b/packages/cli/src/explanation.ts
@@ -28,6 +28,9 @@
   "dependency_regained",
   "group_changed",
   "instance_backing_off",
+  "prompt_parts_quarantined",
+  "prompt_parts_released",
+  "upstream_examined",
   "instance_leaving",
   "group_checked",
   "group_dissolved",
@@ -44,6 +47,8 @@
 
 /** Events that affect every request on a node. */
 const NODE_WIDE_EVENTS = new Set([
+  "prompt_parts_quarantined",
+  "prompt_parts_released",
   "configuration_adopted",
   "dependency_lost",
   "dependency_regained",
--- a/packages/relay/src/adapter.ts
+++ b/packages/relay/src/adapter.ts
@@ -21,6 +21,8 @@
   readonly message: string;
   /** Whether records from the requested offset on are no longer stored. */
   readonly isHistoryLost?: boolean;
+  /** Whether nothing, or another process, listens at the called address. */
+  readonly isGone?: boolean;
 }
 
 /** The latest record of each key. */
@@ -119,6 +121,13 @@
   readonly apiKey: string | undefined;
   readonly deadlineMs: number | undefined;
   readonly model: string | undefined;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in order. The
+   * part that is the request's own comes last and is left out.
+   */
+  readonly sharedParts: readonly string[];
+  /** Id of the part of the prompt that is the request's own. */
+  readonly ownPart: string | undefined;
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly outputTokensHint: number | undefined;
--- a/packages/relay/src/gauges.ts
+++ b/packages/relay/src/gauges.ts
@@ -18,6 +18,7 @@
     const publicServer = kernel.find("front");
     const capacityMonitor = kernel.find("intake");
     const placement = kernel.find("placement");
+    const quarantine = kernel.find("quarantine");
     this.#gauges = {
       configuration_age_ms: [
         "Time since the configuration was known to be the newest",
@@ -48,6 +49,10 @@
         "Share of a core that is free for callers; lower while turns run late",
         () => capacityMonitor.capacity,
       ],
+      prompt_parts_quarantined: [
+        "Sets of prompt parts that are held back, as upstreams crash on them",
+        () => quarantine.size,
+      ],
       requests_in_flight: [
         "Requests that have not ended",
         () => publicServer.inFlight,
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -76,6 +76,15 @@
 /** A message that reaches nodes to which its origin has no connection. */
 export type ForwardedMessage = z.infer<typeof ForwardedMessage>;
 
+/** Parts of prompts that are held back together. */
+export const HarmfulPartsReport = z.object({
+  parts: z.array(z.string()),
+  /** Time since the last crash that they may have caused. */
+  ageMs: z.number(),
+});
+/** Parts of prompts that are held back together. */
+export type HarmfulPartsReport = z.infer<typeof HarmfulPartsReport>;
+
 /** A message between two nodes. */
 export const PeerMessage = z.discriminatedUnion("kind", [
   z.object({
@@ -103,6 +112,8 @@
     /** Time since each shared feed was last known to be complete. */
     agesMs: z.record(SharedFeed, z.number()),
     outstanding: z.array(OutstandingCount),
+    /** What a node that was away needs to know at once. */
+    harmfulParts: z.array(HarmfulPartsReport).default([]),
     /** Heartbeats of other nodes since the sender's last one. */
     forwarded: z.array(ForwardedMessage).default([]),
   }),
@@ -137,6 +148,23 @@
     kind: z.literal("released"),
     outcome: LeadReleaseOutcome,
   }),
+  /** An upstream process has ended before it answered some requests. */
+  z.object({
+    kind: z.literal("crash"),
+    process: z.string(),
+    ageMs: z.number(),
+    suspects: z.array(z.object({
+      id: z.string(),
+      parts: z.array(z.string()),
+    })),
+  }),
+  /** An upstream has answered a request with parts that were at a crash. */
+  z.object({
+    kind: z.literal("cleared"),
+    parts: z.array(z.string()),
+    /** Time since the answer began. */
+    ageMs: z.number(),
+  }),
   z.object({
     kind: z.literal("suspect"),
     instance: z.string(),
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -29,6 +29,7 @@
 import { encodeMessage } from "./peer-codec.ts";
 import type {
   ForwardedKind,
+  HarmfulPartsSource,
   MessageListeners,
   OutstandingSource,
   Peer,
@@ -80,6 +81,7 @@
   #tasks: TaskGroup;
   #sequence = 0;
   #readOutstanding: OutstandingSource = () => [];
+  #readHarmfulParts: HarmfulPartsSource = () => [];
   #readRole = (): PlacementRole => ({ isHolder: false, isCandidate: false });
   #router: MessageRouter;
 
@@ -172,6 +174,16 @@
     this.#readRole = source;
   }
 
+  /** Sets the source of the parts of prompts that heartbeats report. */
+  setHarmfulPartsSource(source: HarmfulPartsSource): void {
+    this.#readHarmfulParts = source;
+  }
+
+  /** Sets the listener for the parts that heartbeats of others report. */
+  setHarmfulPartsListener(listener: PeerTable["onHarmfulParts"]): void {
+    this.#peers.onHarmfulParts = listener;
+  }
+
   /** Sets the listener for a kind of message that the mesh only forwards. */
   onMessage<Kind extends ForwardedKind>(
     kind: Kind,
@@ -311,6 +323,7 @@
       capacity: this.#capacityMonitor.capacity,
       ...this.#exchange.describeProgress(),
       outstanding: [...this.#readOutstanding()],
+      harmfulParts: [...this.#readHarmfulParts()],
       forwarded: [],
     };
   }
--- a/packages/relay/src/peers/message-router.ts
+++ b/packages/relay/src/peers/message-router.ts
@@ -113,6 +113,8 @@
       this.#exchange.applyRecords(link.entry.name, message),
     news: (link, message) => this.#handleAndForward(link, message),
     suspect: (link, message) => this.#handleAndForward(link, message),
+    crash: (link, message) => this.#handleAndForward(link, message),
+    cleared: (link, message) => this.#handleAndForward(link, message),
     release: (link, message) => this.#handleAndForward(link, message),
     released: (link, message) =>
       this.#listeners.released?.(message, link.entry),
--- a/packages/relay/src/peers/peer-table.ts
+++ b/packages/relay/src/peers/peer-table.ts
@@ -6,6 +6,7 @@
 import type { Clock } from "@zinniahill/kernel";
 import type {
   ForwardedMessage,
+  HarmfulPartsReport,
   MessageOf,
   NodeEntry,
 } from "../model/peer-message.ts";
@@ -27,6 +28,8 @@
 /** Keeps the last heartbeat of each node, direct or forwarded. */
 export class PeerTable {
   readonly loads = new PeerLoads();
+  /** Called with the parts of prompts that a node holds back, if any. */
+  onHarmfulParts: (reported: readonly HarmfulPartsReport[]) => void = () => {};
   #clock: Pick<Clock, "now">;
   #states = new Map<string, PeerState>();
 
@@ -105,6 +108,12 @@
     }
     state.lastHeartbeat = { ...heartbeat, forwarded: [], isUrgent: false };
     this.loads.update(name, heartbeat.outstanding, this.#clock.now() - ageMs);
+    if (heartbeat.harmfulParts.length > 0) {
+      this.onHarmfulParts(heartbeat.harmfulParts.map((reported) => ({
+        parts: reported.parts,
+        ageMs: reported.ageMs + ageMs,
+      })));
+    }
     return true;
   }
 
--- a/packages/relay/src/peers/peer.ts
+++ b/packages/relay/src/peers/peer.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {
+  HarmfulPartsReport,
   MessageOf,
   NodeEntry,
   OutstandingCount,
@@ -31,8 +32,17 @@
 /** Supplies the counts of requests in progress for heartbeats. */
 export type OutstandingSource = () => readonly OutstandingCount[];
 
+/** Supplies the parts of prompts that are held back, for heartbeats. */
+export type HarmfulPartsSource = () => readonly HarmfulPartsReport[];
+
 /** Kinds of messages that other services handle. */
-export type ForwardedKind = "suspect" | "release" | "released" | "news";
+export type ForwardedKind =
+  | "suspect"
+  | "release"
+  | "released"
+  | "news"
+  | "crash"
+  | "cleared";
 
 /** Listeners of other services, by kind of message. */
 export type MessageListeners = {
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -28,6 +28,7 @@
 import type { RelaySettings } from "./relay-settings.ts";
 import { CurrentConfiguration } from "./routing/current-configuration.ts";
 import { Dispatcher } from "./routing/dispatcher.ts";
+import { Quarantine } from "./routing/quarantine.ts";
 import { OutstandingRequests } from "./routing/outstanding-requests.ts";
 import type {
   AdapterServices,
@@ -85,6 +86,7 @@
       "mesh",
       "holder",
       "placement",
+      "quarantine",
       "front",
       "intake",
     ],
@@ -183,6 +185,11 @@
       [...CORE_SERVICES, "instances", "groups", "outstanding"],
       (services) => new Dispatcher(services),
     )
+    .provide(
+      "quarantine",
+      [...CORE_SERVICES, "mesh", "engines"],
+      (services) => new Quarantine(services),
+    )
     .provide(
       "attempts",
       [
@@ -190,6 +197,7 @@
         "format",
         "instances",
         "dispatcher",
+        "quarantine",
         "outstanding",
         "mesh",
       ],
@@ -197,7 +205,7 @@
     )
     .provide(
       "answers",
-      [...CORE_SERVICES, "attempts"],
+      [...CORE_SERVICES, "attempts", "quarantine"],
       (services) => new RequestHandlers(services),
     )
     .provide(
--- /dev/null
+++ b/packages/relay/src/routing/quarantine.ts
@@ -0,0 +1,221 @@
+/**
+ * Holds back requests whose prompts crash upstreams.
+ *
+ * Each node examines the processes that end before they answer its requests,
+ * and shares with all others which parts of prompts were there, and which were
+ * answered since.
+ *
+ * @module
+ */
+import { type Clock, type Logger, type Service } from "@zinniahill/kernel";
+import { Refusal } from "@zinniahill/schema";
+import type { EngineControl, RequestMetadata } from "../adapter.ts";
+import type { Instance } from "../model/instance.ts";
+import type { MessageOf } from "../model/peer-message.ts";
+import type { Mesh } from "../peers/mesh.ts";
+import type { RelayKernel } from "../services.ts";
+import { CrashEvidence, type SuspectRequest } from "./crash-evidence.ts";
+
+/** The properties of a request by which it is held back. */
+export type Prompt = Pick<
+  RequestMetadata,
+  "attemptId" | "sharedParts" | "ownPart"
+>;
+
+/** An upstream process that may have ended. */
+interface Examination {
+  readonly at: number;
+  readonly suspects: SuspectRequest[];
+  /** Resolves once the process is known to run, to have ended, or neither. */
+  readonly isOver: Promise<void>;
+}
+
+/** An upstream that is up answers within a few ms, across regions in 40. */
+const REPORT_TIMEOUT_MS = 150;
+/** Suspects that are shared for one crash; a batch holds fewer requests. */
+const MAX_SHARED_SUSPECTS = 64;
+
+/** Quarantines requests by the parts of their prompts. */
+export class Quarantine implements Service {
+  #clock: Clock;
+  #logger: Logger;
+  #engines: EngineControl;
+  #mesh: Mesh;
+  #evidence: CrashEvidence;
+  #examinations = new Map<string, Examination>();
+  #stopped = new AbortController();
+  #loggedKeys = new Set<string>();
+
+  constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
+    this.#engines = kernel.find("engines");
+    this.#mesh = kernel.find("mesh");
+    this.#evidence = new CrashEvidence(this.#clock);
+    this.#mesh.onMessage("crash", (message) => this.#applyCrash(message));
+    this.#mesh.onMessage("cleared", ({ parts, ageMs }) => {
+      this.#evidence.recordAnswer(parts, this.#clock.now() - ageMs);
+      this.#logChanges();
+    });
+    this.#mesh.setHarmfulPartsListener((reported) => {
+      const now = this.#clock.now();
+      reported.forEach(({ parts, ageMs }) =>
+        this.#evidence.adopt(parts, now - ageMs)
+      );
+      this.#logChanges();
+    });
+  }
+
+  start(): void {
+    this.#mesh.setHarmfulPartsSource(() => {
+      const now = this.#clock.now();
+      return this.#evidence.list().map(({ parts, lastCrashAt }) => ({
+        parts: [...parts],
+        ageMs: Math.round(now - lastCrashAt),
+      }));
+    });
+  }
+
+  stop(): void {
+    this.#stopped.abort();
+  }
+
+  /** Number of sets of parts that are held back. */
+  get size(): number {
+    return this.#evidence.list().length;
+  }
+
+  /** Returns the refusal of a request that would crash an upstream. */
+  check({ sharedParts }: Prompt): Refusal | undefined {
+    const harmful = this.#evidence.findHarmful(sharedParts);
+    return harmful === undefined ? undefined : new Refusal(
+      "quarantined",
+      "not-run",
+      `upstreams crash on prompts with ${describeParts(harmful.parts)}`,
+      harmful.until - this.#clock.now(),
+    );
+  }
+
+  /** Whether a repeat of the request may crash another upstream. */
+  isSuspect({ sharedParts }: Prompt): boolean {
+    return this.#evidence.isSuspect(sharedParts);
+  }
+
+  /** Records that the answer to a request began at `at` and went on. */
+  recordAnswer({ sharedParts }: Prompt, at: number): void {
+    const parts = this.#evidence.recordAnswer(sharedParts, at);
+    if (parts.length > 0) {
+      const ageMs = Math.round(this.#clock.now() - at);
+      this.#mesh.broadcast({ kind: "cleared", parts, ageMs });
+      this.#logChanges();
+    }
+  }
+
+  /**
+   * Examines an upstream that closed the connection of a request before it
+   * answered it. Resolves once it is known whether its process has ended.
+   */
+  async recordBroken(
+    { attemptId, sharedParts, ownPart }: Prompt,
+    instance: Instance,
+  ): Promise<void> {
+    if (sharedParts.length === 0) {
+      return;
+    }
+    const key = createProcessKey(instance);
+    let examination = this.#examinations.get(key);
+    if (examination === undefined) {
+      const suspects: SuspectRequest[] = [];
+      const at = this.#clock.now();
+      const isOver = this.#examine(instance, key, at, suspects);
+      examination = { at, suspects, isOver };
+      this.#examinations.set(key, examination);
+    }
+    examination.suspects.push({
+      id: ownPart ?? attemptId ?? "",
+      parts: sharedParts,
+    });
+    await examination.isOver;
+  }
+
+  dump(): unknown {
+    return { harmful: this.#evidence.list() };
+  }
+
+  async #examine(
+    instance: Instance,
+    key: string,
+    at: number,
+    suspects: SuspectRequest[],
+  ): Promise<void> {
+    try {
+      const hasEnded = await this.#hasEnded(instance);
+      this.#logger.info("upstream_examined", {
+        instance: instance.id,
+        has_ended: hasEnded ?? "unknown",
+        suspects: suspects.length,
+      });
+      if (hasEnded) {
+        this.#evidence.recordCrash(key, at, suspects);
+        this.#mesh.broadcast({
+          kind: "crash",
+          process: key,
+          ageMs: Math.round(this.#clock.now() - at),
+          suspects: suspects.slice(0, MAX_SHARED_SUSPECTS)
+            .map(({ id, parts }) => ({ id, parts: [...parts] })),
+        });
+        this.#logChanges();
+      }
+    } finally {
+      this.#examinations.delete(key);
+    }
+  }
+
+  /** Whether the process has ended; undefined if that is not known. */
+  async #hasEnded(instance: Instance): Promise<boolean | undefined> {
+    const report = await this.#engines.requestReport(
+      instance,
+      REPORT_TIMEOUT_MS,
+      this.#stopped.signal,
+    );
+    return report.match({
+      Ok: ({ bornAt }) => bornAt !== undefined && bornAt !== instance.bornAt,
+      Err: ({ isGone }) => isGone === true ? true : undefined,
+    });
+  }
+
+  #applyCrash({ process, suspects, ageMs }: MessageOf<"crash">): void {
+    this.#evidence.recordCrash(process, this.#clock.now() - ageMs, suspects);
+    this.#logChanges();
+  }
+
+  #logChanges(): void {
+    const harmful = this.#evidence.list();
+    const keys = new Set(harmful.map(({ parts }) => parts.join(",")));
+    for (const { parts, lastCrashAt } of harmful) {
+      if (!this.#loggedKeys.has(parts.join(","))) {
+        this.#logger.warn("prompt_parts_quarantined", {
+          parts: parts.join(","),
+          crash_age_ms: Math.round(this.#clock.now() - lastCrashAt),
+        });
+      }
+    }
+    for (const key of this.#loggedKeys) {
+      if (!keys.has(key)) {
+        this.#logger.warn("prompt_parts_released", { parts: key });
+      }
+    }
+    this.#loggedKeys = keys;
+  }
+}
+
+/** Another process may have the id of an earlier one. */
+function createProcessKey({ id, bornAt }: Instance): string {
+  return `${id} ${bornAt}`;
+}
+
+function describeParts(parts: readonly string[]): string {
+  return parts.length === 1
+    ? `the part ${parts[0]}`
+    : `the parts ${parts.join(", ")} together`;
+}
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -14,6 +14,7 @@
   OutstandingRequest,
   OutstandingRequests,
 } from "../routing/outstanding-requests.ts";
+import type { Quarantine } from "../routing/quarantine.ts";
 import { RetryBudget } from "../routing/retry-budget.ts";
 import { findFault, MISDIRECTED_STATUS } from "./response-check.ts";
 import { ConnectionPool } from "./connection-pool.ts";
@@ -24,7 +25,7 @@
   scheduleAt,
   type UpstreamResponse,
 } from "./exchange.ts";
-import type { RelayedRequest } from "./relayed-request.ts";
+import { describeParts, type RelayedRequest } from "./relayed-request.ts";
 
 /** An attempt whose response head has arrived. */
 export interface OpenAttempt {
@@ -57,6 +58,7 @@
   #instances: Instances;
   #dispatcher: Dispatcher;
   #outstanding: OutstandingRequests;
+  #quarantine: Quarantine;
   #retryBudget: RetryBudget;
   #pool: ConnectionPool;
 
@@ -67,6 +69,7 @@
     this.#instances = kernel.find("instances");
     this.#dispatcher = kernel.find("dispatcher");
     this.#outstanding = kernel.find("outstanding");
+    this.#quarantine = kernel.find("quarantine");
     this.#pool = new ConnectionPool(this.#clock);
     const mesh = kernel.find("mesh");
     this.#retryBudget = new RetryBudget(
@@ -89,7 +92,7 @@
       attemptCount < MAX_UNSENT_ATTEMPTS;
       attemptCount++
     ) {
-      const chosen = this.#choose(request);
+      const chosen = this.#chooseAllowed(request);
       if (chosen.isErr) {
         const refusal = request.mayHaveRun
           ? createFaultRefusal(request, chosen.error.message)
@@ -120,9 +123,10 @@
 
   /** Withdraws a retry from the budget, if one more attempt is allowed. */
   tryWithdrawRetry(
-    { service, route, sentTo, deadlineAt }: RelayedRequest,
+    { service, route, sentTo, deadlineAt, metadata }: RelayedRequest,
   ): boolean {
     return sentTo.size < route.maxAttempts && this.#clock.now() < deadlineAt &&
+      !this.#quarantine.isSuspect(metadata) &&
       this.#retryBudget.tryWithdraw(service.name);
   }
 
@@ -137,6 +141,12 @@
     };
   }
 
+  /** Chooses an instance, unless the request crashes upstreams. */
+  #chooseAllowed(request: RelayedRequest): Result<Selection, Refusal> {
+    const refusal = this.#quarantine.check(request.metadata);
+    return refusal === undefined ? this.#choose(request) : Result.err(refusal);
+  }
+
   #choose(
     request: RelayedRequest,
     excluded: ReadonlySet<string> = request.sentTo,
@@ -202,6 +212,8 @@
     if (sent.isErr) {
       if (!exchange.hasConnected) {
         this.#dispatcher.markUnreachable(instance);
+      } else if (!exchange.isClosed) {
+        await this.#quarantine.recordBroken(request.metadata, instance);
       }
       end(ATTEMPT_ENDED);
       return Result.err(sent.error);
@@ -340,6 +352,7 @@
       group: group?.name,
       load,
       verdict,
+      parts: describeParts(request),
       error: message,
       left_ms: Math.round(request.deadlineAt - this.#clock.now()),
     });
--- /dev/null
+++ b/packages/relay/src/serving/event-forwarder.ts
@@ -0,0 +1,110 @@
+/**
+ * Forwards the events of a stream to its caller, over all its attempts.
+ *
+ * @module
+ */
+import type { Clock } from "@zinniahill/kernel";
+import type { Quarantine } from "../routing/quarantine.ts";
+import type { OpenAttempt } from "./attempts.ts";
+import { EventSplitter } from "./event-splitter.ts";
+import type { RelayedRequest } from "./relayed-request.ts";
+import { writeStreamHead } from "./response-writer.ts";
+
+/** An upstream that runs on for so long does not crash on the prompt. */
+const PROOF_MS = 200;
+
+/** The caller's view of one stream. */
+export class EventForwarder {
+  #clock: Clock;
+  #quarantine: Quarantine;
+  #request: RelayedRequest;
+  #lastEventId: string | undefined;
+  #firstByteAt: number | undefined;
+  #lastEventAt: number | undefined;
+  #eventCount = 0;
+  #longestGapMs = 0;
+  /** When the first event of the current attempt arrived. */
+  #answeredAt: number | undefined;
+  #isProven = false;
+
+  constructor(clock: Clock, quarantine: Quarantine, request: RelayedRequest) {
+    this.#clock = clock;
+    this.#quarantine = quarantine;
+    this.#request = request;
+    this.#lastEventId = request.metadata.lastEventId;
+  }
+
+  /** Id of the event after which a further attempt has to go on. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  get firstByteAt(): number | undefined {
+    return this.#firstByteAt;
+  }
+
+  /** Events that the caller has received. */
+  get eventCount(): number {
+    return this.#eventCount;
+  }
+
+  get longestGapMs(): number {
+    return this.#longestGapMs;
+  }
+
+  /** Whether the current attempt showed that its upstream can answer it. */
+  get isProven(): boolean {
+    return this.#isProven;
+  }
+
+  /** Forwards all events; throws if the upstream interrupts the stream. */
+  async forward(
+    { upstreamResponse, outstandingRequest }: OpenAttempt,
+  ): Promise<void> {
+    const { response } = this.#request;
+    const splitter = new EventSplitter(this.#lastEventId);
+    this.#answeredAt = undefined;
+    this.#isProven = false;
+    for await (const chunk of upstreamResponse.body) {
+      const block = splitter.push(chunk);
+      if (block === undefined) {
+        continue;
+      }
+      outstandingRequest.recordEvent();
+      if (!response.headersSent) {
+        writeStreamHead(response, upstreamResponse);
+      }
+      this.#recordEvents(block.count);
+      this.#lastEventId = block.lastId ?? this.#lastEventId;
+      response.write(block.bytes);
+    }
+    if (splitter.hasIncompleteEvent) {
+      throw new Error("the stream ended within an event");
+    }
+    if (!response.headersSent) {
+      writeStreamHead(response, upstreamResponse);
+    }
+    this.#prove(this.#answeredAt ?? this.#clock.now());
+  }
+
+  #recordEvents(count: number): void {
+    const now = this.#clock.now();
+    const gapMs = now - (this.#lastEventAt ?? now);
+    this.#eventCount += count;
+    this.#firstByteAt ??= now;
+    this.#lastEventAt = now;
+    this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
+    this.#answeredAt ??= now;
+    if (now - this.#answeredAt >= PROOF_MS) {
+      this.#prove(this.#answeredAt);
+    }
+  }
+
+  /** Records once for each attempt that the upstream has answered it. */
+  #prove(answeredAt: number): void {
+    if (!this.#isProven) {
+      this.#isProven = true;
+      this.#quarantine.recordAnswer(this.#request.metadata, answeredAt);
+    }
+  }
+}
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -87,6 +87,11 @@
     return this.#isKept;
   }
 
+  /** Whether this node has ended the exchange. */
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
   /** Sends a request and waits for the response head. */
   async send(
     request: UpstreamRequest,
--- a/packages/relay/src/serving/relayed-request.ts
+++ b/packages/relay/src/serving/relayed-request.ts
@@ -30,3 +30,15 @@
   /** Whether any of these instances may have run the request. */
   mayHaveRun: boolean;
 }
+
+/** Shared parts that a log line names at most. */
+const MAX_LOGGED_PARTS = 8;
+
+/** The shared parts of a request's prompt for the log. */
+export function describeParts(
+  { metadata: { sharedParts } }: RelayedRequest,
+): string | undefined {
+  return sharedParts.length === 0
+    ? undefined
+    : sharedParts.slice(0, MAX_LOGGED_PARTS).join(",");
+}
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -15,10 +15,11 @@
   createFaultRefusal,
   type OpenAttempt,
 } from "./attempts.ts";
-import { EventSplitter } from "./event-splitter.ts";
+import type { Quarantine } from "../routing/quarantine.ts";
+import { EventForwarder } from "./event-forwarder.ts";
 import { collectBody, type UpstreamResponse } from "./exchange.ts";
-import type { RelayedRequest } from "./relayed-request.ts";
-import { writeBufferedResponse, writeStreamHead } from "./response-writer.ts";
+import { describeParts, type RelayedRequest } from "./relayed-request.ts";
+import { writeBufferedResponse } from "./response-writer.ts";
 
 /** Origin of a response, and the load at that instance. */
 export interface ResponseSource {
@@ -52,16 +53,6 @@
   readonly source: ResponseSource;
 }
 
-/** Progress of a stream over all its attempts. */
-interface StreamProgress {
-  lastEventId: string | undefined;
-  firstByteAt: number | undefined;
-  eventCount: number;
-  status: number;
-  lastEventAt: number | undefined;
-  longestGapMs: number;
-}
-
 const MIN_SERVER_ERROR_STATUS = 500;
 const OK_STATUS = 200;
 
@@ -70,11 +61,13 @@
   #clock: Clock;
   #logger: Logger;
   #attempts: Attempts;
+  #quarantine: Quarantine;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#attempts = kernel.find("attempts");
+    this.#quarantine = kernel.find("quarantine");
   }
 
   dump(): unknown {
@@ -127,12 +120,14 @@
       const { upstreamResponse, exchange, end } = opened.value;
       try {
         const chunks = await collectBody(upstreamResponse.body);
+        this.#quarantine.recordAnswer(request.metadata, this.#clock.now());
         const source = describeSource(opened.value);
         return Result.ok({ upstreamResponse, chunks, source });
       } catch (failure) {
         request.mayHaveRun = true;
         const { message } = exchange.createFault(failure);
         this.#logInterruption(request, opened.value, message);
+        await this.#recordBroken(request, opened.value);
         const refusal = this.#decideAfterInterruption(request, message);
         if (refusal !== undefined) {
           return Result.err(refusal);
@@ -164,16 +159,9 @@
    * instance after its last complete event; the caller still sees one response.
    */
   async #handleStream(request: RelayedRequest): Promise<Outcome> {
-    const progress: StreamProgress = {
-      lastEventId: request.metadata.lastEventId,
-      firstByteAt: undefined,
-      eventCount: 0,
-      status: OK_STATUS,
-      lastEventAt: undefined,
-      longestGapMs: 0,
-    };
+    const events = new EventForwarder(this.#clock, this.#quarantine, request);
     for (;;) {
-      const opened = await this.#attempts.open(request, progress.lastEventId);
+      const opened = await this.#attempts.open(request, events.lastEventId);
       if (opened.isErr) {
         return Result.err(opened.error);
       }
@@ -184,19 +172,29 @@
           const { upstreamResponse } = attempt;
           return await this.#forwardErrorResponse(
             request,
-            progress,
+            events,
             upstreamResponse,
             source,
           );
         }
-        await this.#forwardEvents(request, attempt, progress);
+        await events.forward(attempt);
         request.response.end();
-        const firstByteAt = progress.firstByteAt ?? this.#clock.now();
-        return Result.ok({ ...progress, ...source, firstByteAt });
+        const { eventCount, longestGapMs } = events;
+        const firstByteAt = events.firstByteAt ?? this.#clock.now();
+        return Result.ok({
+          ...source,
+          status: OK_STATUS,
+          firstByteAt,
+          eventCount,
+          longestGapMs,
+        });
       } catch (failure) {
         request.mayHaveRun = true;
         const { message } = attempt.exchange.createFault(failure);
-        this.#logInterruption(request, attempt, message, progress.eventCount);
+        this.#logInterruption(request, attempt, message, events);
+        if (!events.isProven) {
+          await this.#recordBroken(request, attempt);
+        }
         const refusal = this.#decideAfterInterruption(request, message);
         if (refusal !== undefined) {
           return Result.err(refusal);
@@ -207,54 +205,15 @@
     }
   }
 
-  /** Forwards all events; throws if the upstream interrupts the stream. */
-  async #forwardEvents(
-    { response, metadata }: RelayedRequest,
-    { upstreamResponse, outstandingRequest }: OpenAttempt,
-    progress: StreamProgress,
-  ): Promise<void> {
-    const splitter = new EventSplitter(
-      progress.lastEventId ?? metadata.lastEventId,
-    );
-    for await (const chunk of upstreamResponse.body) {
-      const block = splitter.push(chunk);
-      if (block === undefined) {
-        continue;
-      }
-      outstandingRequest.recordEvent();
-      if (!response.headersSent) {
-        writeStreamHead(response, upstreamResponse);
-      }
-      this.#recordEvents(progress);
-      progress.eventCount += block.count;
-      progress.lastEventId = block.lastId ?? progress.lastEventId;
-      response.write(block.bytes);
-    }
-    if (splitter.hasIncompleteEvent) {
-      throw new Error("the stream ended within an event");
-    }
-    if (!response.headersSent) {
-      writeStreamHead(response, upstreamResponse);
-    }
-  }
-
-  #recordEvents(progress: StreamProgress): void {
-    const now = this.#clock.now();
-    const gapMs = now - (progress.lastEventAt ?? now);
-    progress.firstByteAt ??= now;
-    progress.lastEventAt = now;
-    progress.longestGapMs = Math.max(progress.longestGapMs, gapMs);
-  }
-
   /** Forwards an error response to a stream request: a body, not a stream. */
   async #forwardErrorResponse(
     request: RelayedRequest,
-    progress: StreamProgress,
+    { eventCount }: EventForwarder,
     upstreamResponse: UpstreamResponse,
     source: ResponseSource,
   ): Promise<Outcome> {
     const chunks = await collectBody(upstreamResponse.body);
-    if (progress.eventCount > 0) {
+    if (eventCount > 0) {
       return Result.err(
         new Refusal(
           "upstream-unavailable",
@@ -288,17 +247,29 @@
       : createFaultRefusal(request, message);
   }
 
+  /** Examines an upstream that broke off an answer; this node may have, too. */
+  async #recordBroken(
+    { metadata }: RelayedRequest,
+    { exchange, choice }: OpenAttempt,
+  ): Promise<void> {
+    if (!exchange.isClosed) {
+      await this.#quarantine.recordBroken(metadata, choice.instance);
+    }
+  }
+
   #logInterruption(
     request: RelayedRequest,
     { choice }: OpenAttempt,
     error: string,
-    events = 0,
+    events?: EventForwarder,
   ): void {
     this.#logger.info("answer_broken", {
       request: request.id,
       instance: choice.instance.id,
       group: choice.group?.name,
-      events,
+      events: events?.eventCount ?? 0,
+      has_proof: events?.isProven ?? false,
+      parts: describeParts(request),
       error,
       left_ms: Math.round(request.deadlineAt - this.#clock.now()),
     });
--- a/packages/relay/test/peers/feed-exchange.test.ts
+++ b/packages/relay/test/peers/feed-exchange.test.ts
@@ -15,6 +15,7 @@
     offsets: { configuration: 0, instances },
     agesMs: { configuration: 5, instances: 7 },
     outstanding: [],
+    harmfulParts: [],
     isUrgent: false,
     forwarded: [],
   };
--- a/packages/schema/src/verdict.ts
+++ b/packages/schema/src/verdict.ts
@@ -32,6 +32,7 @@
   "no-upstream": { status: 503, type: "overloaded_error" },
   "no-configuration": { status: 503, type: "unavailable_error" },
   "stale-configuration": { status: 503, type: "unavailable_error" },
+  "quarantined": { status: 503, type: "unavailable_error" },
   "upstream-refused": { status: 503, type: "overloaded_error" },
   "log-unavailable": { status: 503, type: "unavailable_error" },
   "upstream-unavailable": { status: 502, type: "unavailable_error" },
