Divide the limit that an upstream names among the nodes

Upstreams that had named a limit on their requests got as many as before (38 in 4 s of the 29 allowed): nodes did not read the limit. No caller saw an error of it.

A limit ends with a response to a request that was sent after it was last named.

--- a/packages/cli/src/explanation.ts
+++ b/packages/cli/src/explanation.ts
@@ -31,6 +31,8 @@
   "prompt_parts_quarantined",
   "prompt_parts_released",
   "upstream_examined",
+  "upstream_limit_ended",
+  "upstream_limit_named",
   "instance_leaving",
   "group_checked",
   "group_dissolved",
--- a/packages/relay/src/adapter.ts
+++ b/packages/relay/src/adapter.ts
@@ -160,6 +160,11 @@
   readonly isLeaving: boolean;
   /** The time for which the upstream, which refused, wants no request. */
   readonly backOffMs: number | undefined;
+  /**
+   * Requests a second that the upstream takes from all nodes together, if it
+   * names such a limit.
+   */
+  readonly maxRequestsPerS: number | undefined;
   /** Running and waiting requests at the upstream, if it reports them. */
   readonly upstreamLoad: number | undefined;
 }
--- a/packages/relay/src/gauges.ts
+++ b/packages/relay/src/gauges.ts
@@ -18,6 +18,7 @@
     const publicServer = kernel.find("front");
     const capacityMonitor = kernel.find("intake");
     const placement = kernel.find("placement");
+    const limits = kernel.find("upstreamLimits");
     const quarantine = kernel.find("quarantine");
     this.#gauges = {
       configuration_age_ms: [
@@ -53,6 +54,10 @@
         "Sets of prompt parts that are held back, as upstreams crash on them",
         () => quarantine.size,
       ],
+      upstreams_limited: [
+        "Upstreams that have named a limit on their requests",
+        () => limits.size,
+      ],
       requests_in_flight: [
         "Requests that have not ended",
         () => publicServer.inFlight,
--- a/packages/relay/src/model/instance.ts
+++ b/packages/relay/src/model/instance.ts
@@ -72,6 +72,13 @@
 /** One upstream process. */
 export type Instance = z.infer<typeof Instance>;
 
+/** Identifies a process: another one may have the id of an earlier one. */
+export function createProcessKey(
+  { id, bornAt }: Pick<Instance, "id" | "bornAt">,
+): string {
+  return `${id} ${bornAt}`;
+}
+
 /** Reply of an instance to a status request. */
 export const EngineReport = z.object({
   bornAt: z.number().optional(),
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -165,6 +165,15 @@
     /** Time since the answer began. */
     ageMs: z.number(),
   }),
+  /** A response has named the request limit of its upstream, or has not. */
+  z.object({
+    kind: z.literal("limit"),
+    process: z.string(),
+    /** Requests a second of all nodes together; null if there is no limit. */
+    perSecond: z.number().nonnegative().nullable(),
+    /** Time since it was named, or since the request that shows its end. */
+    ageMs: z.number(),
+  }),
   z.object({
     kind: z.literal("suspect"),
     instance: z.string(),
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -214,6 +214,11 @@
     return this.#directory.count;
   }
 
+  /** Names of the known nodes, connected or not, and of this one. */
+  listNames(): string[] {
+    return this.#directory.listAll().map(({ name }) => name);
+  }
+
   /** Sends a message to one node, if there is a way to it. */
   sendTo({ name }: NodeEntry, message: PeerMessage): void {
     const link = this.#connector.links.find(name);
--- a/packages/relay/src/peers/message-router.ts
+++ b/packages/relay/src/peers/message-router.ts
@@ -115,6 +115,7 @@
     suspect: (link, message) => this.#handleAndForward(link, message),
     crash: (link, message) => this.#handleAndForward(link, message),
     cleared: (link, message) => this.#handleAndForward(link, message),
+    limit: (link, message) => this.#handleAndForward(link, message),
     release: (link, message) => this.#handleAndForward(link, message),
     released: (link, message) =>
       this.#listeners.released?.(message, link.entry),
--- a/packages/relay/src/peers/peer.ts
+++ b/packages/relay/src/peers/peer.ts
@@ -42,7 +42,8 @@
   | "released"
   | "news"
   | "crash"
-  | "cleared";
+  | "cleared"
+  | "limit";
 
 /** Listeners of other services, by kind of message. */
 export type MessageListeners = {
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -28,6 +28,7 @@
 import type { RelaySettings } from "./relay-settings.ts";
 import { CurrentConfiguration } from "./routing/current-configuration.ts";
 import { Dispatcher } from "./routing/dispatcher.ts";
+import { UpstreamLimits } from "./routing/upstream-limits.ts";
 import { Quarantine } from "./routing/quarantine.ts";
 import { OutstandingRequests } from "./routing/outstanding-requests.ts";
 import type {
@@ -87,6 +88,7 @@
       "holder",
       "placement",
       "quarantine",
+      "upstreamLimits",
       "front",
       "intake",
     ],
@@ -180,9 +182,20 @@
       [...CORE_SERVICES, "groups", "mesh", "placement"],
       (services) => new OutstandingRequests(services),
     )
+    .provide(
+      "upstreamLimits",
+      [...CORE_SERVICES, "mesh"],
+      (services) => new UpstreamLimits(services),
+    )
     .provide(
       "dispatcher",
-      [...CORE_SERVICES, "instances", "groups", "outstanding"],
+      [
+        ...CORE_SERVICES,
+        "instances",
+        "groups",
+        "outstanding",
+        "upstreamLimits",
+      ],
       (services) => new Dispatcher(services),
     )
     .provide(
@@ -198,6 +211,7 @@
         "instances",
         "dispatcher",
         "quarantine",
+        "upstreamLimits",
         "outstanding",
         "mesh",
       ],
--- a/packages/relay/src/routing/dispatcher.ts
+++ b/packages/relay/src/routing/dispatcher.ts
@@ -13,6 +13,7 @@
 import type { RelayKernel } from "../services.ts";
 import { selectByLoad } from "./load-balancing.ts";
 import type { GroupRef, OutstandingRequests } from "./outstanding-requests.ts";
+import type { UpstreamLimits } from "./upstream-limits.ts";
 
 /** The properties of a request that determine its instance. */
 export interface SelectionCriteria {
@@ -63,6 +64,7 @@
   #instances: Instances;
   #groups: Groups;
   #outstanding: OutstandingRequests;
+  #limits: UpstreamLimits;
   #unreachableUntil = new Map<string, number>();
   /** Until when instances have asked this node for no further request. */
   #backingOffUntil = new Map<string, number>();
@@ -74,6 +76,7 @@
     this.#instances = kernel.find("instances");
     this.#groups = kernel.find("groups");
     this.#outstanding = kernel.find("outstanding");
+    this.#limits = kernel.find("upstreamLimits");
   }
 
   /** Selects an instance with spare capacity. */
@@ -123,7 +126,7 @@
   ): Result<Selection, Refusal> {
     const available = this.#instances.listAvailable(criteria.service.name);
     const listed = available.filter((instance) =>
-      !this.#isBackingOff(instance)
+      this.#acceptsRequest(instance, criteria)
     );
     const reachable = listed.filter((instance) => this.#isReachable(instance));
     const instances = reachable.length > 0 ? reachable : listed;
@@ -180,19 +183,37 @@
   ): Refusal {
     const { service: { name }, model } = criteria;
     const target = model === undefined ? name : `${name} ${model}`;
-    const backOffsMs = instances
-      .filter((instance) => this.#isBackingOff(instance))
-      .map(({ id }) => this.#backingOffUntil.get(id)! - this.#clock.now());
     return new Refusal(
       "no-upstream",
       "not-run",
       `no instance of ${target} is available`,
-      backOffsMs.length > 0
-        ? Math.min(...backOffsMs)
-        : this.#drawRetryAfterMs(criteria),
+      this.#computeRetryAfterMs(criteria, instances),
     );
   }
 
+  #computeRetryAfterMs(
+    criteria: SelectionCriteria,
+    instances: readonly Instance[],
+  ): number {
+    const backOffsMs = instances
+      .filter((instance) => this.#isBackingOff(instance))
+      .map(({ id }) => this.#backingOffUntil.get(id)! - this.#clock.now());
+    const permitsMs = instances
+      .filter((instance) => !this.#isBackingOff(instance))
+      .map((instance) => this.#limits.msUntilAllowed(instance))
+      .filter((ms) => Number.isFinite(ms));
+    if (permitsMs.length > 0) {
+      // Permits are few; callers that return for the next one are too many.
+      return Math.max(
+        Math.min(...permitsMs),
+        this.#drawRetryAfterMs(criteria),
+      );
+    }
+    return backOffsMs.length > 0
+      ? Math.min(...backOffsMs)
+      : this.#drawRetryAfterMs(criteria);
+  }
+
   /** A short delay if it can meet the target, else one that outlasts a peak. */
   #drawRetryAfterMs({ targetMs }: SelectionCriteria): number {
     const meanMs = targetMs > 2 * EARLY_RETRY_MS
@@ -203,10 +224,10 @@
   }
 
   /** The lead of a group, if it can be selected. */
-  #listLead(group: Group, { excluded }: SelectionCriteria): Selection[] {
+  #listLead(group: Group, criteria: SelectionCriteria): Selection[] {
     const { lead } = group;
-    return lead === undefined || excluded.has(lead.id) ||
-        !this.#isReachable(lead) || this.#isBackingOff(lead)
+    return lead === undefined || criteria.excluded.has(lead.id) ||
+        !this.#isReachable(lead) || !this.#acceptsRequest(lead, criteria)
       ? []
       : [this.#createSelection(lead, { name: group.name, epoch: group.epoch })];
   }
@@ -230,6 +251,12 @@
     return !this.#isExcluded(this.#unreachableUntil, instance);
   }
 
+  /** Whether an upstream takes a request, by what it has said of itself. */
+  #acceptsRequest(instance: Instance, { rank }: SelectionCriteria): boolean {
+    return !this.#isBackingOff(instance) &&
+      this.#limits.allows(instance, rank >= DEFERRABLE_RANK);
+  }
+
   #isBackingOff(instance: Instance): boolean {
     return this.#isExcluded(this.#backingOffUntil, instance);
   }
--- a/packages/relay/src/routing/quarantine.ts
+++ b/packages/relay/src/routing/quarantine.ts
@@ -10,7 +10,7 @@
 import { type Clock, type Logger, type Service } from "@zinniahill/kernel";
 import { Refusal } from "@zinniahill/schema";
 import type { EngineControl, RequestMetadata } from "../adapter.ts";
-import type { Instance } from "../model/instance.ts";
+import { createProcessKey, type Instance } from "../model/instance.ts";
 import type { MessageOf } from "../model/peer-message.ts";
 import type { Mesh } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
@@ -209,11 +209,6 @@
   }
 }
 
-/** Another process may have the id of an earlier one. */
-function createProcessKey({ id, bornAt }: Instance): string {
-  return `${id} ${bornAt}`;
-}
-
 function describeParts(parts: readonly string[]): string {
   return parts.length === 1
     ? `the part ${parts[0]}`
--- a/packages/relay/src/services.ts
+++ b/packages/relay/src/services.ts
@@ -30,6 +30,7 @@
 import type { RelaySettings } from "./relay-settings.ts";
 import type { CurrentConfiguration } from "./routing/current-configuration.ts";
 import type { Dispatcher } from "./routing/dispatcher.ts";
+import type { UpstreamLimits } from "./routing/upstream-limits.ts";
 import type { Quarantine } from "./routing/quarantine.ts";
 import type { OutstandingRequests } from "./routing/outstanding-requests.ts";
 import type { RequestHandlers } from "./serving/request-handlers.ts";
@@ -67,6 +68,7 @@
   placement: PlacementController;
   outstanding: OutstandingRequests;
   dispatcher: Dispatcher;
+  upstreamLimits: UpstreamLimits;
   quarantine: Quarantine;
   attempts: Attempts;
   answers: RequestHandlers;
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -15,6 +15,7 @@
   OutstandingRequests,
 } from "../routing/outstanding-requests.ts";
 import type { Quarantine } from "../routing/quarantine.ts";
+import type { UpstreamLimits } from "../routing/upstream-limits.ts";
 import { RetryBudget } from "../routing/retry-budget.ts";
 import { findFault, MISDIRECTED_STATUS } from "./response-check.ts";
 import { ConnectionPool } from "./connection-pool.ts";
@@ -59,6 +60,7 @@
   #dispatcher: Dispatcher;
   #outstanding: OutstandingRequests;
   #quarantine: Quarantine;
+  #limits: UpstreamLimits;
   #retryBudget: RetryBudget;
   #pool: ConnectionPool;
 
@@ -70,6 +72,7 @@
     this.#dispatcher = kernel.find("dispatcher");
     this.#outstanding = kernel.find("outstanding");
     this.#quarantine = kernel.find("quarantine");
+    this.#limits = kernel.find("upstreamLimits");
     this.#pool = new ConnectionPool(this.#clock);
     const mesh = kernel.find("mesh");
     this.#retryBudget = new RetryBudget(
@@ -203,6 +206,8 @@
     if (request.sentTo.size === 0) {
       this.#retryBudget.deposit(request.service.name);
     }
+    this.#limits.take(instance);
+    const sentAt = this.#clock.now();
     const sent = await exchange.send(
       this.#createRequest(request, choice, lastEventId),
     );
@@ -224,6 +229,13 @@
       upstreamResponse.headers,
     );
     this.#noteUpstreamState(request, instance, responseMetadata);
+    if (upstreamResponse.status !== MISDIRECTED_STATUS) {
+      this.#limits.record(instance, {
+        request: request.id,
+        sentAt,
+        perSecond: responseMetadata.maxRequestsPerS,
+      });
+    }
     const fault = findFault(
       request,
       upstreamResponse,
--- a/packages/relay/test/routing/many-nodes.test.ts
+++ b/packages/relay/test/routing/many-nodes.test.ts
@@ -93,6 +93,11 @@
     .provide("instances", [], () => ({}) as never)
     .provide("mesh", [], () => mesh as never)
     .provide("placement", [], () => ({}) as never)
+    .provide(
+      "upstreamLimits",
+      [],
+      () => ({ allows: () => true, msUntilAllowed: () => 0 }) as never,
+    )
     .provide(
       "outstanding",
       ["mesh", "placement"],
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -98,6 +98,10 @@
   closedRequests = 0;
   /** Connections that were accepted. */
   connectionCount = 0;
+  /** Requests a second that all answers name as the limit, if it is set. */
+  limitPerS: number | undefined;
+  /** When each request arrived, refused ones included. */
+  readonly arrivalTimes: number[] = [];
   /** A part of prompts on which the process ends, if it is set. */
   crashesOn: string | undefined;
   /** Times at which the process has ended so. */
@@ -338,6 +342,10 @@
     }
     const attempt = String(request.headers["x-attempt-id"] ?? "");
     this.arrivals.push(attempt);
+    this.arrivalTimes.push(performance.now());
+    if (this.limitPerS !== undefined) {
+      response.setHeader("server-limit", String(this.limitPerS));
+    }
     if (this.refusesFor !== undefined) {
       response.writeHead(503, {
         ...REFUSED_HEADERS,
