Do not forward an error in place of an event

Report of other operators: a stream had begun and broke off, the next upstream answered with an error, and callers found its text, at times its whole head, within their stream. Of seven such errors two happened here: a body under a success of another type, and a second head after the first. Both were forwarded as an event without an id, and the stream looked complete.

Once an event with an id was forwarded, what follows must be an event with an id, made of fields, or a comment; anything else breaks the attempt. An id from a caller that is no number no longer hides all events.

--- a/packages/relay/src/serving/event-splitter.ts
+++ b/packages/relay/src/serving/event-splitter.ts
@@ -16,6 +16,8 @@
 const EVENT_END = "\n\n";
 /** Events are a few hundred bytes; a larger one may never end. */
 const MAX_EVENT_BYTES = 256 * 1024;
+/** A comment, or a field; upstreams add fields of their own. */
+const EVENT_LINE = /^(?:[a-z][a-z-]*)?(?::|$)/;
 const ID_LINE = /(?:^|\n)id:\s?([^\r\n]*)/;
 
 /**
@@ -27,7 +29,8 @@
   #lastId: number;
 
   constructor(lastId: string | undefined) {
-    this.#lastId = lastId === undefined ? -Infinity : Number(lastId);
+    const sequence = Number(lastId ?? NaN);
+    this.#lastId = Number.isNaN(sequence) ? -Infinity : sequence;
   }
 
   /** Whether an incomplete event is buffered. */
@@ -37,7 +40,8 @@
 
   /**
    * Adds a chunk and returns the events that it completes; throws if the
-   * buffered event is too large.
+   * buffered event is too large, or if what comes after an event with an id is
+   * no such event.
    */
   push(chunk: Buffer): EventBlock | undefined {
     const bytes = this.#pending.length === 0
@@ -53,7 +57,7 @@
     ) {
       const event = bytes.subarray(start, end + EVENT_END.length);
       start = end + EVENT_END.length;
-      const id = ID_LINE.exec(event.toString("latin1"))?.[1];
+      const id = this.#parseId(event.toString("latin1"));
       if (this.#isNew(id)) {
         events.push(event);
         lastId = id ?? lastId;
@@ -68,6 +72,23 @@
       : { bytes: Buffer.concat(events), count: events.length, lastId };
   }
 
+  /**
+   * Returns the id of an event. A faulty upstream may send an error, even with
+   * its head, where the next event is due.
+   */
+  #parseId(event: string): string | undefined {
+    const id = ID_LINE.exec(event)?.[1];
+    if (this.#lastId !== -Infinity) {
+      const lines = event.trimEnd().split("\n");
+      const isComment = lines.every((line) => line.startsWith(":"));
+      const isEvent = lines.every((line) => EVENT_LINE.test(line));
+      if (!isComment && (id === undefined || !isEvent)) {
+        throw new Error("something else came where an event was due");
+      }
+    }
+    return id;
+  }
+
   #isNew(id: string | undefined): boolean {
     const sequence = Number(id);
     if (id === undefined || Number.isNaN(sequence)) {
--- a/packages/relay/test/serving/event-splitter.test.ts
+++ b/packages/relay/test/serving/event-splitter.test.ts
@@ -80,4 +80,38 @@
       }).toThrow("too large");
     });
   });
+
+  describe("anything else where an event is due", () => {
+    const FIRST = "id: 1\ndata: piece 1\n\n";
+    const others: Readonly<Record<string, string>> = {
+      "a text": "Internal Server Error\n\n",
+      "a body": '{"error": "boom"}\n\n',
+      "a head": "HTTP/1.1 500 Internal Server Error\r\nx-a: b\r\n\r\nboom\n\n",
+      "a head and an event": "HTTP/1.1 500 Oh\r\n\r\nid: 2\ndata: boom\n\n",
+      "an event without an id": "data: boom\n\n",
+    };
+
+    // Guards against an error's text within a caller's stream.
+    it.each(Object.entries(others))("is refused: %s", (_name, other) => {
+      expect(() => split(FIRST + other, [])).toThrow(/an event was due/);
+      expect(() => split(other, [], "1")).toThrow(/an event was due/);
+    });
+
+    it("passes if it is a comment or a field of the upstream's own", () => {
+      const text = `${FIRST}: still there\n\n` +
+        "x-weight-versions:7\nid: 2\ndata: a\ndata\n\n";
+      expect(split(text, []).out).toBe(text);
+    });
+
+    it("passes in a stream whose events have no ids", () => {
+      const text = "data: a\n\ndata: b\n\n";
+      expect(split(text, []).out).toBe(text);
+    });
+  });
+
+  describe("a last id that is no number", () => {
+    it("does not make the events look known", () => {
+      expect(split(STREAM, [], "abc").out).toBe(STREAM);
+    });
+  });
 });
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -41,6 +41,19 @@
   readonly hasKey: boolean;
 }
 
+/** Bytes that a faulty runner sends in place of an answer. */
+export interface RawAnswer {
+  readonly bytes: string;
+  /** How the connection ends after them, if it does. */
+  readonly close: "end" | "reset" | undefined;
+}
+
+/** Creates a faulty answer; undefined for a sound one. */
+type RawAnswerFactory = (
+  attempt: string,
+  lastEventId: string | undefined,
+) => RawAnswer | undefined;
+
 /** The body of an order. */
 interface OrderBody {
   readonly Op: string;
@@ -98,6 +111,10 @@
   closedRequests = 0;
   /** Connections that were accepted. */
   connectionCount = 0;
+  /** Creates faulty answers to requests that run. */
+  createRawAnswer: RawAnswerFactory | undefined;
+  /** Time that a plain answer takes. */
+  answerMs = 0;
   /** Requests a second that all answers name as the limit, if it is set. */
   limitPerS: number | undefined;
   /** When each request arrived, refused ones included. */
@@ -360,6 +377,12 @@
       deadlineMs: Number(request.headers["x-deadline-ms"]),
       hasKey: request.headers.authorization !== undefined,
     });
+    const lastEventId = request.headers["last-event-id"] as string | undefined;
+    const raw = this.createRawAnswer?.(attempt, lastEventId);
+    if (raw !== undefined) {
+      sendRaw(request.socket, raw);
+      return;
+    }
     if (this.losesAnswers) {
       request.socket.resetAndDestroy();
       return;
@@ -376,9 +399,11 @@
       "x-response-seal": `seal-${this.id}`,
     };
     if (!isEngine) {
-      this.#sendStaleResponse(request, attempt);
-      response.writeHead(200, headers).end(`answer to ${attempt}`);
-      this.#repeatAnswer(request, attempt, headers);
+      setTimeout(() => {
+        this.#sendStaleResponse(request, attempt);
+        response.writeHead(200, headers).end(`answer to ${attempt}`);
+        this.#repeatAnswer(request, attempt, headers);
+      }, this.answerMs);
       return;
     }
     response.writeHead(200, {
@@ -480,3 +505,11 @@
     response.end();
   }
 }
+
+function sendRaw(socket: Socket, { bytes, close }: RawAnswer): void {
+  const closers = {
+    end: () => socket.end(),
+    reset: () => socket.resetAndDestroy(),
+  };
+  socket.write(bytes, () => close !== undefined && closers[close]());
+}
