Reset the connection of a broken response without chunks

A caller of HTTP/1.0 gets no chunks, so the close of its connection is the end of the body: a stream that had broken off looked complete. Its connection is reset now.

--- a/packages/relay/src/serving/response-writer.ts
+++ b/packages/relay/src/serving/response-writer.ts
@@ -5,6 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import { type ServerResponse, STATUS_CODES } from "node:http";
+import { Socket } from "node:net";
 import type { Refusal } from "@zinniahill/schema";
 import type { UpstreamResponse } from "./exchange.ts";
 import { filterHeaders } from "./headers.ts";
@@ -51,7 +52,7 @@
     return;
   }
   if (response.headersSent) {
-    response.destroy();
+    breakOff(response);
     return;
   }
   const body = Buffer.from(JSON.stringify(refusal.toBody()));
@@ -69,6 +70,17 @@
   response.end(body);
 }
 
+/** Closes the connection so that the response does not look complete. */
+function breakOff(response: ServerResponse): void {
+  const { socket } = response;
+  if (response.chunkedEncoding || !(socket instanceof Socket)) {
+    response.destroy();
+    return;
+  }
+  // Without chunks, as for HTTP/1.0, a plain close is the end of the body.
+  socket.resetAndDestroy();
+}
+
 function writeHead(
   response: ServerResponse,
   status: number,
