Treat a stream without a length and without an event as broken off

Such a response ends with its connection, so an upstream that closes it after the head looks as if it had answered. The caller got a 200 with an empty body, framed as whole; it gets a repeat or a 502 now. A stream with a length or chunks may still be empty.

--- a/packages/relay/src/serving/event-forwarder.ts
+++ b/packages/relay/src/serving/event-forwarder.ts
@@ -81,6 +81,9 @@
     if (splitter.hasIncompleteEvent) {
       throw new Error("the stream ended within an event");
     }
+    if (this.#answeredAt === undefined && !upstreamResponse.isFramed) {
+      throw new Error("the connection ended before the first event");
+    }
     if (!response.headersSent) {
       writeStreamHead(response, upstreamResponse);
     }
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -33,6 +33,8 @@
   readonly rawHeaders: readonly string[];
   /** The last value of each header, by lower-case name. */
   readonly headers: ReadonlyMap<string, string>;
+  /** Whether the headers say where the body ends, not only its connection. */
+  readonly isFramed: boolean;
   /** Ends without an error only if the body is complete. */
   readonly body: AsyncIterable<Buffer>;
 }
@@ -149,11 +151,13 @@
     if (this.#keep !== undefined && isKeepAlive(headers)) {
       this.#keptBody = body;
     }
+    const isFramed = hasBodyFraming(headers);
     return {
       status,
       rawHeaders,
       headers,
-      body: hasBodyFraming(headers) ? body : this.#readUntilClose(body),
+      isFramed,
+      body: isFramed ? body : this.#readUntilClose(body),
     };
   }
 
