Answer what is left at the end of a planned stop

Report of other operators: requests taken late in the grace period were passed on and cut without an answer at its end, also those that may not be repeated. It happened here: of 15 requests to a slow upstream that a stopping node had passed on, 6 were cut; and a request whose body arrived after the node had closed was still passed on.

The node ends such attempts 0.4 s before it would be killed and tells each caller 504, may have run; it waits for these answers to be sent. It checks again that it is not closed once the body is there. It closes after 3 s, as long as callers may keep a lookup result, no longer after 3.2 s.

--- a/packages/relay/src/graceful-shutdown.ts
+++ b/packages/relay/src/graceful-shutdown.ts
@@ -7,15 +7,16 @@
 
 /** Some callers cache a lookup result for this multiple of its validity. */
 const LOOKUP_VALIDITY_FACTOR = 3;
-/** Time for the last callers to move to other nodes. */
-const CALLER_MOVE_MS = 200;
 /** The process exits this long before it would be killed. */
 const KILL_MARGIN_MS = 400;
+/** Time for the last answers to reach their callers. */
+const FLUSH_MS = 150;
 const POLL_INTERVAL_MS = 20;
 
 /**
  * Keeps serving while callers may use a cached lookup result, then refuses new
- * requests and waits for those in flight.
+ * requests and waits for those in flight. Those that do not end in time get a
+ * final answer.
  */
 export async function shutDownGracefully(node: RelayKernel): Promise<void> {
   const clock = node.find("clock");
@@ -28,15 +29,18 @@
   logger.info("node_draining", { in_flight: publicServer.inFlight });
   await clock.sleep(
     Math.min(
-      limits.lookupValidityMs * LOOKUP_VALIDITY_FACTOR + CALLER_MOVE_MS,
+      limits.lookupValidityMs * LOOKUP_VALIDITY_FACTOR,
       limits.gracePeriodMs / 2,
     ),
   );
   lifecycle.close();
-  publicServer.stopListening();
+  const hasClosed = publicServer.stopListening();
   while (publicServer.inFlight > 0 && clock.now() < deadlineAt) {
     await clock.sleep(POLL_INTERVAL_MS);
   }
-  logger.info("node_stopped", { in_flight: publicServer.inFlight });
+  const expired = publicServer.inFlight;
+  lifecycle.expire();
+  await Promise.race([hasClosed, clock.sleep(FLUSH_MS)]);
+  logger.info("node_stopped", { expired, in_flight: publicServer.inFlight });
   await node.stop();
 }
--- a/packages/relay/src/lifecycle.ts
+++ b/packages/relay/src/lifecycle.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setMaxListeners } from "node:events";
 import type { Service } from "@zinniahill/kernel";
 import { createMachine, interpret, state, transition } from "robot3";
 
@@ -16,9 +17,12 @@
   closing: state(),
 });
 
+const NODE_STOPS = new Error("the node stops");
+
 /** State of the node; other services check it before they take new work. */
 export class Lifecycle implements Service {
   #listeners = new Set<() => void>();
+  #expiry = new AbortController();
   #machine = interpret(machine, () => {
     this.#listeners.forEach((listener) => listener());
   });
@@ -28,6 +32,16 @@
     return this.#phase === "serving";
   }
 
+  constructor() {
+    // Each request in flight listens.
+    setMaxListeners(0, this.#expiry.signal);
+  }
+
+  /** Aborted when requests in flight have to end before the process does. */
+  get expirySignal(): AbortSignal {
+    return this.#expiry.signal;
+  }
+
   /** Whether a graceful shutdown has begun; requests are served until `close`. */
   get isDraining(): boolean {
     return this.#phase === "draining" || this.#phase === "closing";
@@ -58,6 +72,11 @@
     this.#machine.send("close");
   }
 
+  /** Ends the requests that are still in flight, with an answer to each. */
+  expire(): void {
+    this.#expiry.abort(NODE_STOPS);
+  }
+
   dump(): unknown {
     return { phase: this.#phase };
   }
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -214,6 +214,7 @@
         "upstreamLimits",
         "outstanding",
         "mesh",
+        "lifecycle",
       ],
       (services) => new Attempts(services),
     )
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -43,6 +43,7 @@
 export const ATTEMPT_ENDED = new Error("the attempt has ended");
 const CALLER_DISCONNECTED = new Error("the caller disconnected");
 const DEADLINE_PASSED = new Error("the deadline has passed");
+const NODE_STOPS = new Error("the node stops");
 const GROUP_STALLED = new Error("the group has stalled");
 /** Time for the response to reach the caller. */
 const RESPONSE_MARGIN_MS = 5;
@@ -63,6 +64,7 @@
   #limits: UpstreamLimits;
   #retryBudget: RetryBudget;
   #pool: ConnectionPool;
+  #expirySignal: AbortSignal;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -74,6 +76,7 @@
     this.#quarantine = kernel.find("quarantine");
     this.#limits = kernel.find("upstreamLimits");
     this.#pool = new ConnectionPool(this.#clock);
+    this.#expirySignal = kernel.find("lifecycle").expirySignal;
     const mesh = kernel.find("mesh");
     this.#retryBudget = new RetryBudget(
       this.#clock,
@@ -125,14 +128,18 @@
   }
 
   /** Withdraws a retry from the budget, if one more attempt is allowed. */
-  tryWithdrawRetry(
-    { service, route, sentTo, deadlineAt, metadata }: RelayedRequest,
-  ): boolean {
-    return sentTo.size < route.maxAttempts && this.#clock.now() < deadlineAt &&
+  tryWithdrawRetry(request: RelayedRequest): boolean {
+    const { service, route, sentTo, metadata } = request;
+    return sentTo.size < route.maxAttempts && !this.hasExpired(request) &&
       !this.#quarantine.isSuspect(metadata) &&
       this.#retryBudget.tryWithdraw(service.name);
   }
 
+  /** Whether the request has to end now, with whatever answer it has. */
+  hasExpired({ deadlineAt }: RelayedRequest): boolean {
+    return this.#clock.now() >= deadlineAt || this.#expirySignal.aborted;
+  }
+
   stop(): void {
     this.#pool.close();
   }
@@ -182,6 +189,8 @@
     request.callerSignal.addEventListener("abort", onDisconnect, {
       once: true,
     });
+    const onExpiry = () => exchange.close(NODE_STOPS);
+    this.#expirySignal.addEventListener("abort", onExpiry, { once: true });
     const cancelDeadline = scheduleAt(
       this.#clock,
       request.deadlineAt,
@@ -189,6 +198,7 @@
     );
     const end = (reason: Error) => {
       cancelDeadline();
+      this.#expirySignal.removeEventListener("abort", onExpiry);
       request.callerSignal.removeEventListener("abort", onDisconnect);
       outstandingRequest.end();
       exchange.close(reason);
@@ -339,7 +349,7 @@
         "the caller disconnected",
       );
     }
-    if (this.#clock.now() >= request.deadlineAt) {
+    if (this.hasExpired(request)) {
       return request.mayHaveRun
         ? new Refusal("deadline", "may-have-run", message)
         : new Refusal("overloaded", "not-run", message);
--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -105,10 +105,15 @@
     });
   }
 
-  /** Stops accepting connections and closes idle ones. */
-  stopListening(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+  /**
+   * Stops accepting connections and closes idle ones; resolves once the last
+   * one is closed, after its response.
+   */
+  stopListening(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeIdleConnections();
+    });
   }
 
   /** Number of requests in progress. */
@@ -138,14 +143,7 @@
       response.setHeader("connection", "close");
     }
     try {
-      if (this.#lifecycle.isClosing) {
-        throw new Refusal(
-          "stopping",
-          "not-run",
-          "the node is shutting down",
-          0,
-        );
-      }
+      this.#checkClosing();
       const request = await this.#reader.read(
         id,
         metadata,
@@ -153,6 +151,8 @@
         incoming,
         response,
       );
+      // The body may have taken until now.
+      this.#checkClosing();
       await this.#respond(request);
     } catch (failure) {
       this.#refuse(id, metadata, receivedAt, incoming, response, failure);
@@ -161,6 +161,12 @@
     }
   }
 
+  #checkClosing(): void {
+    if (this.#lifecycle.isClosing) {
+      throw new Refusal("stopping", "not-run", "the node is shutting down", 0);
+    }
+  }
+
   async #respond(request: RelayedRequest): Promise<void> {
     const answered = await this.#handlers.handle(request);
     if (answered.isErr) {
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -235,9 +235,7 @@
     request: RelayedRequest,
     message: string,
   ): Refusal | undefined {
-    if (
-      request.callerSignal.aborted || this.#clock.now() >= request.deadlineAt
-    ) {
+    if (request.callerSignal.aborted || this.#attempts.hasExpired(request)) {
       return new Refusal("deadline", "may-have-run", message);
     }
     const { kind, isResumable } = request.route;
