Soak: do not let limits of one upstream overlap

Upstreams with a limit keep it. Two soaks on one machine met on the same ports; they use ports by their process now.

--- a/bench/src/soak/faults.ts
+++ b/bench/src/soak/faults.ts
@@ -117,7 +117,8 @@
   "upstreams-limited": async (target, durationMs) => {
     const { clock, random, fleet, limits } = target;
     const lead = drawLead(target);
-    const upstreams = [...fleet.records, ...(lead === undefined ? [] : [lead])];
+    const upstreams = [...fleet.records, ...(lead === undefined ? [] : [lead])]
+      .filter(({ limitPerS }) => limitPerS === undefined);
     const from = performance.now();
     const perSecond = 1 + random.below(5);
     upstreams.forEach((upstream) => upstream.limitPerS = perSecond);
--- a/bench/src/soak/node-process.ts
+++ b/bench/src/soak/node-process.ts
@@ -19,8 +19,9 @@
 }
 
 const PROGRAM = new URL("../../../platform/dist/main.js", import.meta.url);
-const FIRST_PORT = 10_000;
 const PORTS_PER_NODE = 10;
+/** Two soaks at the same time are unlikely to meet. */
+const FIRST_PORT = 10_000 + (process.pid % 190) * PORTS_PER_NODE;
 const FRONT_PORT = 6;
 const LOOKUP_PORT = 8;
 
@@ -113,6 +114,7 @@
   }
 
   get #port(): number {
-    return FIRST_PORT + this.#plan.index * PORTS_PER_NODE;
+    // Each node has an address of its own.
+    return FIRST_PORT;
   }
 }
