Explain crashes by the rarest part of prompts

With few groups, an upstream that a harmful part ends takes the requests beside it along, and if no upstream can answer in between, the part that all requests share is at as many crashes. It would have been held back by itself, and so would all requests, with no answer left to clear it.

A part now counts only the crashes that no rarer part explains. Both new tests failed before.

--- a/packages/relay/src/routing/crash-evidence.ts
+++ b/packages/relay/src/routing/crash-evidence.ts
@@ -195,18 +195,37 @@
         this.#adopted.delete(key);
       }
     }
-    const harmful = new Map(this.#adopted);
-    for (const part of this.#crashes.keys()) {
-      if (this.#isHarmful(part)) {
-        const found = this.#describe(part);
-        harmful.set(createKey(found.parts), found);
+    this.#harmful = [...this.#adopted.values(), ...this.#findCauses()];
+  }
+
+  /**
+   * Explains the crashes, the rarest part first. An innocent part that many
+   * requests hold was at the same crashes, as no upstream could answer one in
+   * between; it is a cause only of crashes that no rarer part explains.
+   */
+  #findCauses(): HarmfulParts[] {
+    const candidates = [...this.#crashes.keys()]
+      .filter((part) => this.#isHarmful(part, new Set()))
+      .sort((a, b) => this.#countSuspects(a) - this.#countSuspects(b));
+    const explained = new Set<string>();
+    const causes = new Map<string, HarmfulParts>();
+    for (const part of candidates) {
+      if (this.#isHarmful(part, explained)) {
+        const cause = this.#describe(part);
+        causes.set(createKey(cause.parts), cause);
+        this.#crashes.get(part)!.forEach((_crash, process) =>
+          explained.add(process)
+        );
       }
     }
-    this.#harmful = [...harmful.values()];
+    return [...causes.values()];
   }
 
-  #isHarmful(part: string): boolean {
-    const crashes = this.#listCrashes(part);
+  /** Whether a part was at enough crashes that are not explained yet. */
+  #isHarmful(part: string, explained: ReadonlySet<string>): boolean {
+    const crashes = [...this.#crashes.get(part) ?? []]
+      .filter(([process]) => !explained.has(process))
+      .map(([, crash]) => crash);
     const requests = new Set(
       crashes.flatMap(({ suspects }) => [...suspects.keys()]),
     );
@@ -214,6 +233,11 @@
       countSeparate(crashes) >= MIN_CRASHES;
   }
 
+  #countSuspects(part: string): number {
+    return this.#listCrashes(part)
+      .reduce((sum, { suspects }) => sum + suspects.size, 0);
+  }
+
   /**
    * A part and those that all suspects with it hold as well: each of them may
    * be the cause. Requests that hold only some of them are still sent, and
@@ -223,7 +247,7 @@
     const crashes = this.#listCrashes(part);
     const suspects = crashes.flatMap(({ suspects }) => [...suspects.values()]);
     const common = suspects[0]!.parts.filter((other) =>
-      this.#isHarmful(other) &&
+      this.#isHarmful(other, new Set()) &&
       suspects.every(({ parts }) => parts.includes(other))
     );
     const times = crashes.map(({ at }) => at);
--- a/packages/relay/test/routing/crash-evidence.test.ts
+++ b/packages/relay/test/routing/crash-evidence.test.ts
@@ -74,6 +74,33 @@
       expect(cluster.isHarmful("other", HARMFUL)).toBe(true);
     });
 
+    // Guards against an outage that goes on because all requests are held back.
+    it("does not hold back a part of all requests that none could answer", async () => {
+      const cluster = create();
+      for (let round = 0; round < 4; round++) {
+        await cluster.clock.advance(GAP_MS);
+        cluster.crash({
+          [`r${round}`]: [SHARED, HARMFUL],
+          [`bystander${round}`]: [SHARED],
+        });
+      }
+      expect(cluster.isHarmful(SHARED)).toBe(false);
+      expect(cluster.isHarmful(SHARED, HARMFUL)).toBe(true);
+    });
+
+    it("finds two such parts that crash different upstreams", async () => {
+      const cluster = create();
+      for (let round = 0; round < 3; round++) {
+        await cluster.clock.advance(GAP_MS);
+        cluster.crash({ [`a${round}`]: [SHARED, HARMFUL], x: [SHARED] });
+        await cluster.clock.advance(GAP_MS);
+        cluster.crash({ [`b${round}`]: [SHARED, "second"], y: [SHARED] });
+      }
+      expect(cluster.isHarmful(SHARED, HARMFUL)).toBe(true);
+      expect(cluster.isHarmful(SHARED, "second")).toBe(true);
+      expect(cluster.isHarmful(SHARED)).toBe(false);
+    });
+
     it("is released some time after the last crashes", async () => {
       const cluster = create();
       await crashThrice(cluster);
