--- a/bench/src/soak/node-process.ts
+++ b/bench/src/soak/node-process.ts
@@ -19,9 +19,12 @@
 }
 
 const PROGRAM = new URL("../../../platform/dist/main.js", import.meta.url);
-const PORTS_PER_NODE = 10;
-/** Two soaks at the same time are unlikely to meet. */
-const FIRST_PORT = 10_000 + (process.pid % 190) * PORTS_PER_NODE;
+const FIRST_PORT = 10_000;
+/**
+ * Other tests use the first block of loopback addresses. Two soaks at the same
+ * time are unlikely to meet.
+ */
+const ADDRESS_BLOCK = 7 + process.pid % 200;
 const FRONT_PORT = 6;
 const LOOKUP_PORT = 8;
 
@@ -39,18 +42,17 @@
   constructor(plan: NodePlan) {
     this.#plan = plan;
     this.name = `node-${plan.index}`;
-    // Other tests use the first block of loopback addresses.
-    this.ip = `127.0.7.${plan.index + 1}`;
+    this.ip = `127.0.${ADDRESS_BLOCK}.${plan.index + 1}`;
     this.link = new StoreRelay(plan.store);
     this.#settingsFile = join(plan.folder, `${this.name}.toml`);
   }
 
   get front(): string {
-    return `${this.ip}:${this.#port + FRONT_PORT}`;
+    return `${this.ip}:${FIRST_PORT + FRONT_PORT}`;
   }
 
   get lookup(): string {
-    return `${this.ip}:${this.#port + LOOKUP_PORT}`;
+    return `${this.ip}:${FIRST_PORT + LOOKUP_PORT}`;
   }
 
   get isRunning(): boolean {
@@ -60,7 +62,7 @@
   async start(): Promise<void> {
     const store = await this.link.start();
     const { name, ip } = this;
-    const settings = createNodeSettings({ name, ip, port: this.#port, store });
+    const settings = createNodeSettings({ name, ip, port: FIRST_PORT, store });
     writeFileSync(this.#settingsFile, settings);
     this.spawn();
   }
@@ -112,9 +114,4 @@
     this.signal("SIGKILL");
     this.link.stop();
   }
-
-  get #port(): number {
-    // Each node has an address of its own.
-    return FIRST_PORT;
-  }
 }
