Split attempts, and end no limit by a late response

A late copy of an earlier response, on a kept connection, no longer ends the limit of its upstream; its other statements still count.

--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -4,10 +4,9 @@
  * @module
  */
 import { type Clock, type Logger, type Service } from "@zinniahill/kernel";
-import { Refusal, type Verdict } from "@zinniahill/schema";
+import { Refusal } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import type { HeaderCodec, ResponseMetadata } from "../adapter.ts";
-import type { Instances } from "../hosts/instances.ts";
 import type { Instance } from "../model/instance.ts";
 import type { Dispatcher, Selection } from "../routing/dispatcher.ts";
 import type {
@@ -17,7 +16,7 @@
 import type { Quarantine } from "../routing/quarantine.ts";
 import type { UpstreamLimits } from "../routing/upstream-limits.ts";
 import { RetryBudget } from "../routing/retry-budget.ts";
-import { findFault, MISDIRECTED_STATUS } from "./response-check.ts";
+import { findFault, isAnswerTo, MISDIRECTED_STATUS } from "./response-check.ts";
 import { ConnectionPool } from "./connection-pool.ts";
 import type { RelayKernel } from "../services.ts";
 import {
@@ -26,7 +25,15 @@
   scheduleAt,
   type UpstreamResponse,
 } from "./exchange.ts";
+import {
+  createFaultRefusal,
+  deriveVerdict,
+  isRetryable,
+  REFUSED_RETRY_AFTER_MS,
+} from "./fault-refusal.ts";
 import { describeParts, type RelayedRequest } from "./relayed-request.ts";
+import { createUpstreamRequest } from "./upstream-request.ts";
+import { UpstreamStatements } from "./upstream-statements.ts";
 
 /** An attempt whose response head has arrived. */
 export interface OpenAttempt {
@@ -45,19 +52,14 @@
 const DEADLINE_PASSED = new Error("the deadline has passed");
 const NODE_STOPS = new Error("the node stops");
 const GROUP_STALLED = new Error("the group has stalled");
-/** Time for the response to reach the caller. */
-const RESPONSE_MARGIN_MS = 5;
-const REFUSED_RETRY_AFTER_MS = 100;
 /** Connections that may fail before the request is refused. */
 const MAX_UNSENT_ATTEMPTS = 4;
-const MAX_PRIORITY = 9;
 
 /** Opens attempts and decides whether a request may be retried. */
 export class Attempts implements Service {
   #clock: Clock;
   #logger: Logger;
   #headerCodec: HeaderCodec;
-  #instances: Instances;
   #dispatcher: Dispatcher;
   #outstanding: OutstandingRequests;
   #quarantine: Quarantine;
@@ -65,16 +67,17 @@
   #retryBudget: RetryBudget;
   #pool: ConnectionPool;
   #expirySignal: AbortSignal;
+  #statements: UpstreamStatements;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#headerCodec = kernel.find("format");
-    this.#instances = kernel.find("instances");
     this.#dispatcher = kernel.find("dispatcher");
     this.#outstanding = kernel.find("outstanding");
     this.#quarantine = kernel.find("quarantine");
     this.#limits = kernel.find("upstreamLimits");
+    this.#statements = new UpstreamStatements(kernel);
     this.#pool = new ConnectionPool(this.#clock);
     this.#expirySignal = kernel.find("lifecycle").expirySignal;
     const mesh = kernel.find("mesh");
@@ -219,7 +222,13 @@
     this.#limits.take(instance);
     const sentAt = this.#clock.now();
     const sent = await exchange.send(
-      this.#createRequest(request, choice, lastEventId),
+      createUpstreamRequest(
+        this.#headerCodec,
+        request,
+        choice,
+        request.deadlineAt - sentAt,
+        lastEventId,
+      ),
     );
     if (exchange.hasConnected) {
       request.sentTo.add(instance.id);
@@ -238,14 +247,12 @@
       upstreamResponse.status,
       upstreamResponse.headers,
     );
-    this.#noteUpstreamState(request, instance, responseMetadata);
-    if (upstreamResponse.status !== MISDIRECTED_STATUS) {
-      this.#limits.record(instance, {
-        request: request.id,
-        sentAt,
-        perSecond: responseMetadata.maxRequestsPerS,
-      });
-    }
+    this.#statements.apply(instance, {
+      request: request.id,
+      sentAt,
+      status: upstreamResponse.status,
+      isOwn: isAnswerTo(request, responseMetadata, exchange.isKept),
+    }, responseMetadata);
     const fault = findFault(
       request,
       upstreamResponse,
@@ -284,48 +291,6 @@
     );
   }
 
-  /** Notes what an upstream says of itself in its response. */
-  #noteUpstreamState(
-    { id }: RelayedRequest,
-    instance: Instance,
-    { isLeaving, backOffMs }: ResponseMetadata,
-  ): void {
-    if (isLeaving) {
-      this.#instances.markLeaving(instance);
-    }
-    if (backOffMs !== undefined) {
-      this.#dispatcher.backOff(instance, backOffMs, id);
-    }
-  }
-
-  #createRequest(
-    request: RelayedRequest,
-    { instance }: Selection,
-    lastEventId: string | undefined,
-  ) {
-    const remainingMs = request.deadlineAt - this.#clock.now() -
-      RESPONSE_MARGIN_MS;
-    const headers = this.#headerCodec.createForwardHeaders(request.incoming, {
-      deadlineMs: Math.max(1, Math.floor(remainingMs)),
-      instance: instance.id,
-      account: request.account?.name,
-      priority: request.service.engine === undefined
-        ? undefined
-        : Math.min(MAX_PRIORITY, request.rank),
-      lastEventId,
-    });
-    if (request.body.length > 0) {
-      headers.push("content-length", String(request.body.length));
-    }
-    return {
-      address: instance.address,
-      method: request.incoming.method ?? "GET",
-      target: request.metadata.target,
-      headers,
-      body: request.body,
-    };
-  }
-
   /** Whether another group has room for a request of a stalled group. */
   #hasOtherGroup(request: RelayedRequest, { instance }: Selection): boolean {
     const { route, sentTo } = request;
@@ -380,28 +345,3 @@
     });
   }
 }
-
-/** Whether a request may safely be sent to another instance. */
-function isRetryable({ route, mayHaveRun }: RelayedRequest): boolean {
-  return !mayHaveRun || route.kind === "idempotent" || route.isResumable;
-}
-
-/** Returns the verdict on a request over all its attempts. */
-export function deriveVerdict({ mayHaveRun }: RelayedRequest): Verdict {
-  return mayHaveRun ? "may-have-run" : "not-run";
-}
-
-/** Creates the refusal of a request that was sent and is not retried. */
-export function createFaultRefusal(
-  { mayHaveRun }: RelayedRequest,
-  message: string,
-): Refusal {
-  return mayHaveRun
-    ? new Refusal("upstream-unavailable", "may-have-run", message)
-    : new Refusal(
-      "upstream-refused",
-      "not-run",
-      message,
-      REFUSED_RETRY_AFTER_MS,
-    );
-}
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -9,12 +9,8 @@
 import { Result } from "true-myth";
 import type { RequestKind } from "../model/configuration.ts";
 import type { RelayKernel } from "../services.ts";
-import {
-  ATTEMPT_ENDED,
-  type Attempts,
-  createFaultRefusal,
-  type OpenAttempt,
-} from "./attempts.ts";
+import { ATTEMPT_ENDED, type Attempts, type OpenAttempt } from "./attempts.ts";
+import { createFaultRefusal } from "./fault-refusal.ts";
 import type { Quarantine } from "../routing/quarantine.ts";
 import { EventForwarder } from "./event-forwarder.ts";
 import { collectBody, type UpstreamResponse } from "./exchange.ts";
--- a/packages/relay/src/serving/response-check.ts
+++ b/packages/relay/src/serving/response-check.ts
@@ -12,18 +12,26 @@
 /** The instance no longer leads the group of the request. */
 export const MISDIRECTED_STATUS = 421;
 
+/** Whether a response belongs to a request, and not to an earlier one. */
+export function isAnswerTo(
+  { metadata }: RelayedRequest,
+  { attemptId }: ResponseMetadata,
+  isKeptConnection: boolean,
+): boolean {
+  // On a kept connection, a response without an id may belong to any request.
+  return attemptId === undefined
+    ? !isKeptConnection
+    : attemptId === metadata.attemptId;
+}
+
 /** Returns why a response cannot be forwarded, or undefined if it can. */
 export function findFault(
-  { metadata: { attemptId } }: RelayedRequest,
+  request: RelayedRequest,
   { status }: UpstreamResponse,
   metadata: ResponseMetadata,
   isKeptConnection: boolean,
 ): AttemptFault | undefined {
-  // On a kept connection, a response without an id may belong to any request.
-  const isOther = metadata.attemptId === undefined
-    ? isKeptConnection
-    : metadata.attemptId !== attemptId;
-  if (isOther) {
+  if (!isAnswerTo(request, metadata, isKeptConnection)) {
     return createFault(
       "may-have-run",
       "the response belongs to another request",
--- /dev/null
+++ b/packages/relay/src/serving/upstream-statements.ts
@@ -0,0 +1,59 @@
+/**
+ * Applies what upstreams say of themselves in their responses.
+ *
+ * @module
+ */
+import type { ResponseMetadata } from "../adapter.ts";
+import type { Instances } from "../hosts/instances.ts";
+import type { Instance } from "../model/instance.ts";
+import type { Dispatcher } from "../routing/dispatcher.ts";
+import type { UpstreamLimits } from "../routing/upstream-limits.ts";
+import type { RelayKernel } from "../services.ts";
+import { MISDIRECTED_STATUS } from "./response-check.ts";
+
+/** The response that holds a statement. */
+interface StatementSource {
+  /** Id of the request that it answers. */
+  readonly request: string;
+  /** When that request was sent. */
+  readonly sentAt: number;
+  readonly status: number;
+  /** Whether the response is known to belong to that request. */
+  readonly isOwn: boolean;
+}
+
+/** Passes each statement to the service that keeps to it. */
+export class UpstreamStatements {
+  #instances: Instances;
+  #dispatcher: Dispatcher;
+  #limits: UpstreamLimits;
+
+  constructor(kernel: RelayKernel) {
+    this.#instances = kernel.find("instances");
+    this.#dispatcher = kernel.find("dispatcher");
+    this.#limits = kernel.find("upstreamLimits");
+  }
+
+  apply(
+    instance: Instance,
+    { request, sentAt, status, isOwn }: StatementSource,
+    { isLeaving, backOffMs, maxRequestsPerS }: ResponseMetadata,
+  ): void {
+    if (isLeaving) {
+      this.#instances.markLeaving(instance);
+    }
+    if (backOffMs !== undefined) {
+      this.#dispatcher.backOff(instance, backOffMs, request);
+    }
+    // Another process may have answered from the same address, and a late
+    // response to an earlier request does not show that a limit has ended.
+    const isCurrent = isOwn || maxRequestsPerS !== undefined;
+    if (status !== MISDIRECTED_STATUS && isCurrent) {
+      this.#limits.record(instance, {
+        request,
+        sentAt,
+        perSecond: maxRequestsPerS,
+      });
+    }
+  }
+}
