Keep evidence of crashes for each service by itself

A plain service answered calls that held the part as well, and each such answer cleared it for the engines that it ends. Parts are now judged for each service.

--- a/packages/relay/src/routing/quarantine.ts
+++ b/packages/relay/src/routing/quarantine.ts
@@ -10,6 +10,7 @@
 import { type Clock, type Logger, type Service } from "@zinniahill/kernel";
 import { Refusal } from "@zinniahill/schema";
 import type { EngineControl, RequestMetadata } from "../adapter.ts";
+import type { ServiceProfile } from "../model/configuration.ts";
 import { createProcessKey, type Instance } from "../model/instance.ts";
 import type { MessageOf } from "../model/peer-message.ts";
 import type { Mesh } from "../peers/mesh.ts";
@@ -17,10 +18,13 @@
 import { CrashEvidence, type SuspectRequest } from "./crash-evidence.ts";
 
 /** The properties of a request by which it is held back. */
-export type Prompt = Pick<
-  RequestMetadata,
-  "attemptId" | "sharedParts" | "ownPart"
->;
+export interface Prompt {
+  readonly service: Pick<ServiceProfile, "name">;
+  readonly metadata: Pick<
+    RequestMetadata,
+    "attemptId" | "sharedParts" | "ownPart"
+  >;
+}
 
 /** An upstream process that may have ended. */
 interface Examination {
@@ -86,8 +90,8 @@
   }
 
   /** Returns the refusal of a request that would crash an upstream. */
-  check({ sharedParts }: Prompt): Refusal | undefined {
-    const harmful = this.#evidence.findHarmful(sharedParts);
+  check(prompt: Prompt): Refusal | undefined {
+    const harmful = this.#evidence.findHarmful(listParts(prompt));
     return harmful === undefined ? undefined : new Refusal(
       "quarantined",
       "not-run",
@@ -97,13 +101,13 @@
   }
 
   /** Whether a repeat of the request may crash another upstream. */
-  isSuspect({ sharedParts }: Prompt): boolean {
-    return this.#evidence.isSuspect(sharedParts);
+  isSuspect(prompt: Prompt): boolean {
+    return this.#evidence.isSuspect(listParts(prompt));
   }
 
   /** Records that the answer to a request began at `at` and went on. */
-  recordAnswer({ sharedParts }: Prompt, at: number): void {
-    const parts = this.#evidence.recordAnswer(sharedParts, at);
+  recordAnswer(prompt: Prompt, at: number): void {
+    const parts = this.#evidence.recordAnswer(listParts(prompt), at);
     if (parts.length > 0) {
       const ageMs = Math.round(this.#clock.now() - at);
       this.#mesh.broadcast({ kind: "cleared", parts, ageMs });
@@ -115,11 +119,10 @@
    * Examines an upstream that closed the connection of a request before it
    * answered it. Resolves once it is known whether its process has ended.
    */
-  async recordBroken(
-    { attemptId, sharedParts, ownPart }: Prompt,
-    instance: Instance,
-  ): Promise<void> {
-    if (sharedParts.length === 0) {
+  async recordBroken(prompt: Prompt, instance: Instance): Promise<void> {
+    const { attemptId, ownPart } = prompt.metadata;
+    const parts = listParts(prompt);
+    if (parts.length === 0) {
       return;
     }
     const key = createProcessKey(instance);
@@ -133,7 +136,7 @@
     }
     examination.suspects.push({
       id: ownPart ?? attemptId ?? "",
-      parts: sharedParts,
+      parts,
     });
     await examination.isOver;
   }
@@ -209,6 +212,14 @@
   }
 }
 
+/**
+ * The shared parts of a prompt, as the upstreams of its service see them: those
+ * of another one may well answer what they crash on.
+ */
+function listParts({ service, metadata }: Prompt): string[] {
+  return metadata.sharedParts.map((part) => `${service.name}/${part}`);
+}
+
 function describeParts(parts: readonly string[]): string {
   return parts.length === 1
     ? `the part ${parts[0]}`
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -132,9 +132,9 @@
 
   /** Withdraws a retry from the budget, if one more attempt is allowed. */
   tryWithdrawRetry(request: RelayedRequest): boolean {
-    const { service, route, sentTo, metadata } = request;
+    const { service, route, sentTo } = request;
     return sentTo.size < route.maxAttempts && !this.hasExpired(request) &&
-      !this.#quarantine.isSuspect(metadata) &&
+      !this.#quarantine.isSuspect(request) &&
       this.#retryBudget.tryWithdraw(service.name);
   }
 
@@ -156,7 +156,7 @@
 
   /** Chooses an instance, unless the request crashes upstreams. */
   #chooseAllowed(request: RelayedRequest): Result<Selection, Refusal> {
-    const refusal = this.#quarantine.check(request.metadata);
+    const refusal = this.#quarantine.check(request);
     return refusal === undefined ? this.#choose(request) : Result.err(refusal);
   }
 
@@ -237,7 +237,7 @@
       if (!exchange.hasConnected) {
         this.#dispatcher.markUnreachable(instance);
       } else if (!exchange.isClosed) {
-        await this.#quarantine.recordBroken(request.metadata, instance);
+        await this.#quarantine.recordBroken(request, instance);
       }
       end(ATTEMPT_ENDED);
       return Result.err(sent.error);
--- a/packages/relay/src/serving/event-forwarder.ts
+++ b/packages/relay/src/serving/event-forwarder.ts
@@ -107,7 +107,7 @@
   #prove(answeredAt: number): void {
     if (!this.#isProven) {
       this.#isProven = true;
-      this.#quarantine.recordAnswer(this.#request.metadata, answeredAt);
+      this.#quarantine.recordAnswer(this.#request, answeredAt);
     }
   }
 }
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -116,7 +116,7 @@
       const { upstreamResponse, exchange, end } = opened.value;
       try {
         const chunks = await collectBody(upstreamResponse.body);
-        this.#quarantine.recordAnswer(request.metadata, this.#clock.now());
+        this.#quarantine.recordAnswer(request, this.#clock.now());
         const source = describeSource(opened.value);
         return Result.ok({ upstreamResponse, chunks, source });
       } catch (failure) {
@@ -243,11 +243,11 @@
 
   /** Examines an upstream that broke off an answer; this node may have, too. */
   async #recordBroken(
-    { metadata }: RelayedRequest,
+    request: RelayedRequest,
     { exchange, choice }: OpenAttempt,
   ): Promise<void> {
     if (!exchange.isClosed) {
-      await this.#quarantine.recordBroken(metadata, choice.instance);
+      await this.#quarantine.recordBroken(request, choice.instance);
     }
   }
 
