Give the share of a node that shuts down to the others

Nodes that have said that they serve no callers no longer count; those that only fell silent still do.

--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -214,9 +214,10 @@
     return this.#directory.count;
   }
 
-  /** Names of the known nodes, connected or not, and of this one. */
-  listNames(): string[] {
-    return this.#directory.listAll().map(({ name }) => name);
+  /** Names of all known nodes but those that say that they serve nobody. */
+  listServingNames(): string[] {
+    return this.#directory.listAll().map(({ name }) => name)
+      .filter((name) => !this.#peers.isWithdrawn(name));
   }
 
   /** Sends a message to one node, if there is a way to it. */
--- a/packages/relay/src/peers/peer-table.ts
+++ b/packages/relay/src/peers/peer-table.ts
@@ -31,6 +31,7 @@
   /** Called with the parts of prompts that a node holds back, if any. */
   onHarmfulParts: (reported: readonly HarmfulPartsReport[]) => void = () => {};
   #clock: Pick<Clock, "now">;
+  #withdrawn = new Set<string>();
   #states = new Map<string, PeerState>();
 
   constructor(clock: Pick<Clock, "now">) {
@@ -51,6 +52,14 @@
     }));
   }
 
+  /**
+   * Whether a node last said that it serves no callers, as while it shuts down.
+   * That holds until it says otherwise, also once it is gone.
+   */
+  isWithdrawn(name: string): boolean {
+    return this.#withdrawn.has(name);
+  }
+
   /** The name of the node over whose link messages of a node last came. */
   findVia(name: string): string | undefined {
     return this.#states.get(name)?.via;
@@ -107,6 +116,11 @@
       return false;
     }
     state.lastHeartbeat = { ...heartbeat, forwarded: [], isUrgent: false };
+    if (heartbeat.isServing) {
+      this.#withdrawn.delete(name);
+    } else {
+      this.#withdrawn.add(name);
+    }
     this.loads.update(name, heartbeat.outstanding, this.#clock.now() - ageMs);
     if (heartbeat.harmfulParts.length > 0) {
       this.onHarmfulParts(heartbeat.harmfulParts.map((reported) => ({
--- a/packages/relay/src/routing/upstream-limits.ts
+++ b/packages/relay/src/routing/upstream-limits.ts
@@ -84,7 +84,7 @@
         request,
         instance: instance.id,
         per_second: perSecond,
-        nodes: this.#mesh.countNodes(),
+        nodes: this.#mesh.listServingNames().length,
       });
       this.#share(key, perSecond, 0);
     }
@@ -131,7 +131,8 @@
   }
 
   #set(key: string, perSecond: number, namedAt: number): Limit {
-    const share = { perSecond, nodes: this.#mesh.countNodes() };
+    const nodes = this.#mesh.listServingNames().length;
+    const share = { perSecond, nodes };
     const known = this.#limits.get(key);
     if (known !== undefined) {
       known.rate.update(share);
@@ -158,7 +159,7 @@
    * upstream to upstream, and is the same on all nodes.
    */
   #findPosition(key: string): number {
-    const names = this.#mesh.listNames()
+    const names = this.#mesh.listServingNames()
       .map((name) => ({ name, hash: hashName(`${key} ${name}`) }))
       .sort((a, b) => a.hash - b.hash);
     const index = names.findIndex(({ name }) =>
