Use no permits at a node that shuts down

The others divide its share as soon as they hear of the shutdown; with two nodes, or several stops at once, the sum would have been up to half above the limit meanwhile. Its callers leave anyway; a request that finds no other upstream is refused and goes to another node. The test fails without it.

--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -184,7 +184,7 @@
     )
     .provide(
       "upstreamLimits",
-      [...CORE_SERVICES, "mesh"],
+      [...CORE_SERVICES, "mesh", "lifecycle"],
       (services) => new UpstreamLimits(services),
     )
     .provide(
--- a/packages/relay/src/routing/upstream-limits.ts
+++ b/packages/relay/src/routing/upstream-limits.ts
@@ -7,6 +7,7 @@
 import { hashName } from "@zinniahill/clients";
 import type { Clock, Logger, Service } from "@zinniahill/kernel";
 import { createProcessKey, type Instance } from "../model/instance.ts";
+import type { Lifecycle } from "../lifecycle.ts";
 import type { MessageOf } from "../model/peer-message.ts";
 import type { Mesh } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
@@ -41,12 +42,14 @@
   #clock: Clock;
   #logger: Logger;
   #mesh: Mesh;
+  #lifecycle: Lifecycle;
   #limits = new Map<string, Limit>();
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#mesh = kernel.find("mesh");
+    this.#lifecycle = kernel.find("lifecycle");
     this.#mesh.onMessage("limit", (message) => this.#apply(message));
   }
 
@@ -90,10 +93,14 @@
     }
   }
 
-  /** Whether a request may be sent; less urgent ones leave permits to others. */
+  /**
+   * Whether a request may be sent; less urgent ones leave permits to others. A
+   * node that shuts down uses none, as the others divide its share already.
+   */
   allows(instance: Instance, isDeferrable: boolean): boolean {
-    return this.#find(instance)
-      ?.hasPermit(this.#clock.now(), isDeferrable) ?? true;
+    const rate = this.#find(instance);
+    return rate === undefined || !this.#lifecycle.isDraining &&
+        rate.hasPermit(this.#clock.now(), isDeferrable);
   }
 
   /** Counts a request that is sent. */
