--- a/bench/src/soak/upstream-promises.ts
+++ b/bench/src/soak/upstream-promises.ts
@@ -1,5 +1,5 @@
 /**
- * What the soak checks of the load that upstreams get: the limits that they
+ * Checks of the soak on the load that upstreams get: the limits that they
  * name, and prompts on which they crash.
  *
  * @module
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -112,7 +112,7 @@
     /** Time since each shared feed was last known to be complete. */
     agesMs: z.record(SharedFeed, z.number()),
     outstanding: z.array(OutstandingCount),
-    /** What a node that was away needs to know at once. */
+    /** Tells a node that was away which prompts crash upstreams. */
     harmfulParts: z.array(HarmfulPartsReport).default([]),
     /** Heartbeats of other nodes since the sender's last one. */
     forwarded: z.array(ForwardedMessage).default([]),
--- a/packages/relay/src/routing/crash-evidence.ts
+++ b/packages/relay/src/routing/crash-evidence.ts
@@ -49,9 +49,9 @@
   #clock: Pick<Clock, "now">;
   /** Crashes by process, for each part. */
   #crashes = new Map<string, Map<string, Crash>>();
-  /** When a part that had been at a crash was answered. */
+  /** Time of the last answer to each part that had been at a crash. */
   #answeredAt = new Map<string, number>();
-  /** What other nodes have found, by the joined parts. */
+  /** Findings of other nodes, by the joined parts. */
   #adopted = new Map<string, HarmfulParts>();
   #harmful: readonly HarmfulParts[] = [];
 
--- a/packages/relay/src/routing/shared-rate.ts
+++ b/packages/relay/src/routing/shared-rate.ts
@@ -27,7 +27,7 @@
 /** Permits of one node for one upstream. */
 export class SharedRate {
   #share: RateShare;
-  /** When the oldest unused permit was, or the next one is issued. */
+  /** Time of issue of the oldest unused permit, or else of the next one. */
   #permitAt: number;
 
   /** `position` from 0 to 1 is the node's place among all nodes. */
--- a/packages/relay/src/routing/upstream-limits.ts
+++ b/packages/relay/src/routing/upstream-limits.ts
@@ -13,11 +13,11 @@
 import type { RelayKernel } from "../services.ts";
 import { SharedRate } from "./shared-rate.ts";
 
-/** What a response says of the limit of its upstream. */
+/** Statement of a response about the limit of its upstream. */
 export interface LimitStatement {
   /** Id of the request that it answers. */
   readonly request: string;
-  /** When that request was sent. */
+  /** Time at which that request was sent. */
   readonly sentAt: number;
   /** Requests a second; undefined if the response names no limit. */
   readonly perSecond: number | undefined;
@@ -26,7 +26,7 @@
 /** A limit in force. */
 interface Limit {
   readonly rate: SharedRate;
-  /** When a response, here or at another node, last named it. */
+  /** Time at which a response, here or at another node, last named it. */
   namedAt: number;
   /** The rate that other nodes know. */
   sharedPerSecond: number;
--- a/packages/relay/src/serving/event-forwarder.ts
+++ b/packages/relay/src/serving/event-forwarder.ts
@@ -23,7 +23,7 @@
   #lastEventAt: number | undefined;
   #eventCount = 0;
   #longestGapMs = 0;
-  /** When the first event of the current attempt arrived. */
+  /** Arrival of the first event of the current attempt. */
   #answeredAt: number | undefined;
   #isProven = false;
 
--- a/packages/relay/src/serving/fault-refusal.ts
+++ b/packages/relay/src/serving/fault-refusal.ts
@@ -1,5 +1,5 @@
 /**
- * What a caller is told of a request that no upstream has answered.
+ * Refusals of requests that no upstream has answered.
  *
  * @module
  */
--- a/packages/relay/src/serving/upstream-statements.ts
+++ b/packages/relay/src/serving/upstream-statements.ts
@@ -15,7 +15,7 @@
 interface StatementSource {
   /** Id of the request that it answers. */
   readonly request: string;
-  /** When that request was sent. */
+  /** Time at which that request was sent. */
   readonly sentAt: number;
   readonly status: number;
   /** Whether the response is known to belong to that request. */
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -50,7 +50,7 @@
 /** Bytes that a faulty runner sends in place of an answer. */
 export interface RawAnswer {
   readonly bytes: string;
-  /** How the connection ends after them, if it does. */
+  /** End of the connection after them, if it ends. */
   readonly close: "end" | "reset" | undefined;
 }
 
@@ -123,7 +123,7 @@
   answerMs = 0;
   /** Requests a second that all answers name as the limit, if it is set. */
   limitPerS: number | undefined;
-  /** When each request arrived, refused ones included. */
+  /** Arrival of each request, refused ones included. */
   readonly arrivalTimes: number[] = [];
   /** A part of prompts on which the process ends, if it is set. */
   crashesOn: string | undefined;
