Let findings of harmful prompts expire although nodes report them

Each report adds its delay to the age of what it passes on, so two nodes that adopted each other's finding kept making it younger: it expired late, and on slow nodes never, and could come back after an answer had cleared it. A report counts as newer only if it is so by a second. Found by reading the change; both tests fail without it.

--- a/packages/relay/src/routing/crash-evidence.ts
+++ b/packages/relay/src/routing/crash-evidence.ts
@@ -41,6 +41,8 @@
 const SEPARATION_MS = 100;
 /** Older crashes say nothing about the current state of upstreams. */
 const RETENTION_MS = 10 * 60_000;
+/** Reports of other nodes may make a crash look later by less than this. */
+const MAX_REPORT_DELAY_MS = 1000;
 /** Bounds the memory for parts; the oldest are dropped first. */
 const MAX_PARTS = 4096;
 
@@ -89,12 +91,14 @@
 
   /** Adds what another node has found, unless it is known to be outdated. */
   adopt(parts: readonly string[], lastCrashAt: number): void {
+    // Each report adds its own delay to the age of what it passes on.
+    const knownAt = lastCrashAt - MAX_REPORT_DELAY_MS;
     const remaining = parts.filter((part) =>
-      (this.#answeredAt.get(part) ?? -Infinity) < lastCrashAt
+      (this.#answeredAt.get(part) ?? -Infinity) < knownAt
     );
     const key = createKey(remaining);
     const isKnown = (this.#adopted.get(key)?.lastCrashAt ?? -Infinity) >=
-      lastCrashAt;
+      knownAt;
     const until = lastCrashAt + RETENTION_MS;
     if (remaining.length > 0 && !isKnown && until > this.#clock.now()) {
       this.#adopted.set(key, { parts: remaining, lastCrashAt, until });
--- a/packages/relay/test/routing/crash-evidence.test.ts
+++ b/packages/relay/test/routing/crash-evidence.test.ts
@@ -205,6 +205,21 @@
       expect(restarted.isHarmful(SHARED)).toBe(false);
     });
 
+    // Guards against nodes that keep a finding alive by passing it to and fro.
+    it("expires although each report makes it look a little younger", async () => {
+      const { clock, evidence, isHarmful } = create();
+      await clock.advance(GAP_MS);
+      evidence.adopt([HARMFUL], clock.now());
+      for (let report = 0; report < 12 * 60; report++) {
+        await clock.advance(1000);
+        const [known] = evidence.list();
+        if (known !== undefined) {
+          evidence.adopt([HARMFUL], known.lastCrashAt + 900);
+        }
+      }
+      expect(isHarmful(HARMFUL)).toBe(false);
+    });
+
     it("is not adopted again once the part was answered", async () => {
       const { clock, evidence, isHarmful } = create();
       await clock.advance(GAP_MS);
@@ -212,7 +227,7 @@
       evidence.adopt([HARMFUL], crashedAt);
       await clock.advance(GAP_MS);
       evidence.recordAnswer([HARMFUL], clock.now());
-      evidence.adopt([HARMFUL], crashedAt);
+      evidence.adopt([HARMFUL], crashedAt + 900);
       expect(isHarmful(HARMFUL)).toBe(false);
     });
   });
