--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -41,6 +41,8 @@
 const RECORDS = "records";
 /** `beat_ms` of the site file. */
 const HEARTBEAT_MS = 1200;
+/** An entry is removed after so many heartbeat intervals of silence. */
+const EXPIRY_BEATS = 3;
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
@@ -568,10 +570,18 @@
       setTimeout(() => {
         this.onLateWrite(id, entry);
         this.#put("keyed.servers", id, entry);
+        setTimeout(() => this.#expire(id), EXPIRY_BEATS * HEARTBEAT_MS);
       }, lateMs);
     }
   }
 
+  /** The store removes the entry of a runner that has left and is silent. */
+  #expire(id) {
+    if (!this.#entries.has(id)) {
+      this.#put("keyed.servers", id, undefined);
+    }
+  }
+
   /** Waits until every node answers each kind of request. */
   async waitUntilServed(callers) {
     const until = performance.now() + 20_000;
