Take a lead for gone only by what it or a member says

Cause: a lead that the store did not list and that no node reached twice counted as gone, for ever, also after it was listed again; it may be cut off from the store and all nodes, and keep its members. A refused connection at all nodes now shows that its process has ended. If nobody reaches it, one member is ordered to leave: the engine ends a group that lacks a member after its stall time, and only then other members are free. Departures are read from the entries, on every node; what was believed of a lead ends when it is listed in its group.

The test that a lead is gone after two rounds asserted the fault; the new ones hold its members until one of them has left for the stall time.

--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -41,6 +41,15 @@
 /** Called after each read with the records that changed anything. */
 export type UpdateListener = (changes: readonly KeyRecord[]) => void;
 
+/**
+ * Called when an instance is listed or its entry changes, with what was known
+ * of it before, also from before it was unlisted.
+ */
+export type InstanceListener = (
+  instance: Instance,
+  previous: Instance | undefined,
+) => void;
+
 /** Tracks the listed instances. */
 export class Instances implements Service {
   /** Notified after each change of the list. */
@@ -58,6 +67,7 @@
    */
   #leaving = new Map<string, number>();
   #updateListeners = new Set<UpdateListener>();
+  #instanceListeners = new Set<InstanceListener>();
   #version = 0;
   #lastAddedAt = -Infinity;
 
@@ -86,6 +96,11 @@
     this.#updateListeners.add(listener);
   }
 
+  /** Registers a listener for each instance whose state changes. */
+  onInstance(listener: InstanceListener): void {
+    this.#instanceListeners.add(listener);
+  }
+
   /** Lists all instances. */
   list(): Instance[] {
     return [...this.#instances.values()];
@@ -189,8 +204,12 @@
     if (isDeepStrictEqual(previous, instance)) {
       return false;
     }
+    const lastKnown = previous ?? this.#departed.get(instance.id)?.instance;
     this.#instances.set(instance.id, instance);
     this.#departed.delete(instance.id);
+    this.#instanceListeners.forEach((listener) =>
+      listener(instance, lastKnown)
+    );
     if (previous === undefined) {
       this.#lastAddedAt = this.#clock.now();
       if (!isBulk) {
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -56,8 +56,16 @@
   epoch: z.number(),
 });
 
-/** Outcome of a node's attempts to make a lead leave its group. */
-export const LeadReleaseOutcome = z.enum(["left", "present", "unreachable"]);
+/**
+ * Outcome of a node's attempts to make a lead leave its group; `ended` if
+ * nothing listens at its address.
+ */
+export const LeadReleaseOutcome = z.enum([
+  "left",
+  "present",
+  "ended",
+  "unreachable",
+]);
 /** Outcome of a node's attempts to make a lead leave its group. */
 export type LeadReleaseOutcome = z.infer<typeof LeadReleaseOutcome>;
 
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -25,6 +25,7 @@
 import { GroupDissolver } from "./group-dissolver.ts";
 import type { HolderElector } from "./holder-elector.ts";
 import { HostHealth } from "./host-health.ts";
+import { MemberDepartures } from "./member-departures.ts";
 import { WeightLoadLimiter } from "./weight-load-limiter.ts";
 import { OrderSender } from "./order-sender.ts";
 import { createPlan, type Formation, type Plan } from "./plan.ts";
@@ -86,9 +87,14 @@
     this.#mesh = kernel.find("mesh");
     this.#elector = kernel.find("holder");
     this.#demand = kernel.find("demand");
-    this.#unlistedLeads = new UnlistedLeads(kernel);
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
     this.#orderSender = new OrderSender(kernel);
+    const departures = new MemberDepartures(kernel);
+    this.#unlistedLeads = new UnlistedLeads(
+      kernel,
+      this.#orderSender,
+      departures,
+    );
     this.#health = new HostHealth(kernel, this.#orderSender);
     this.#loadLimiter = new WeightLoadLimiter(
       this.#clock,
@@ -105,7 +111,12 @@
       this.#loadLimiter,
     );
     this.#groupDissolver = new GroupDissolver(kernel, this.#orderSender);
-    this.#freeHosts = new FreeHosts(kernel, this.#health, this.#weightStager);
+    this.#freeHosts = new FreeHosts(
+      kernel,
+      this.#health,
+      this.#weightStager,
+      departures,
+    );
     this.#groupChecker = new GroupChecker(kernel, {
       health: this.#health,
       dissolver: this.#groupDissolver,
@@ -337,8 +348,10 @@
   }
 
   /** Whether the formation failed before the lead was ordered to open. */
-  #hasFailedFormation({ name }: Group): boolean {
-    return !this.#forming.has(name) && this.#groupFormer.isUnopened(name);
+  #hasFailedFormation({ name, state }: Group): boolean {
+    const isServing = state === "open" || state === "closing";
+    return !isServing && !this.#forming.has(name) &&
+      this.#groupFormer.isUnopened(name);
   }
 
   /**
--- a/packages/relay/src/placement/free-hosts.ts
+++ b/packages/relay/src/placement/free-hosts.ts
@@ -8,6 +8,7 @@
 import type { Instance } from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
 import type { HostHealth } from "./host-health.ts";
+import type { MemberDepartures } from "./member-departures.ts";
 import type { FreeHost } from "./plan.ts";
 import type { WeightStager } from "./weight-stager.ts";
 
@@ -16,15 +17,18 @@
   #instances: Instances;
   #health: HostHealth;
   #weightStager: WeightStager;
+  #departures: MemberDepartures;
 
   constructor(
     kernel: RelayKernel,
     health: HostHealth,
     weightStager: WeightStager,
+    departures: MemberDepartures,
   ) {
     this.#instances = kernel.find("instances");
     this.#health = health;
     this.#weightStager = weightStager;
+    this.#departures = departures;
   }
 
   /** Lists responsive hosts of a service that no group or task occupies. */
@@ -39,7 +43,8 @@
     return this.#instances.listAvailable(service)
       .filter((instance) =>
         instance.engine !== undefined && !occupiedHosts.has(instance.id) &&
-        !busyHosts.has(instance.id) && !this.#health.isMissing(instance)
+        !busyHosts.has(instance.id) && !this.#health.isMissing(instance) &&
+        !this.#departures.isHeldBack(instance)
       )
       .map((instance) => this.#describe(instance));
   }
--- a/packages/relay/src/placement/lead-release.ts
+++ b/packages/relay/src/placement/lead-release.ts
@@ -193,6 +193,8 @@
           epoch,
         );
         outcome = isMember ? "present" : "left";
+      } else if (report.error.isGone === true) {
+        outcome = "ended";
       }
       if (outcome === "left") {
         return outcome;
@@ -213,7 +215,8 @@
  * Combines the outcomes of all attempts; `left` takes precedence over
  * `present`. A lead is absent only if all connected nodes have tried and they
  * are more than half of all known nodes: a lead that is disconnected from some
- * nodes may be reached by another.
+ * nodes may be reached by another. If all of them found nothing at its address,
+ * its process has ended.
  */
 export function combineOutcomes(
   { askedNodes, attempts }: PendingRelease,
@@ -229,9 +232,10 @@
   const hasEveryNodeAnswered = [...askedNodes].every((node) =>
     attempts.has(node)
   );
-  return hasEveryNodeAnswered && askedNodes.size * 2 > knownNodeCount
-    ? "absent"
-    : "unknown";
+  if (!hasEveryNodeAnswered || askedNodes.size * 2 <= knownNodeCount) {
+    return "unknown";
+  }
+  return outcomes.every((outcome) => outcome === "ended") ? "left" : "absent";
 }
 
 /** Whether a reply to the order to leave means that the lead has left. */
--- a/packages/relay/src/placement/unlisted-leads.ts
+++ b/packages/relay/src/placement/unlisted-leads.ts
@@ -1,20 +1,29 @@
 /**
  * Decides whether leads that the store no longer lists are gone.
  *
+ * A lead that no node reaches may still be open and in touch with its members.
+ * Only what it says itself shows that it has left, or a member that has left
+ * its group shows that it has ended the group.
+ *
  * @module
  */
-import type { Clock } from "@zinniahill/kernel";
+import { type Clock, describeError, type Logger } from "@zinniahill/kernel";
 import type { Feeds } from "../feeds/feeds.ts";
-import { type Group, parseGroupLead } from "../hosts/groups.ts";
+import { createGroupKey, type Group, parseGroupLead } from "../hosts/groups.ts";
 import type { Instances } from "../hosts/instances.ts";
+import type { Instance } from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
 import type { HolderElector } from "./holder-elector.ts";
-import type { LeadPresence, LeadRelease } from "./lead-release.ts";
+import type { LeadRelease } from "./lead-release.ts";
+import type { MemberDepartures } from "./member-departures.ts";
+import { isMemberOf, type OrderSender } from "./order-sender.ts";
 
 /** Time after which entries that expired in a store outage are listed again. */
 export const RELISTING_MS = 2500;
 /** An unlisted lead that no node reaches is tried again after this time. */
 const ABSENCE_CONFIRMATION_MS = 1000;
+/** Of more groups whose lead has left, the first ones are forgotten. */
+const MAX_LEFT_GROUPS = 4096;
 
 /**
  * Status of an unlisted lead: `gone`; `may-return` to the list; or `unknown`,
@@ -25,80 +34,135 @@
 /** Determines whether unlisted leads are gone. */
 export class UnlistedLeads {
   #clock: Clock;
+  #logger: Logger;
   #stallMs: number;
   #feeds: Feeds;
   #instances: Instances;
   #elector: HolderElector;
   #leadRelease: LeadRelease;
-  /** Groups whose lead has left or counts as gone. */
-  #goneGroups = new Set<string>();
+  #orderSender: OrderSender;
+  #departures: MemberDepartures;
+  /** Groups whose lead has said that it is not in them. */
+  #leftGroups = new Set<string>();
   /** Since when no node has been known to reach the lead, by group. */
   #unreachableSince = new Map<string, number>();
 
-  constructor(kernel: RelayKernel) {
+  constructor(
+    kernel: RelayKernel,
+    orderSender: OrderSender,
+    departures: MemberDepartures,
+  ) {
     this.#clock = kernel.find("clock");
+    this.#logger = kernel.find("logger");
     this.#stallMs = kernel.find("settings").limits.stallMs;
     this.#feeds = kernel.find("feeds");
     this.#instances = kernel.find("instances");
     this.#elector = kernel.find("holder");
     this.#leadRelease = kernel.find("leadRelease");
+    this.#orderSender = orderSender;
+    this.#departures = departures;
+    this.#instances.onInstance((instance) => this.#forget(instance));
   }
 
   /** Returns the status of the lead of a group without a listed lead. */
-  getStatus({ name }: Group): LeadStatus {
-    const lead = parseGroupLead(name);
+  getStatus(group: Group): LeadStatus {
+    const lead = parseGroupLead(group.name);
     if (this.#feeds.sinceOutageMs("instances") < RELISTING_MS) {
       return "may-return";
     }
     // A lead that is listed without the group has left it.
-    const isGone = lead === undefined || this.#goneGroups.has(name) ||
-      this.#instances.find(lead.id) !== undefined;
+    const isGone = lead === undefined ||
+      this.#leftGroups.has(createGroupKey(group.name, group.epoch)) ||
+      this.#instances.find(lead.id) !== undefined ||
+      this.#departures.isEnded(group);
     return isGone ? "gone" : "unknown";
   }
 
   /**
    * Orders the lead to leave, as it may still serve and only be disconnected
-   * from the store.
+   * from the store. If no node reaches it, a member is ordered to leave in its
+   * place, so that the lead ends the group itself.
    */
-  async release({ name, epoch }: Group, signal: AbortSignal): Promise<void> {
+  async release(group: Group, signal: AbortSignal): Promise<void> {
+    const { name, epoch } = group;
     const lead = parseGroupLead(name);
     if (lead === undefined) {
       return;
     }
     const outcome = await this.#leadRelease
       .release(lead, name, epoch, this.#elector.fence, signal);
-    if (this.#isGone(name, outcome)) {
-      this.#goneGroups.add(name);
+    const key = createGroupKey(name, epoch);
+    if (outcome === "left") {
+      this.#leftGroups.add(key);
+      if (this.#leftGroups.size > MAX_LEFT_GROUPS) {
+        const [first] = this.#leftGroups;
+        this.#leftGroups.delete(first!);
+      }
+    }
+    // The lead may have been listed again while it was tried.
+    const isListed = this.#instances.find(lead.id) !== undefined;
+    if (outcome === "left" || outcome === "present" || isListed) {
+      this.#unreachableSince.delete(key);
+      return;
+    }
+    const now = this.#clock.now();
+    const since = this.#unreachableSince.get(key) ?? now;
+    this.#unreachableSince.set(key, since);
+    // A lead that too few nodes have tried may serve the others.
+    const minUnreachableMs = outcome === "absent"
+      ? ABSENCE_CONFIRMATION_MS
+      : this.#stallMs;
+    const isDue = now - since >= minUnreachableMs;
+    if (isDue && !this.#departures.has(group)) {
+      await this.#releaseMember(group, signal);
     }
   }
 
   dump(): unknown {
     return {
-      gone: [...this.#goneGroups],
+      left: [...this.#leftGroups],
       unreachable: [...this.#unreachableSince.keys()],
     };
   }
 
-  /**
-   * Whether a lead counts as gone. A lead that no node reaches may be
-   * disconnected briefly, so it is tried twice. As long as too few nodes
-   * answer, it is given the time after which its engine ends a stalled group
-   * itself.
-   */
-  #isGone(name: string, outcome: LeadPresence): boolean {
-    if (outcome === "left") {
-      return true;
+  /** Orders members to leave until one of them follows. */
+  async #releaseMember(
+    { name, epoch, members }: Group,
+    signal: AbortSignal,
+  ): Promise<void> {
+    for (const { id } of members) {
+      try {
+        await this.#orderSender.send(
+          id,
+          { kind: "leave", group: name, epoch },
+          ({ engine }) => !isMemberOf(engine.membership, name, epoch),
+          signal,
+        );
+        this.#logger.info("member_released", {
+          group: name,
+          epoch,
+          member: id,
+        });
+        return;
+      } catch (failure) {
+        signal.throwIfAborted();
+        this.#logger.info("member_not_released", {
+          group: name,
+          epoch,
+          member: id,
+          error: describeError(failure),
+        });
+      }
     }
-    if (outcome === "present") {
-      this.#unreachableSince.delete(name);
-      return false;
+  }
+
+  /** Forgets what was believed of a lead that is listed in its group. */
+  #forget({ engine }: Instance): void {
+    const membership = engine?.membership;
+    if (membership?.rank === 0) {
+      const key = createGroupKey(membership.group, membership.epoch);
+      this.#leftGroups.delete(key);
+      this.#unreachableSince.delete(key);
     }
-    const now = this.#clock.now();
-    const since = this.#unreachableSince.get(name) ?? now;
-    this.#unreachableSince.set(name, since);
-    const minUnreachableMs = outcome === "absent"
-      ? ABSENCE_CONFIRMATION_MS
-      : this.#stallMs;
-    return now - since >= minUnreachableMs;
   }
 }
