Order the entries of instances by their versions

Cause: the store may carry out a write seconds after it was sent, and nodes took the entry with the highest offset as the newest.

--- a/packages/relay/src/adapter.ts
+++ b/packages/relay/src/adapter.ts
@@ -109,6 +109,8 @@
    * renewal is recognized without decoding.
    */
   removeRenewalCount(value: string): string;
+  /** The renewal count of an entry; 0 if it has none. */
+  readRenewalCount(value: string): number;
   node(value: string): Result<NodeEntry, string>;
 }
 
--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -14,6 +14,7 @@
 import type { KeyRecord } from "../model/peer-message.ts";
 import type { Batch, FeedName, FeedStore } from "../adapter.ts";
 import type { RelayKernel } from "../services.ts";
+import { EntryVersions } from "./entry-versions.ts";
 import { ReadPace, type ReadSharing } from "./read-pace.ts";
 import { RecordTable } from "./record-table.ts";
 
@@ -77,9 +78,11 @@
       () => this.#feeds.nodes.table.list().length,
     );
     this.#feeds = {
-      configuration: createState(),
-      instances: createState(),
-      nodes: createState(),
+      configuration: createState(new RecordTable()),
+      instances: createState(
+        new RecordTable(new EntryVersions(kernel.find("decoder"))),
+      ),
+      nodes: createState(new RecordTable()),
     };
   }
 
@@ -322,9 +325,9 @@
   }
 }
 
-function createState(): FeedState {
+function createState(table: RecordTable): FeedState {
   return {
-    table: new RecordTable(),
+    table,
     listeners: new Set(),
     isLoaded: false,
     hasBeenLoaded: false,
--- a/packages/relay/src/feeds/record-table.ts
+++ b/packages/relay/src/feeds/record-table.ts
@@ -4,15 +4,35 @@
  * @module
  */
 import type { KeyRecord } from "../model/peer-message.ts";
+import {
+  compareVersions,
+  type EntryVersion,
+  type VersionReader,
+} from "./entry-versions.ts";
+
+/** The newest record of a key, and the newest version that the key had. */
+interface Latest {
+  readonly record: KeyRecord;
+  readonly version: EntryVersion | undefined;
+}
+
+/** Reads the versions of topics whose values have none. */
+const NO_VERSIONS: VersionReader = { read: () => undefined };
 
 /**
  * Holds the newest record of each key, including deletions. Records may arrive
- * from the store and from peers in any order; an older offset never replaces a
- * newer one.
+ * from the store and from peers in any order; an older one never replaces a
+ * newer one. Values are ordered by their versions, also if the store holds them
+ * in another order; everything else is ordered by its offset.
  */
 export class RecordTable {
-  #records = new Map<string, KeyRecord>();
+  #latest = new Map<string, Latest>();
   #next = 0;
+  #versions: VersionReader;
+
+  constructor(versions: VersionReader = NO_VERSIONS) {
+    this.#versions = versions;
+  }
 
   /** The offset below which every record has been applied. */
   get next(): number {
@@ -21,14 +41,12 @@
 
   /** The records of keys that are not deleted. */
   list(): KeyRecord[] {
-    return [...this.#records.values()]
-      .filter(({ value }) => value !== undefined);
+    return this.#listRecords().filter(({ value }) => value !== undefined);
   }
 
   /** The newest records from an offset on, including deletions. */
   listFrom(offset: number): KeyRecord[] {
-    return [...this.#records.values()]
-      .filter((record) => record.offset >= offset);
+    return this.#listRecords().filter((record) => record.offset >= offset);
   }
 
   /**
@@ -53,12 +71,56 @@
     return this.apply([...records, ...deleted], next);
   }
 
+  #listRecords(): KeyRecord[] {
+    return [...this.#latest.values()].map(({ record }) => record);
+  }
+
+  /** Stores a record and returns whether it is news. */
   #put(record: KeyRecord): boolean {
-    const current = this.#records.get(record.key);
-    if (current !== undefined && current.offset >= record.offset) {
-      return false;
+    const { key, value } = record;
+    const version = value === undefined
+      ? undefined
+      : this.#versions.read(key, value);
+    const latest = this.#latest.get(key);
+    if (latest === undefined) {
+      this.#latest.set(key, { record, version });
+      return true;
+    }
+    const isLater = record.offset > latest.record.offset;
+    if (version === undefined || latest.version === undefined) {
+      return isLater && this.#putLater(latest, record, version);
+    }
+    const order = compareVersions(version, latest.version);
+    const isDeleted = latest.record.value === undefined;
+    // What was written before a deletion may still be read from a peer.
+    const isNewer = order > 0 && (isLater || !isDeleted) ||
+      order === 0 && isLater;
+    const newer = isNewer ? { record, version } : latest;
+    const offset = Math.max(record.offset, latest.record.offset);
+    // Peers that have not read up to this offset get the newer record.
+    this.#latest.set(key, {
+      version: newer.version,
+      record: isDeleted && !isNewer
+        ? latest.record
+        : { ...newer.record, offset },
+    });
+    return isNewer;
+  }
+
+  /** Stores a record of which only the offset is known to be later. */
+  #putLater(
+    latest: Latest,
+    record: KeyRecord,
+    version: EntryVersion | undefined,
+  ): boolean {
+    const isUnreadable = record.value !== undefined && version === undefined;
+    // An unreadable value is reported, but does not hide a readable one.
+    if (!isUnreadable || latest.version === undefined) {
+      this.#latest.set(record.key, {
+        record,
+        version: version ?? latest.version,
+      });
     }
-    this.#records.set(record.key, record);
     return true;
   }
 }
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -103,7 +103,7 @@
   kernel
     .provide(
       "feeds",
-      [...CORE_SERVICES, "topics"],
+      [...CORE_SERVICES, "topics", "decoder"],
       (services) => new Feeds(services),
     )
     .provide(
--- a/packages/relay/test/feeds/feeds.test.ts
+++ b/packages/relay/test/feeds/feeds.test.ts
@@ -7,6 +7,8 @@
   Fault,
   FeedName,
   FeedStore,
+  Instance,
+  RecordDecoder,
   Snapshot,
 } from "../../src/index.ts";
 import type { RelayKernel, RelayServices } from "../../src/services.ts";
@@ -15,6 +17,16 @@
 const EMPTY: Snapshot & Batch = { records: [], next: 0 };
 const POLL_MS = 200;
 
+/** Reads values of the form `{"renewal": 3}`, all of one process. */
+const decoder: Pick<
+  RecordDecoder,
+  "instance" | "readRenewalCount" | "removeRenewalCount"
+> = {
+  instance: (id) => Result.ok({ id, bornAt: 1 } as Instance),
+  readRenewalCount: (value) => JSON.parse(value).renewal ?? 0,
+  removeRenewalCount: () => "",
+};
+
 /** A store whose reads fail while `isUnavailable` is set. */
 class SwitchableStore implements FeedStore {
   isUnavailable = false;
@@ -73,7 +85,8 @@
     .provide("clock", [], () => clock)
     .provide("random", [], () => new SeededRandom(1))
     .provide("logger", [], () => silentLogger)
-    .provide("topics", [], () => store);
+    .provide("topics", [], () => store)
+    .provide("decoder", [], () => decoder as never);
   await kernel.start();
   const feeds = new Feeds(kernel);
   feeds.start();
@@ -95,6 +108,56 @@
     return started;
   }
 
+  // Guards against members of open groups that looked free, as the store had
+  // carried out an old write after newer ones.
+  describe("an entry that the store holds after a newer one", () => {
+    const newer = { key: "i-1", offset: 5, value: '{"renewal":9}' };
+    const older = { key: "i-1", offset: 8, value: '{"renewal":7}' };
+    const paths: readonly (readonly [string, (feeds: Feeds) => void])[] = [
+      ["from a peer", (feeds) => {
+        feeds.applyFromPeer("instances", [older], 9);
+      }],
+      ["in an update of the holder", (feeds) => {
+        feeds.applyUpdate("instances", [older], 9);
+      }],
+      ["in a snapshot", (feeds) => {
+        feeds.table("instances").applySnapshot([older], 9);
+      }],
+      ["in a batch of the store", (feeds) => {
+        feeds.table("instances").apply([older], 9);
+      }],
+    ];
+
+    it.each(paths)("does not replace it: %s", async (_path, apply) => {
+      const { feeds } = await startFeeds();
+      feeds.applyUpdate("instances", [newer], 6);
+      apply(feeds);
+      const table = feeds.table("instances");
+      expect(table.list().map(({ value }) => value)).toEqual([newer.value]);
+      expect(table.next).toBe(9);
+    });
+
+    it("is not what peers get that have read up to it", async () => {
+      const { feeds } = await startFeeds();
+      feeds.applyUpdate("instances", [newer], 6);
+      feeds.applyUpdate("instances", [older], 9);
+      expect(feeds.table("instances").listFrom(6)).toEqual([
+        { ...newer, offset: older.offset },
+      ]);
+    });
+
+    it("does not bring back a deleted one", async () => {
+      const { feeds } = await startFeeds();
+      feeds.applyUpdate("instances", [newer], 6);
+      feeds.applyUpdate("instances", [{ key: "i-1", offset: 7 }], 8);
+      feeds.applyUpdate("instances", [older], 9);
+      expect(feeds.table("instances").list()).toEqual([]);
+      const renewed = { key: "i-1", offset: 10, value: '{"renewal":10}' };
+      feeds.applyUpdate("instances", [renewed], 11);
+      expect(feeds.table("instances").list()).toEqual([renewed]);
+    });
+  });
+
   describe("the read rate", () => {
     /** Reads of the instances in 2.4 s if each returns a record. */
     async function countReads(nodes: number, isAtFullRate: boolean) {
--- a/packages/relay/test/feeds/record-table.test.ts
+++ b/packages/relay/test/feeds/record-table.test.ts
@@ -1,5 +1,10 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
+import {
+  compareVersions,
+  type EntryVersion,
+  type VersionReader,
+} from "../../src/feeds/entry-versions.ts";
 import { RecordTable } from "../../src/feeds/record-table.ts";
 import type { KeyRecord } from "../../src/index.ts";
 
@@ -45,6 +50,54 @@
     });
   });
 
+  describe("values with versions", () => {
+    const versions: VersionReader = {
+      read: (_key, value) =>
+        value === "?" ? undefined : JSON.parse(value) as EntryVersion,
+    };
+    const arbitraryVersions = fc.uniqueArray(
+      fc.record({ bornAt: fc.nat(3), renewalCount: fc.nat(20) }),
+      {
+        minLength: 1,
+        selector: ({ bornAt, renewalCount }) => `${bornAt} ${renewalCount}`,
+      },
+    );
+
+    it("are ordered by them, whatever the store's order", () => {
+      fc.assert(fc.property(arbitraryVersions, (written) => {
+        const table = new RecordTable(versions);
+        written.forEach((version, offset) => {
+          const value = JSON.stringify(version);
+          table.apply([{ key: "a", offset, value }], offset + 1);
+        });
+        const newest = [...written].sort(compareVersions).at(-1);
+        expect(readValues(table)).toEqual({ a: JSON.stringify(newest) });
+      }));
+    });
+
+    it("are not hidden by an unreadable value, which is reported", () => {
+      const table = new RecordTable(versions);
+      const value = JSON.stringify({ bornAt: 1, renewalCount: 4 });
+      table.apply([{ key: "a", offset: 0, value }], 1);
+      const unreadable = { key: "a", offset: 1, value: "?" };
+      expect(table.apply([unreadable], 2)).toEqual([unreadable]);
+      expect(readValues(table)).toEqual({ a: value });
+    });
+
+    it("stay deleted if a peer sends what came before the deletion", () => {
+      const table = new RecordTable(versions);
+      const write = (renewalCount: number, offset: number) => ({
+        key: "a",
+        offset,
+        value: JSON.stringify({ bornAt: 1, renewalCount }),
+      });
+      table.apply([write(4, 2)], 3);
+      table.apply([{ key: "a", offset: 9 }], 10);
+      expect(table.apply([write(5, 6)], 10)).toEqual([]);
+      expect(table.list()).toEqual([]);
+    });
+  });
+
   describe("snapshots", () => {
     it("delete keys that they do not contain", () => {
       const table = new RecordTable();
