Pass on entries that say what a response has said

An upstream that leaves says so in its responses and in its entry. Each entry with new content is now passed on; only what changes the list counts as a change.

The new test failed before: passed on was the first entry only.

--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -38,7 +38,7 @@
   "broken",
 ]);
 
-/** Called after each read with the records that changed anything. */
+/** Called after each read with the records whose content is new. */
 export type UpdateListener = (changes: readonly KeyRecord[]) => void;
 
 /**
@@ -160,20 +160,32 @@
   #apply(records: readonly KeyRecord[]): void {
     const countBefore = this.#instances.size;
     const isBulk = records.length > MAX_LOGGED_AT_ONCE;
-    // Most records renew an entry without changing it.
-    const changes = records.filter(({ key, value }) =>
-      value === undefined ? this.#remove(key) : this.#update(key, value, isBulk)
-    );
+    let hasChanged = false;
+    // Most records renew an entry without changing it. Peers also need those
+    // that say only what a response to this node has said before.
+    const news = records.filter(({ key, value }) => {
+      if (value === undefined) {
+        const isRemoved = this.#remove(key);
+        hasChanged ||= isRemoved;
+        return isRemoved;
+      }
+      const instance = this.#decodeNews(key, value);
+      if (instance === undefined) {
+        return false;
+      }
+      hasChanged = this.#put(instance, isBulk) || hasChanged;
+      return true;
+    });
     if (isBulk && this.#instances.size !== countBefore) {
       this.#logger.info("instances_listed", {
         instances: this.#instances.size,
         before: countBefore,
       });
     }
-    if (changes.length > 0) {
+    if (hasChanged) {
       this.#notifyChanged();
     }
-    this.#updateListeners.forEach((listener) => listener(changes));
+    this.#updateListeners.forEach((listener) => listener(news));
   }
 
   #notifyChanged(): void {
@@ -181,22 +193,23 @@
     this.changed.notify();
   }
 
-  /** Applies an entry and returns whether it changed anything. */
-  #update(id: string, value: string, isBulk: boolean): boolean {
+  /** Decodes an entry whose content is new and readable. */
+  #decodeNews(id: string, value: string): Instance | undefined {
     const entry = this.#decoder.removeRenewalCount(value);
     if (this.#entries.get(id) === entry) {
-      return false;
+      return undefined;
     }
     this.#entries.set(id, entry);
     return this.#decoder.instance(id, value).match({
-      Ok: (instance) => this.#put(instance, isBulk),
+      Ok: (instance): Instance | undefined => instance,
       Err: (error) => {
         this.#logger.warn("instance_unreadable", { instance: id, error });
-        return false;
+        return undefined;
       },
     });
   }
 
+  /** Lists an instance and returns whether this changed anything. */
   #put(listed: Instance, isBulk = false): boolean {
     const isLeaving = this.#leaving.get(listed.id) === listed.bornAt;
     const instance = isLeaving ? { ...listed, isDraining: true } : listed;
--- a/packages/relay/test/hosts/instances.test.ts
+++ b/packages/relay/test/hosts/instances.test.ts
@@ -75,6 +75,24 @@
     });
   });
 
+  // Guards against requests that other nodes sent to a leaving upstream, as the
+  // holder left its entry out of its updates.
+  describe("an entry that says what a response has said", () => {
+    it("is passed on to peers, which have not seen the response", async () => {
+      const { instances, put } = await createInstances();
+      const passedOn: string[] = [];
+      instances.onUpdate((records) =>
+        passedOn.push(...records.map(({ value }) => value!))
+      );
+      put("1");
+      instances.markLeaving(instances.find("i-1")!);
+      const { version } = instances;
+      put(DRAINING_PREFIX);
+      expect(passedOn).toEqual(["1", DRAINING_PREFIX]);
+      expect(instances.version).toBe(version);
+    });
+  });
+
   describe("an unreadable entry", () => {
     it("keeps the previous state", async () => {
       const { instances, put } = await createInstances();
