Bound what answers hold while callers read slowly

Cause: what response.write returned was ignored, so all that a caller had not read was buffered, and no bound covered all answers together. Streams now wait for their caller, without a stall being counted, until the attempt ends. AnswerMemory counts the bytes that all answers hold and ends the one that holds most when they exceed their share.

--- a/packages/relay/src/gauges.ts
+++ b/packages/relay/src/gauges.ts
@@ -20,6 +20,7 @@
     const placement = kernel.find("placement");
     const limits = kernel.find("upstreamLimits");
     const quarantine = kernel.find("quarantine");
+    const answerMemory = kernel.find("answerMemory");
     this.#gauges = {
       configuration_age_ms: [
         "Time since the configuration was known to be the newest",
@@ -58,6 +59,10 @@
         "Upstreams that have named a limit on their requests",
         () => limits.size,
       ],
+      answer_bytes_held: [
+        "Bytes of answers that callers have not read yet",
+        () => answerMemory.heldBytes,
+      ],
       requests_in_flight: [
         "Requests that have not ended",
         () => publicServer.inFlight,
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -37,6 +37,7 @@
   RelayServices,
 } from "./services.ts";
 import { RequestHandlers } from "./serving/request-handlers.ts";
+import { AnswerMemory } from "./serving/answer-memory.ts";
 import { Attempts } from "./serving/attempts.ts";
 import { PublicServer } from "./serving/public-server.ts";
 
@@ -89,6 +90,7 @@
       "placement",
       "quarantine",
       "upstreamLimits",
+      "answerMemory",
       "front",
       "intake",
     ],
@@ -203,6 +205,11 @@
       [...CORE_SERVICES, "mesh", "engines"],
       (services) => new Quarantine(services),
     )
+    .provide(
+      "answerMemory",
+      CORE_SERVICES,
+      (services) => new AnswerMemory(services),
+    )
     .provide(
       "attempts",
       [
@@ -243,6 +250,7 @@
         "feeds",
         "format",
         "demand",
+        "answerMemory",
         "answers",
       ],
       (services) => new PublicServer(services),
--- a/packages/relay/src/routing/outstanding-requests.ts
+++ b/packages/relay/src/routing/outstanding-requests.ts
@@ -21,6 +21,9 @@
 export interface OutstandingRequest {
   /** Records that events of the response arrived. */
   recordEvent(): void;
+  /** Stops to expect events, as none are read until `resume`. */
+  pause(): void;
+  resume(): void;
   /** Calls a listener once when the instance stalls. */
   onStall(listener: () => void): void;
   end(): void;
@@ -52,7 +55,9 @@
 }
 
 interface RequestState {
-  readonly startedAt: number;
+  /** Since when events are expected. */
+  expectedSince: number;
+  isPaused: boolean;
   /** Whether events show its progress; other responses arrive in one piece. */
   readonly isStream: boolean;
   /** Whether an event has arrived; from then on they arrive steadily. */
@@ -157,7 +162,8 @@
     const now = this.#clock.now();
     const target = this.#getOrCreate(instance, group);
     const state: RequestState = {
-      startedAt: now,
+      expectedSince: now,
+      isPaused: false,
       isStream,
       hasBegun: false,
       isStalled: false,
@@ -169,6 +175,13 @@
         state.hasBegun = true;
         this.#recordEvent(target);
       },
+      pause: () => {
+        state.isPaused = true;
+      },
+      resume: () => {
+        state.isPaused = false;
+        state.expectedSince = this.#clock.now();
+      },
       onStall: (listener) => {
         state.listener = listener;
       },
@@ -230,17 +243,21 @@
       if (target.group === undefined) {
         continue;
       }
-      const streams = [...target.requests].filter(({ isStream }) => isStream);
-      const [oldest] = streams;
-      if (oldest === undefined) {
+      const streams = [...target.requests].filter(({ isStream, isPaused }) =>
+        isStream && !isPaused
+      );
+      if (streams.length === 0) {
         continue;
       }
+      const expectedSince = Math.min(
+        ...streams.map(({ expectedSince }) => expectedSince),
+      );
       const hasBegun = streams.some(({ hasBegun }) => hasBegun);
       const lastEventAt = hasBegun ? target.lastEventAt : Math.max(
         target.lastEventAt,
         this.#mesh.peerLoads.findLastEventAt(instance),
       );
-      const quietMs = now - Math.max(lastEventAt, oldest.startedAt);
+      const quietMs = now - Math.max(lastEventAt, expectedSince);
       if (quietMs >= this.#getTimeoutMs(hasBegun, target.group)) {
         this.#reportStall(instance, target, target.group, quietMs);
       }
--- a/packages/relay/src/services.ts
+++ b/packages/relay/src/services.ts
@@ -34,6 +34,7 @@
 import type { Quarantine } from "./routing/quarantine.ts";
 import type { OutstandingRequests } from "./routing/outstanding-requests.ts";
 import type { RequestHandlers } from "./serving/request-handlers.ts";
+import type { AnswerMemory } from "./serving/answer-memory.ts";
 import type { Attempts } from "./serving/attempts.ts";
 import type { PublicServer } from "./serving/public-server.ts";
 
@@ -70,6 +71,7 @@
   dispatcher: Dispatcher;
   upstreamLimits: UpstreamLimits;
   quarantine: Quarantine;
+  answerMemory: AnswerMemory;
   attempts: Attempts;
   answers: RequestHandlers;
   intake: CapacityMonitor;
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -132,8 +132,9 @@
 
   /** Withdraws a retry from the budget, if one more attempt is allowed. */
   tryWithdrawRetry(request: RelayedRequest): boolean {
-    const { service, route, sentTo } = request;
+    const { memory, service, route, sentTo } = request;
     return sentTo.size < route.maxAttempts && !this.hasExpired(request) &&
+      !memory.isEvicted &&
       !this.#quarantine.isSuspect(request) &&
       this.#retryBudget.tryWithdraw(service.name);
   }
@@ -192,6 +193,8 @@
     request.callerSignal.addEventListener("abort", onDisconnect, {
       once: true,
     });
+    const withdrawEviction = request.memory
+      .onEvict((reason) => exchange.close(reason));
     const onExpiry = () => exchange.close(NODE_STOPS);
     this.#expirySignal.addEventListener("abort", onExpiry, { once: true });
     const cancelDeadline = scheduleAt(
@@ -201,6 +204,7 @@
     );
     const end = (reason: Error) => {
       cancelDeadline();
+      withdrawEviction();
       this.#expirySignal.removeEventListener("abort", onExpiry);
       request.callerSignal.removeEventListener("abort", onDisconnect);
       outstandingRequest.end();
@@ -280,14 +284,18 @@
    * A request that must not run twice gets a connection of its own: the close
    * of a kept one may cross with the request, which then may have run.
    */
-  #createExchange({ route }: RelayedRequest, instance: Instance): Exchange {
+  #createExchange(
+    { route, memory }: RelayedRequest,
+    instance: Instance,
+  ): Exchange {
     if (route.kind !== "idempotent" && !route.isResumable) {
-      return new Exchange(instance.address);
+      return new Exchange(instance.address, undefined, undefined, memory);
     }
     return new Exchange(
       instance.address,
       this.#pool.take(instance),
       (connection) => this.#pool.put(instance, connection),
+      memory,
     );
   }
 
--- a/packages/relay/src/serving/event-forwarder.ts
+++ b/packages/relay/src/serving/event-forwarder.ts
@@ -8,7 +8,7 @@
 import type { OpenAttempt } from "./attempts.ts";
 import { EventSplitter } from "./event-splitter.ts";
 import type { RelayedRequest } from "./relayed-request.ts";
-import { writeStreamHead } from "./response-writer.ts";
+import { waitForDrain, writeStreamHead } from "./response-writer.ts";
 
 /** An upstream that runs on for so long does not crash on the prompt. */
 const PROOF_MS = 200;
@@ -58,9 +58,8 @@
   }
 
   /** Forwards all events; throws if the upstream interrupts the stream. */
-  async forward(
-    { upstreamResponse, outstandingRequest }: OpenAttempt,
-  ): Promise<void> {
+  async forward(attempt: OpenAttempt): Promise<void> {
+    const { upstreamResponse, outstandingRequest } = attempt;
     const { response } = this.#request;
     const splitter = new EventSplitter(this.#lastEventId);
     this.#answeredAt = undefined;
@@ -76,7 +75,9 @@
       }
       this.#recordEvents(block.count);
       this.#lastEventId = block.lastId ?? this.#lastEventId;
-      response.write(block.bytes);
+      if (!response.write(block.bytes)) {
+        await this.#waitForCaller(attempt);
+      }
     }
     if (splitter.hasIncompleteEvent) {
       throw new Error("the stream ended within an event");
@@ -90,6 +91,28 @@
     this.#prove(this.#answeredAt ?? this.#clock.now());
   }
 
+  /**
+   * Waits until the caller has read what was written. Nothing is read from the
+   * upstream meanwhile, so its silence says nothing about the group.
+   */
+  async #waitForCaller(
+    { exchange, outstandingRequest }: OpenAttempt,
+  ): Promise<void> {
+    const { memory, response } = this.#request;
+    const unreadBytes = response.writableLength;
+    memory.add(unreadBytes);
+    outstandingRequest.pause();
+    const failure = await Promise.race([
+      waitForDrain(response),
+      exchange.ended,
+    ]);
+    outstandingRequest.resume();
+    memory.remove(unreadBytes);
+    if (failure !== undefined) {
+      throw failure;
+    }
+  }
+
   #recordEvents(count: number): void {
     const now = this.#clock.now();
     const gapMs = now - (this.#lastEventAt ?? now);
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -8,12 +8,12 @@
  *
  * @module
  */
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import { setImmediate } from "node:timers/promises";
 import { type Clock, describeError } from "@zinniahill/kernel";
 import type { Verdict } from "@zinniahill/schema";
 import { Result } from "true-myth";
-import { ResponseBody } from "./response-body.ts";
+import { type MemoryUse, ResponseBody } from "./response-body.ts";
 import { UpstreamConnection } from "./upstream-connection.ts";
 
 /** A request to an upstream instance. */
@@ -52,6 +52,9 @@
 const MIN_FINAL_STATUS = 200;
 const CLOSED = new Error("the attempt has ended");
 
+/** For answers that are not bounded together with others. */
+const UNCOUNTED: MemoryUse = { add() {}, remove() {} };
+
 /** Where an exchange leaves a connection that it does not need any more. */
 type ConnectionSink = (connection: UpstreamConnection) => void;
 
@@ -62,8 +65,13 @@
   #keep: ConnectionSink | undefined;
   #isSent = false;
   #isClosed = false;
-  /** The body, if the connection may be kept once it was read. */
-  #keptBody: ResponseBody | undefined;
+  #memory: MemoryUse;
+  #body: ResponseBody | undefined;
+  /** Whether the connection may be kept once the body was read. */
+  #isReusable = false;
+  /** Resolves with the reason when this node ends the exchange. */
+  readonly ended: Promise<Error>;
+  #resolveEnded: (reason: Error) => void = () => {};
 
   /**
    * Uses a new connection, or a kept one. With `keep`, the connection goes
@@ -73,10 +81,15 @@
     address: string,
     kept?: UpstreamConnection | undefined,
     keep?: ConnectionSink | undefined,
+    memory: MemoryUse = UNCOUNTED,
   ) {
     this.#connection = kept ?? new UpstreamConnection(address);
     this.#isKept = kept !== undefined;
     this.#keep = keep;
+    this.#memory = memory;
+    this.ended = new Promise((resolve) => {
+      this.#resolveEnded = resolve;
+    });
   }
 
   /** Whether the upstream may have received the request. */
@@ -114,7 +127,6 @@
     { method, target, headers, body }: UpstreamRequest,
     resolve: (sent: Result<UpstreamResponse, AttemptFault>) => void,
   ): void {
-    let responseBody: ResponseBody | undefined;
     this.#connection.dispatch({
       method: method as "GET",
       path: target,
@@ -127,16 +139,16 @@
         if (status < MIN_FINAL_STATUS) {
           return;
         }
-        responseBody = new ResponseBody(controller);
+        this.#body = new ResponseBody(controller, this.#memory);
         const rawHeaders = convertRawHeaders(controller.rawHeaders);
         resolve(Result.ok(
-          this.#createResponse(status, rawHeaders, responseBody),
+          this.#createResponse(status, rawHeaders, this.#body),
         ));
       },
-      onResponseData: (_controller, chunk) => responseBody?.push(chunk),
-      onResponseEnd: () => responseBody?.complete(),
+      onResponseData: (_controller, chunk) => this.#body?.push(chunk),
+      onResponseEnd: () => this.#body?.complete(),
       onResponseError: (_controller, failure) => {
-        responseBody?.fail(failure);
+        this.#body?.fail(failure);
         resolve(Result.err(this.createFault(failure)));
       },
     });
@@ -148,9 +160,7 @@
     body: ResponseBody,
   ): UpstreamResponse {
     const headers = indexHeaders(rawHeaders);
-    if (this.#keep !== undefined && isKeepAlive(headers)) {
-      this.#keptBody = body;
-    }
+    this.#isReusable = this.#keep !== undefined && isKeepAlive(headers);
     const isFramed = hasBodyFraming(headers);
     return {
       status,
@@ -189,9 +199,12 @@
       return;
     }
     this.#isClosed = true;
-    if (this.#keptBody?.isRead === true && this.#connection.isOpen) {
+    this.#resolveEnded(reason);
+    const isReusable = this.#isReusable && this.#body?.isRead === true;
+    if (isReusable && this.#connection.isOpen) {
       this.#keep?.(this.#connection);
     } else {
+      this.#body?.discard(reason);
       this.#connection.close(reason);
     }
   }
@@ -222,22 +235,30 @@
 }
 
 /**
- * Reads a complete body. Throws if it is cut off or too large, as a faulty
- * upstream may send bytes until the connection is closed.
+ * Reads a complete body, which the memory holds from then on. Throws if it is
+ * cut off or too large, as a faulty upstream may send bytes until the
+ * connection is closed.
  */
 export async function collectBody(
   body: AsyncIterable<Buffer>,
-): Promise<Buffer[]> {
+  memory: MemoryUse = UNCOUNTED,
+): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
-  for await (const chunk of body) {
-    size += chunk.length;
-    if (size > MAX_BODY_BYTES) {
-      throw new Error(`the body is too large: over ${MAX_BODY_BYTES} bytes`);
+  try {
+    for await (const chunk of body) {
+      size += chunk.length;
+      memory.add(chunk.length);
+      if (size > MAX_BODY_BYTES) {
+        throw new Error(`the body is too large: over ${MAX_BODY_BYTES} bytes`);
+      }
+      chunks.push(chunk);
     }
-    chunks.push(chunk);
+  } catch (failure) {
+    memory.remove(size);
+    throw failure;
   }
-  return chunks;
+  return Buffer.concat(chunks, size);
 }
 
 /**
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -45,7 +45,7 @@
 /** A response that was read completely. */
 interface BufferedResponse {
   readonly upstreamResponse: UpstreamResponse;
-  readonly chunks: readonly Buffer[];
+  readonly body: Buffer;
   readonly source: ResponseSource;
 }
 
@@ -115,10 +115,10 @@
       }
       const { upstreamResponse, exchange, end } = opened.value;
       try {
-        const chunks = await collectBody(upstreamResponse.body);
+        const body = await collectBody(upstreamResponse.body, request.memory);
         this.#quarantine.recordAnswer(request, this.#clock.now());
         const source = describeSource(opened.value);
-        return Result.ok({ upstreamResponse, chunks, source });
+        return Result.ok({ upstreamResponse, body, source });
       } catch (failure) {
         request.mayHaveRun = true;
         const { message } = exchange.createFault(failure);
@@ -136,10 +136,13 @@
 
   #writeBuffered(
     request: RelayedRequest,
-    { upstreamResponse, chunks, source }: BufferedResponse,
+    { upstreamResponse, body, source }: BufferedResponse,
   ): DeliveredResponse {
-    const method = request.incoming.method ?? "GET";
-    writeBufferedResponse(request.response, method, upstreamResponse, chunks);
+    const { incoming, memory, response } = request;
+    const method = incoming.method ?? "GET";
+    // The body is held until the caller has read it.
+    memory.onEvict(() => response.destroy());
+    writeBufferedResponse(response, method, upstreamResponse, body);
     const firstByteAt = this.#clock.now();
     return {
       ...source,
@@ -208,7 +211,7 @@
     upstreamResponse: UpstreamResponse,
     source: ResponseSource,
   ): Promise<Outcome> {
-    const chunks = await collectBody(upstreamResponse.body);
+    const body = await collectBody(upstreamResponse.body, request.memory);
     if (eventCount > 0) {
       return Result.err(
         new Refusal(
@@ -219,7 +222,7 @@
       );
     }
     return Result.ok(
-      this.#writeBuffered(request, { upstreamResponse, chunks, source }),
+      this.#writeBuffered(request, { upstreamResponse, body, source }),
     );
   }
 
--- a/packages/relay/src/serving/request-reader.ts
+++ b/packages/relay/src/serving/request-reader.ts
@@ -14,6 +14,7 @@
 import type { CurrentConfiguration } from "../routing/current-configuration.ts";
 import type { RouteTable } from "../routing/route-table.ts";
 import type { RelayKernel } from "../services.ts";
+import type { AnswerMemory, MemoryAccount } from "./answer-memory.ts";
 import { watchDisconnect } from "./caller-disconnect.ts";
 import { countHeaderBytes } from "./headers.ts";
 import type { RelayedRequest } from "./relayed-request.ts";
@@ -27,6 +28,7 @@
   #configuration: CurrentConfiguration;
   #feeds: Feeds;
   #demand: Demand;
+  #memory: AnswerMemory;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -34,6 +36,7 @@
     this.#configuration = kernel.find("configuration");
     this.#feeds = kernel.find("feeds");
     this.#demand = kernel.find("demand");
+    this.#memory = kernel.find("answerMemory");
   }
 
   /** Reads a request completely; throws a `Refusal` if it cannot be served. */
@@ -84,11 +87,22 @@
       receivedAt,
       deadlineAt,
       callerSignal: watchDisconnect(response),
+      memory: this.#openMemory(id, response),
       sentTo: new Set(),
       mayHaveRun: false,
     };
   }
 
+  /** Opens the account of an answer, until its last byte has been sent. */
+  #openMemory(id: string, response: ServerResponse): MemoryAccount {
+    const account = this.#memory.open(id);
+    if (response.closed) {
+      account.close();
+    }
+    response.once("close", () => account.close());
+    return account;
+  }
+
   #findTable(): RouteTable {
     const { routeTable } = this.#configuration;
     if (routeTable === undefined) {
--- a/packages/relay/src/serving/response-body.ts
+++ b/packages/relay/src/serving/response-body.ts
@@ -4,6 +4,10 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import type { MemoryAccount } from "./answer-memory.ts";
+
+/** Where the bytes of an answer are counted. */
+export type MemoryUse = Pick<MemoryAccount, "add" | "remove">;
 
 /** Controls the connection that a body arrives on. */
 export interface BodySource {
@@ -19,24 +23,29 @@
 
 /** The source is paused while more bytes are buffered. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
+/** Memory that a chunk takes beside its bytes. */
+const CHUNK_OVERHEAD_BYTES = 256;
 const DONE: IteratorResult<Buffer> = { done: true, value: undefined };
 
 /** Can be read once. A stream costs several times as much for each chunk. */
 export class ResponseBody implements AsyncIterableIterator<Buffer> {
   #source: BodySource;
+  #memory: MemoryUse;
   #chunks: Buffer[] = [];
   #bufferedBytes = 0;
   #waiter: Waiter | undefined;
   #isComplete = false;
   #failure: Error | undefined;
 
-  constructor(source: BodySource) {
+  constructor(source: BodySource, memory: MemoryUse) {
     this.#source = source;
+    this.#memory = memory;
   }
 
   /** Whether all chunks have arrived and been read. */
   get isRead(): boolean {
-    return this.#isComplete && this.#chunks.length === 0;
+    return this.#isComplete && this.#failure === undefined &&
+      this.#chunks.length === 0;
   }
 
   push(chunk: Buffer): void {
@@ -45,7 +54,8 @@
       return;
     }
     this.#chunks.push(chunk);
-    this.#bufferedBytes += chunk.length;
+    this.#bufferedBytes += countBytes(chunk);
+    this.#memory.add(countBytes(chunk));
     if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
       this.#source.pause();
     }
@@ -67,21 +77,30 @@
     }
   }
 
+  /** Drops the chunks that were not read; the reader gets the failure. */
+  discard(failure: Error): void {
+    this.#chunks = [];
+    this.#memory.remove(this.#bufferedBytes);
+    this.#bufferedBytes = 0;
+    this.fail(failure);
+  }
+
   next(): Promise<IteratorResult<Buffer>> {
     const chunk = this.#chunks.shift();
     if (chunk !== undefined) {
-      this.#bufferedBytes -= chunk.length;
+      this.#bufferedBytes -= countBytes(chunk);
+      this.#memory.remove(countBytes(chunk));
       if (this.#chunks.length === 0) {
         this.#source.resume();
       }
       return Promise.resolve({ done: false, value: chunk });
     }
-    if (this.#isComplete) {
-      return Promise.resolve(DONE);
-    }
     if (this.#failure !== undefined) {
       return Promise.reject(this.#failure);
     }
+    if (this.#isComplete) {
+      return Promise.resolve(DONE);
+    }
     return new Promise((resolve, reject) => {
       this.#waiter = { resolve, reject };
     });
@@ -97,3 +116,7 @@
     return waiter;
   }
 }
+
+function countBytes(chunk: Buffer): number {
+  return chunk.length + CHUNK_OVERHEAD_BYTES;
+}
--- a/packages/relay/src/serving/response-writer.ts
+++ b/packages/relay/src/serving/response-writer.ts
@@ -20,7 +20,7 @@
   response: ServerResponse,
   method: string,
   { status, rawHeaders }: UpstreamResponse,
-  chunks: readonly Buffer[],
+  body: Buffer,
 ): void {
   const isBodyless = method === "HEAD" || NO_BODY_STATUSES.has(status);
   const headers = filterHeaders(
@@ -32,12 +32,28 @@
     response.end();
     return;
   }
-  const body = Buffer.concat(chunks);
   headers.push("content-length", String(body.length));
   writeHead(response, status, headers);
   response.end(body);
 }
 
+/** Resolves once the caller has read enough for more bytes, or is gone. */
+export function waitForDrain(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    if (!response.writableNeedDrain) {
+      resolve();
+      return;
+    }
+    const onReady = () => {
+      response.off("drain", onReady);
+      response.off("close", onReady);
+      resolve();
+    };
+    response.on("drain", onReady);
+    response.on("close", onReady);
+  });
+}
+
 /** Writes the response head of a stream. */
 export function writeStreamHead(
   response: ServerResponse,
--- a/packages/relay/test/routing/outstanding-requests.test.ts
+++ b/packages/relay/test/routing/outstanding-requests.test.ts
@@ -104,6 +104,22 @@
     });
   });
 
+  // Guards against groups that are ended as their events wait for a caller.
+  describe("streams whose caller reads slowly", () => {
+    it("reveal no stall until their events are read again", async () => {
+      const { env, outstanding } = await start();
+      const request = outstanding.begin(LEAD, GROUP, true);
+      request.recordEvent();
+      request.pause();
+      await env.clock.advance(5000);
+      request.resume();
+      await env.clock.advance(300);
+      expect(env.suspicions).toBe(0);
+      await env.clock.advance(100);
+      expect(env.suspicions).toBe(1);
+    });
+  });
+
   describe("requests without an event", () => {
     // Guards against false suspicions: half of all reported stalls were requests
     // that waited behind long prompts.
--- /dev/null
+++ b/packages/relay/test/serving/answer-memory.test.ts
@@ -0,0 +1,69 @@
+import { Kernel } from "@zinniahill/kernel";
+import { describe, expect, it } from "vitest";
+import { AnswerMemory } from "../../src/serving/answer-memory.ts";
+import type { RelayKernel, RelayServices } from "../../src/services.ts";
+
+const LIMIT_BYTES = 1000;
+const SILENT_LOGGER = { error() {}, warn() {}, info() {}, debug() {} };
+
+async function createMemory(): Promise<AnswerMemory> {
+  const limits = { memoryBytes: LIMIT_BYTES / 0.2 };
+  const kernel: RelayKernel = new Kernel<RelayServices>();
+  kernel
+    .provide("logger", [], () => SILENT_LOGGER)
+    .provide("settings", [], () => ({ limits }) as never);
+  await kernel.start();
+  return new AnswerMemory(kernel);
+}
+
+/** Opens an account that notes its eviction. */
+function openAccount(memory: AnswerMemory, name: string, evicted: string[]) {
+  const account = memory.open(name);
+  account.onEvict(() => evicted.push(name));
+  return account;
+}
+
+describe("AnswerMemory", () => {
+  // Guards against processes that ended by their memory, and with them the
+  // requests of all callers, as a few answers had no end.
+  describe("answers that hold more than their share together", () => {
+    it("lose the one that holds most, whichever grew last", async () => {
+      const memory = await createMemory();
+      const evicted: string[] = [];
+      const endless = openAccount(memory, "endless", evicted);
+      const small = openAccount(memory, "small", evicted);
+      endless.add(900);
+      small.add(200);
+      expect(evicted).toEqual(["endless"]);
+      expect(endless.isEvicted).toBe(true);
+      expect(small.isEvicted).toBe(false);
+      expect(memory.heldBytes).toBe(200);
+    });
+
+    it("count nothing more of the one that was ended", async () => {
+      const memory = await createMemory();
+      const evicted: string[] = [];
+      const endless = openAccount(memory, "endless", evicted);
+      endless.add(LIMIT_BYTES + 1);
+      endless.add(500);
+      endless.remove(500);
+      expect(evicted).toEqual(["endless"]);
+      expect(memory.heldBytes).toBe(0);
+    });
+  });
+
+  describe("an answer that was read", () => {
+    it("releases what it held", async () => {
+      const memory = await createMemory();
+      const evicted: string[] = [];
+      for (let count = 0; count < 10; count++) {
+        const account = openAccount(memory, `r${count}`, evicted);
+        account.add(LIMIT_BYTES);
+        account.remove(LIMIT_BYTES / 2);
+        account.close();
+      }
+      expect(evicted).toEqual([]);
+      expect(memory.heldBytes).toBe(0);
+    });
+  });
+});
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -49,12 +49,12 @@
 async function read(address: string): Promise<string> {
   const { exchange, sent } = await send(address);
   try {
-    const chunks = await collectBody(
+    const body = await collectBody(
       sent.unwrapOrElse((fault) => {
         throw new Error(fault.message);
       }).body,
     );
-    return Buffer.concat(chunks).toString();
+    return body.toString();
   } finally {
     exchange.close(DONE);
   }
--- a/packages/relay/test/serving/response-body.test.ts
+++ b/packages/relay/test/serving/response-body.test.ts
@@ -12,7 +12,8 @@
       source.isPaused = false;
     },
   };
-  return { source, body: new ResponseBody(source) };
+  const memory = { add() {}, remove() {} };
+  return { source, body: new ResponseBody(source, memory) };
 }
 
 async function readAll(body: ResponseBody): Promise<string> {
