Bound all bytes of an answer, wherever they come

Bodies in chunks of one byte took some hundred bytes for each; lines that are no events were forwarded until the deadline. The connection now counts every byte of an answer, idle ones may get none, informational heads and events have a number, and bodies are copied into one buffer. A stream without ids is not continued by another upstream.

--- a/packages/relay/src/serving/connection-pool.ts
+++ b/packages/relay/src/serving/connection-pool.ts
@@ -71,6 +71,8 @@
     this.#idle.set(key, idle);
     this.#count++;
     connection.onClose = () => this.#remove(key, entry);
+    // What arrives now belongs to no request.
+    connection.limitBytes(0);
   }
 
   /** Closes all idle connections. */
--- a/packages/relay/src/serving/event-forwarder.ts
+++ b/packages/relay/src/serving/event-forwarder.ts
@@ -10,6 +10,8 @@
 import type { RelayedRequest } from "./relayed-request.ts";
 import { waitForDrain, writeStreamHead } from "./response-writer.ts";
 
+/** An event holds at least one token; comments come beside them. */
+const MAX_EVENTS_WITHOUT_TOKENS = 256;
 /** An upstream that runs on for so long does not crash on the prompt. */
 const PROOF_MS = 200;
 
@@ -22,6 +24,7 @@
   #firstByteAt: number | undefined;
   #lastEventAt: number | undefined;
   #eventCount = 0;
+  #canResume = true;
   #longestGapMs = 0;
   /** Arrival of the first event of the current attempt. */
   #answeredAt: number | undefined;
@@ -48,6 +51,14 @@
     return this.#eventCount;
   }
 
+  /**
+   * Whether another upstream can go on where the last one stopped: all events
+   * that were forwarded have ids.
+   */
+  get canResume(): boolean {
+    return this.#canResume;
+  }
+
   get longestGapMs(): number {
     return this.#longestGapMs;
   }
@@ -60,8 +71,12 @@
   /** Forwards all events; throws if the upstream interrupts the stream. */
   async forward(attempt: OpenAttempt): Promise<void> {
     const { upstreamResponse, outstandingRequest } = attempt;
-    const { response } = this.#request;
-    const splitter = new EventSplitter(this.#lastEventId);
+    const { metadata, response } = this.#request;
+    const { outputTokens } = metadata;
+    const splitter = new EventSplitter(
+      this.#lastEventId,
+      outputTokens > 0 ? outputTokens + MAX_EVENTS_WITHOUT_TOKENS : Infinity,
+    );
     this.#answeredAt = undefined;
     this.#isProven = false;
     for await (const chunk of upstreamResponse.body) {
@@ -75,6 +90,7 @@
       }
       this.#recordEvents(block.count);
       this.#lastEventId = block.lastId ?? this.#lastEventId;
+      this.#canResume &&= !block.hasUnidentified;
       if (!response.write(block.bytes)) {
         await this.#waitForCaller(attempt);
       }
--- a/packages/relay/src/serving/event-splitter.ts
+++ b/packages/relay/src/serving/event-splitter.ts
@@ -11,13 +11,21 @@
   readonly count: number;
   /** The id of the last event, if it has one. */
   readonly lastId: string | undefined;
+  /** Whether one of the events, other than comments, has no id. */
+  readonly hasUnidentified: boolean;
+}
+
+/** What the lines of an event say. */
+interface ParsedEvent {
+  readonly id: string | undefined;
+  readonly isComment: boolean;
 }
 
 const EVENT_END = "\n\n";
 /** Events are a few hundred bytes; a larger one may never end. */
 const MAX_EVENT_BYTES = 256 * 1024;
-/** A comment, or a field; upstreams add fields of their own. */
-const EVENT_LINE = /^(?:[a-z][a-z-]*)?(?::|$)/;
+/** A comment, or a field; upstreams add fields of their own, with values. */
+const EVENT_LINE = /^(?:(?:[a-z][a-z-]*)?:|(?:data|event|id|retry)?$)/;
 const ID_LINE = /(?:^|\n)id:\s?([^\r\n]*)/;
 
 /**
@@ -27,8 +35,11 @@
 export class EventSplitter {
   #pending: Buffer = Buffer.alloc(0);
   #lastId: number;
+  #remainingEvents: number;
 
-  constructor(lastId: string | undefined) {
+  /** A stream with more events than `maxEvents` may never end. */
+  constructor(lastId: string | undefined, maxEvents = Infinity) {
+    this.#remainingEvents = maxEvents;
     const sequence = Number(lastId ?? NaN);
     this.#lastId = Number.isNaN(sequence) ? -Infinity : sequence;
   }
@@ -40,8 +51,8 @@
 
   /**
    * Adds a chunk and returns the events that it completes; throws if the
-   * buffered event is too large, or if what comes after an event with an id is
-   * no such event.
+   * buffered event is too large, if there are too many events, or if something
+   * is no event, or has no id after one that has.
    */
   push(chunk: Buffer): EventBlock | undefined {
     const bytes = this.#pending.length === 0
@@ -49,6 +60,7 @@
       : Buffer.concat([this.#pending, chunk]);
     const events: Buffer[] = [];
     let lastId: string | undefined;
+    let hasUnidentified = false;
     let start = 0;
     for (
       let end = bytes.indexOf(EVENT_END);
@@ -57,36 +69,43 @@
     ) {
       const event = bytes.subarray(start, end + EVENT_END.length);
       start = end + EVENT_END.length;
-      const id = this.#parseId(event.toString("latin1"));
+      this.#remainingEvents--;
+      if (this.#remainingEvents < 0) {
+        throw new Error("the stream has more events than were asked for");
+      }
+      const { id, isComment } = this.#parse(event.toString("latin1"));
       if (this.#isNew(id)) {
         events.push(event);
         lastId = id ?? lastId;
+        hasUnidentified ||= id === undefined && !isComment;
       }
     }
     this.#pending = bytes.subarray(start);
     if (this.#pending.length > MAX_EVENT_BYTES) {
       throw new Error(`the event is too large: over ${MAX_EVENT_BYTES} bytes`);
     }
-    return events.length === 0
-      ? undefined
-      : { bytes: Buffer.concat(events), count: events.length, lastId };
+    return events.length === 0 ? undefined : {
+      bytes: Buffer.concat(events),
+      count: events.length,
+      lastId,
+      hasUnidentified,
+    };
   }
 
   /**
-   * Returns the id of an event. A faulty upstream may send an error, even with
-   * its head, where the next event is due.
+   * Parses an event. A faulty upstream may send an error, even with its head,
+   * where an event is due.
    */
-  #parseId(event: string): string | undefined {
+  #parse(event: string): ParsedEvent {
     const id = ID_LINE.exec(event)?.[1];
-    if (this.#lastId !== -Infinity) {
-      const lines = event.trimEnd().split("\n");
-      const isComment = lines.every((line) => line.startsWith(":"));
-      const isEvent = lines.every((line) => EVENT_LINE.test(line));
-      if (!isComment && (id === undefined || !isEvent)) {
-        throw new Error("something else came where an event was due");
-      }
+    const lines = event.trimEnd().split("\n");
+    const isComment = lines.every((line) => line.startsWith(":"));
+    const isEvent = lines.every((line) => EVENT_LINE.test(line));
+    const isIdDue = this.#lastId !== -Infinity;
+    if (!isComment && (!isEvent || (isIdDue && id === undefined))) {
+      throw new Error("something else came where an event was due");
     }
-    return id;
+    return { id, isComment };
   }
 
   #isNew(id: string | undefined): boolean {
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -8,11 +8,12 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { setImmediate } from "node:timers/promises";
 import { type Clock, describeError } from "@zinniahill/kernel";
 import type { Verdict } from "@zinniahill/schema";
 import { Result } from "true-myth";
+import { ByteBuffer } from "./byte-buffer.ts";
 import { type MemoryUse, ResponseBody } from "./response-body.ts";
 import { UpstreamConnection } from "./upstream-connection.ts";
 
@@ -24,6 +25,8 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Bound on all bytes of the answer, whatever they are. */
+  readonly maxAnswerBytes: number;
 }
 
 /** Head of an upstream's response, and the body as it arrives. */
@@ -50,6 +53,11 @@
 
 /** Lower statuses announce a response. */
 const MIN_FINAL_STATUS = 200;
+/** Of more informational heads, there may be no end. */
+const MAX_INFORMATIONAL_HEADS = 16;
+const TOO_MANY_HEADS = new Error(
+  `over ${MAX_INFORMATIONAL_HEADS} informational heads came before the response`,
+);
 const CLOSED = new Error("the attempt has ended");
 
 /** For answers that are not bounded together with others. */
@@ -124,9 +132,11 @@
   }
 
   #dispatch(
-    { method, target, headers, body }: UpstreamRequest,
+    { method, target, headers, body, maxAnswerBytes }: UpstreamRequest,
     resolve: (sent: Result<UpstreamResponse, AttemptFault>) => void,
   ): void {
+    let informationalHeads = 0;
+    this.#connection.limitBytes(maxAnswerBytes);
     this.#connection.dispatch({
       method: method as "GET",
       path: target,
@@ -137,6 +147,10 @@
       onRequestStart: () => {},
       onResponseStart: (controller, status) => {
         if (status < MIN_FINAL_STATUS) {
+          informationalHeads++;
+          if (informationalHeads > MAX_INFORMATIONAL_HEADS) {
+            this.#connection.close(TOO_MANY_HEADS);
+          }
           return;
         }
         this.#body = new ResponseBody(controller, this.#memory);
@@ -243,22 +257,20 @@
   body: AsyncIterable<Buffer>,
   memory: MemoryUse = UNCOUNTED,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const collected = new ByteBuffer();
   try {
     for await (const chunk of body) {
-      size += chunk.length;
+      collected.append(chunk);
       memory.add(chunk.length);
-      if (size > MAX_BODY_BYTES) {
+      if (collected.length > MAX_BODY_BYTES) {
         throw new Error(`the body is too large: over ${MAX_BODY_BYTES} bytes`);
       }
-      chunks.push(chunk);
     }
   } catch (failure) {
-    memory.remove(size);
+    memory.remove(collected.length);
     throw failure;
   }
-  return Buffer.concat(chunks, size);
+  return collected.view;
 }
 
 /**
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -194,7 +194,9 @@
         if (!events.isProven) {
           await this.#recordBroken(request, attempt);
         }
-        const refusal = this.#decideAfterInterruption(request, message);
+        const refusal = events.canResume
+          ? this.#decideAfterInterruption(request, message)
+          : createFaultRefusal(request, message);
         if (refusal !== undefined) {
           return Result.err(refusal);
         }
--- a/packages/relay/src/serving/upstream-connection.ts
+++ b/packages/relay/src/serving/upstream-connection.ts
@@ -14,6 +14,7 @@
 const IDLE_MARGIN_MS = 500;
 /** An empty line before the next request, which HTTP servers ignore. */
 const RESET_PROBE = "\r\n";
+const TOO_MANY_BYTES = new Error("the upstream sent more than an answer");
 
 /** Connects with its first request. */
 export class UpstreamConnection {
@@ -22,6 +23,9 @@
   #hasConnected = false;
   #isReset = false;
   #isClosed = false;
+  #maxBytes = 0;
+  /** Bytes that had arrived when the limit was set. */
+  #bytesBefore = 0;
   /** Called when the upstream or this node has closed the connection. */
   onClose: () => void = () => {};
 
@@ -65,6 +69,16 @@
     return !this.#isClosed && this.#socket?.readyState === "open";
   }
 
+  /**
+   * Closes the connection once more bytes arrive from now on. It counts all of
+   * them, as an upstream may also send without end where the parser keeps
+   * nothing: empty lines before the head, informational heads, trailers.
+   */
+  limitBytes(maxBytes: number): void {
+    this.#maxBytes = maxBytes;
+    this.#bytesBefore = this.#socket?.bytesRead ?? 0;
+  }
+
   /** Sends a request; the handler receives its response. */
   dispatch(
     options: Dispatcher.DispatchOptions,
@@ -86,6 +100,11 @@
   #watch(socket: Socket): void {
     this.#socket = socket;
     this.#hasConnected = true;
+    socket.on("readable", () => {
+      if (socket.bytesRead - this.#bytesBefore > this.#maxBytes) {
+        this.close(TOO_MANY_BYTES);
+      }
+    });
     // undici also closes connections with errors of its own, which have no
     // `syscall`.
     socket.on("error", (failure) => {
--- a/packages/relay/test/serving/event-splitter.test.ts
+++ b/packages/relay/test/serving/event-splitter.test.ts
@@ -92,6 +92,15 @@
     };
 
     // Guards against an error's text within a caller's stream.
+    // Guards against bytes that are no events, which were forwarded until the
+    // deadline, and to which another upstream's events were appended.
+    it("is refused before the first id, too", () => {
+      expect(() => split("x".repeat(1022) + "\n\n", []))
+        .toThrow(/an event was due/);
+      expect(() => split("Internal Server Error\n\n", []))
+        .toThrow(/an event was due/);
+    });
+
     it.each(Object.entries(others))("is refused: %s", (_name, other) => {
       expect(() => split(FIRST + other, [])).toThrow(/an event was due/);
       expect(() => split(other, [], "1")).toThrow(/an event was due/);
@@ -109,6 +118,25 @@
     });
   });
 
+  describe("events without end", () => {
+    it("are refused once there are more than were asked for", () => {
+      const splitter = new EventSplitter(undefined, 8);
+      expect(splitter.push(Buffer.from(STREAM))?.count).toBe(8);
+      expect(() => splitter.push(Buffer.from(": more\n\n")))
+        .toThrow(/more events/);
+    });
+  });
+
+  describe("events that no other upstream can follow", () => {
+    it("are those without an id, but for comments", () => {
+      const hasUnidentified = (text: string) =>
+        new EventSplitter(undefined).push(Buffer.from(text))!.hasUnidentified;
+      expect(hasUnidentified(": still there\n\nid: 1\ndata: a\n\n"))
+        .toBe(false);
+      expect(hasUnidentified("data: a\n\n")).toBe(true);
+    });
+  });
+
   describe("a last id that is no number", () => {
     it("does not make the events look known", () => {
       expect(split(STREAM, [], "abc").out).toBe(STREAM);
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -6,15 +6,22 @@
   type Server,
   type Socket,
 } from "node:net";
+import process from "node:process";
 import { afterEach, describe, expect, it, vi } from "vitest";
+import type { Instance } from "../../src/index.ts";
+import { ConnectionPool } from "../../src/serving/connection-pool.ts";
 import {
   collectBody,
   Exchange,
   type UpstreamRequest,
 } from "../../src/serving/exchange.ts";
+import type { UpstreamConnection } from "../../src/serving/upstream-connection.ts";
 
 const FILLER_BYTES = 64 * 1024;
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
+const MAX_ANSWER_BYTES = 2 * MAX_BODY_BYTES;
+/** What the kernel buffers of a connection, on both sides. */
+const KERNEL_BUFFER_BYTES = 8 * 1024 * 1024;
 const HEAD = "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\n";
 const DONE = new Error("the test has ended");
 
@@ -37,6 +44,7 @@
     target: "/path/",
     headers: ["host", "a.example", "content-length", "2"],
     body: Buffer.from("{}"),
+    maxAnswerBytes: MAX_ANSWER_BYTES,
   };
 }
 
@@ -207,6 +215,71 @@
       await expect(read(address)).rejects.toThrow();
     });
 
+    // Guards against answers that hold a process until their deadline, with
+    // bytes that the parser of the protocol skips or drops.
+    const skipped: readonly (readonly [string, string, string])[] = [
+      ["before a head", "", "\r\n"],
+      ["in a reason phrase", "HTTP/1.1 200 ", "a"],
+      [
+        "in an extension of a chunk",
+        `${HEAD}transfer-encoding: chunked\r\n\r\n1;`,
+        "a",
+      ],
+      [
+        "in the size of a chunk",
+        `${HEAD}transfer-encoding: chunked\r\n\r\n`,
+        "0",
+      ],
+    ];
+    it.each(skipped)("%s end the attempt", async (_place, begin, filler) => {
+      const { address, seen } = await listenEndless(begin, filler);
+      await expect(read(address)).rejects.toThrow();
+      await vi.waitFor(() => expect(seen.isClosed).toBe(true));
+      expect(seen.bytes).toBeLessThan(MAX_ANSWER_BYTES + KERNEL_BUFFER_BYTES);
+    });
+
+    it("in informational heads end the attempt", async () => {
+      const { address, seen } = await listenEndless(
+        "",
+        "HTTP/1.1 103 Early\r\n\r\n",
+      );
+      const { exchange, sent } = await send(address);
+      expect(sent.isErr && sent.error.message).toContain("informational");
+      exchange.close(DONE);
+      expect(seen.bytes).toBeLessThan(KERNEL_BUFFER_BYTES);
+    });
+
+    it("in small chunks take no more memory than in large ones", async () => {
+      const { address } = await listenEndless(
+        `${HEAD}transfer-encoding: chunked\r\n\r\n`,
+        "1\r\na\r\n",
+      );
+      const before = process.memoryUsage();
+      await expect(read(address)).rejects.toThrow();
+      const after = process.memoryUsage();
+      expect(after.rss - before.rss).toBeLessThan(16 * MAX_BODY_BYTES);
+    });
+
+    it("on an idle connection close it", async () => {
+      let idle: UpstreamConnection | undefined;
+      const address = await listen((socket) => {
+        socket.write(`${HEAD}content-length: 0\r\n\r\n`);
+        setTimeout(() => socket.write("\r\n"), 50);
+      });
+      const pool = new ConnectionPool({ now: () => 0 });
+      const instance = { id: "i-1", bornAt: 1, address } as Instance;
+      const exchange = new Exchange(address, undefined, (connection) => {
+        idle = connection;
+        pool.put(instance, connection);
+      });
+      const sent = await exchange.send(createUpstreamRequest(address));
+      await collectBody(sent.unwrapOr(undefined!).body);
+      exchange.close(DONE);
+      expect(pool.size).toBe(1);
+      await vi.waitFor(() => expect(pool.size).toBe(0));
+      expect(idle!.isOpen).toBe(false);
+    });
+
     it("after a response are not read, and the connection is closed", async () => {
       const { address, seen } = await listenEndless(
         `${HEAD}content-length: 5\r\n\r\nwhole`,
