Hold back one request that crashes upstreams

Cause: evidence of crashes was kept for the parts that requests share; what is a request's own did not count, and requests without a prompt left none. Now the own part counts (a hash of the content without a prompt); three crashes of one request hold it back at all nodes, crashes that follow a repeat count however soon they come, and own parts explain crashes before shared ones, which sound requests hold.

--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -164,6 +164,8 @@
     suspects: z.array(z.object({
       id: z.string(),
       parts: z.array(z.string()),
+      /** Time from when the request was sent until the process had ended. */
+      sentMsBefore: z.number(),
     })),
   }),
   /** An upstream has answered a request with parts that were at a crash. */
--- a/packages/relay/src/routing/crash-evidence.ts
+++ b/packages/relay/src/routing/crash-evidence.ts
@@ -4,7 +4,9 @@
  * A process that ends takes all its requests with it, most of them innocent. A
  * part counts as harmful if processes keep ending before they have answered a
  * request that holds it, and none answers one in between. A part that innocent
- * requests share is answered elsewhere between two crashes.
+ * requests share is answered elsewhere between two crashes. What a request
+ * shares with nobody is a part as well, so that one request which callers send
+ * again and again is found, too.
  *
  * @module
  */
@@ -12,9 +14,11 @@
 
 /** A request that was not answered when its upstream process ended. */
 export interface SuspectRequest {
-  /** Equal for repeats of one request. */
+  /** The part that is its own; equal for repeats of one request. */
   readonly id: string;
+  /** All parts, including its own. */
   readonly parts: readonly string[];
+  readonly sentAt: number;
 }
 
 /** Requests that hold all of these parts are not sent to upstreams. */
@@ -33,11 +37,14 @@
 
 /** Crashes without an answer in between that make a part harmful. */
 const MIN_CRASHES = 3;
-/** The repeats of one request alone do not make its parts harmful. */
+/** The repeats of one request alone do not make its shared parts harmful. */
 const MIN_REQUESTS = 2;
 /** A part that was there at so many crashes is not tried again by a repeat. */
 const MIN_CRASHES_OF_SUSPECT = 2;
-/** Processes that end together, as in one fabric domain, count once. */
+/**
+ * Processes that end together, as in one fabric domain, count once, unless a
+ * request was sent to one of them after the other had ended.
+ */
 const SEPARATION_MS = 100;
 /** Older crashes say nothing about the current state of upstreams. */
 const RETENTION_MS = 10 * 60_000;
@@ -106,6 +113,11 @@
     }
   }
 
+  /** Whether nothing is known of any crash. */
+  get isEmpty(): boolean {
+    return this.#crashes.size === 0 && this.#adopted.size === 0;
+  }
+
   /** The sets of parts that are held back. */
   list(): readonly HarmfulParts[] {
     const now = this.#clock.now();
@@ -205,21 +217,30 @@
   /**
    * Explains the crashes, the rarest part first. An innocent part that many
    * requests hold was at the same crashes, as no upstream could answer one in
-   * between; it is a cause only of crashes that no rarer part explains.
+   * between; it is a cause only of crashes that no rarer part explains. The own
+   * part of one request may stand for a shared one that is the cause, so it
+   * acquits shared parts only if it explains all of their crashes.
    */
   #findCauses(): HarmfulParts[] {
     const candidates = [...this.#crashes.keys()]
       .filter((part) => this.#isHarmful(part, new Set()))
-      .sort((a, b) => this.#countSuspects(a) - this.#countSuspects(b));
+      .sort((a, b) =>
+        this.#countSuspects(a) - this.#countSuspects(b) ||
+        Number(this.#isOwn(b)) - Number(this.#isOwn(a))
+      );
     const explained = new Set<string>();
+    const explainedByOwn = new Set<string>();
     const causes = new Map<string, HarmfulParts>();
     for (const part of candidates) {
-      if (this.#isHarmful(part, explained)) {
+      const processes = [...this.#crashes.get(part)!.keys()];
+      const isOwn = this.#isOwn(part);
+      const isNeeded = isOwn ||
+        processes.some((process) => !explainedByOwn.has(process));
+      if (isNeeded && this.#isHarmful(part, explained)) {
         const cause = this.#describe(part);
         causes.set(createKey(cause.parts), cause);
-        this.#crashes.get(part)!.forEach((_crash, process) =>
-          explained.add(process)
-        );
+        const known = isOwn ? explainedByOwn : explained;
+        processes.forEach((process) => known.add(process));
       }
     }
     return [...causes.values()];
@@ -233,10 +254,15 @@
     const requests = new Set(
       crashes.flatMap(({ suspects }) => [...suspects.keys()]),
     );
-    return requests.size >= MIN_REQUESTS &&
+    return (requests.size >= MIN_REQUESTS || requests.has(part)) &&
       countSeparate(crashes) >= MIN_CRASHES;
   }
 
+  /** Whether a part is a request's own. */
+  #isOwn(part: string): boolean {
+    return this.#listCrashes(part).some(({ suspects }) => suspects.has(part));
+  }
+
   #countSuspects(part: string): number {
     return this.#listCrashes(part)
       .reduce((sum, { suspects }) => sum + suspects.size, 0);
@@ -268,12 +294,16 @@
   }
 }
 
-/** Counts crashes; those at about the same time count once. */
+/**
+ * Counts crashes; those at about the same time count once, unless one of them
+ * is the answer to a request that was sent after the other.
+ */
 function countSeparate(crashes: readonly Crash[]): number {
   let count = 0;
   let lastAt = -Infinity;
-  for (const at of crashes.map(({ at }) => at).sort((a, b) => a - b)) {
-    if (at - lastAt >= SEPARATION_MS) {
+  for (const { at, suspects } of [...crashes].sort((a, b) => a.at - b.at)) {
+    const sentTimes = [...suspects.values()].map(({ sentAt }) => sentAt);
+    if (at - lastAt >= SEPARATION_MS || Math.max(...sentTimes) > lastAt) {
       count++;
       lastAt = at;
     }
--- a/packages/relay/src/routing/quarantine.ts
+++ b/packages/relay/src/routing/quarantine.ts
@@ -1,12 +1,14 @@
 /**
- * Holds back requests whose prompts crash upstreams.
+ * Holds back requests that crash upstreams.
  *
  * Each node examines the processes that end before they answer its requests,
- * and shares with all others which parts of prompts were there, and which were
+ * and shares with all others which parts of requests were there, and which were
  * answered since.
  *
  * @module
  */
+import type { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
 import { type Clock, type Logger, type Service } from "@zinniahill/kernel";
 import { Refusal } from "@zinniahill/schema";
 import type { EngineControl, RequestMetadata } from "../adapter.ts";
@@ -18,12 +20,14 @@
 import { CrashEvidence, type SuspectRequest } from "./crash-evidence.ts";
 
 /** The properties of a request by which it is held back. */
-export interface Prompt {
+export interface Content {
   readonly service: Pick<ServiceProfile, "name">;
   readonly metadata: Pick<
     RequestMetadata,
-    "attemptId" | "sharedParts" | "ownPart"
+    "sharedParts" | "ownPart" | "target"
   >;
+  readonly incoming: { readonly method?: string | undefined };
+  readonly body: Buffer;
 }
 
 /** An upstream process that may have ended. */
@@ -90,24 +94,31 @@
   }
 
   /** Returns the refusal of a request that would crash an upstream. */
-  check(prompt: Prompt): Refusal | undefined {
-    const harmful = this.#evidence.findHarmful(listParts(prompt));
+  check(content: Content): Refusal | undefined {
+    if (this.#evidence.isEmpty) {
+      return undefined;
+    }
+    const harmful = this.#evidence.findHarmful(listParts(content));
     return harmful === undefined ? undefined : new Refusal(
       "quarantined",
       "not-run",
-      `upstreams crash on prompts with ${describeParts(harmful.parts)}`,
+      `upstreams crash on requests with ${describeParts(harmful.parts)}`,
       harmful.until - this.#clock.now(),
     );
   }
 
   /** Whether a repeat of the request may crash another upstream. */
-  isSuspect(prompt: Prompt): boolean {
-    return this.#evidence.isSuspect(listParts(prompt));
+  isSuspect(content: Content): boolean {
+    return !this.#evidence.isEmpty &&
+      this.#evidence.isSuspect(listParts(content));
   }
 
   /** Records that the answer to a request began at `at` and went on. */
-  recordAnswer(prompt: Prompt, at: number): void {
-    const parts = this.#evidence.recordAnswer(listParts(prompt), at);
+  recordAnswer(content: Content, at: number): void {
+    if (this.#evidence.isEmpty) {
+      return;
+    }
+    const parts = this.#evidence.recordAnswer(listParts(content), at);
     if (parts.length > 0) {
       const ageMs = Math.round(this.#clock.now() - at);
       this.#mesh.broadcast({ kind: "cleared", parts, ageMs });
@@ -116,15 +127,15 @@
   }
 
   /**
-   * Examines an upstream that closed the connection of a request before it
-   * answered it. Resolves once it is known whether its process has ended.
+   * Examines an upstream that closed the connection of a request, sent at
+   * `sentAt`, before it answered it. Resolves once it is known whether its
+   * process has ended.
    */
-  async recordBroken(prompt: Prompt, instance: Instance): Promise<void> {
-    const { attemptId, ownPart } = prompt.metadata;
-    const parts = listParts(prompt);
-    if (parts.length === 0) {
-      return;
-    }
+  async recordBroken(
+    content: Content,
+    instance: Instance,
+    sentAt: number,
+  ): Promise<void> {
     const key = createProcessKey(instance);
     let examination = this.#examinations.get(key);
     if (examination === undefined) {
@@ -134,10 +145,8 @@
       examination = { at, suspects, isOver };
       this.#examinations.set(key, examination);
     }
-    examination.suspects.push({
-      id: ownPart ?? attemptId ?? "",
-      parts,
-    });
+    const parts = listParts(content);
+    examination.suspects.push({ id: parts.at(-1)!, parts, sentAt });
     await examination.isOver;
   }
 
@@ -165,7 +174,11 @@
           process: key,
           ageMs: Math.round(this.#clock.now() - at),
           suspects: suspects.slice(0, MAX_SHARED_SUSPECTS)
-            .map(({ id, parts }) => ({ id, parts: [...parts] })),
+            .map(({ id, parts, sentAt }) => ({
+              id,
+              parts: [...parts],
+              sentMsBefore: at - sentAt,
+            })),
         });
         this.#logChanges();
       }
@@ -188,7 +201,15 @@
   }
 
   #applyCrash({ process, suspects, ageMs }: MessageOf<"crash">): void {
-    this.#evidence.recordCrash(process, this.#clock.now() - ageMs, suspects);
+    const at = this.#clock.now() - ageMs;
+    this.#evidence.recordCrash(
+      process,
+      at,
+      suspects.map(({ sentMsBefore, ...suspect }) => ({
+        ...suspect,
+        sentAt: at - sentMsBefore,
+      })),
+    );
     this.#logChanges();
   }
 
@@ -213,11 +234,26 @@
 }
 
 /**
- * The shared parts of a prompt, as the upstreams of its service see them: those
- * of another one may well answer what they crash on.
+ * The parts of a request, as the upstreams of its service see them: those of
+ * another one may well answer what these crash on. Its own part comes last; a
+ * request without a prompt is one part.
  */
-function listParts({ service, metadata }: Prompt): string[] {
-  return metadata.sharedParts.map((part) => `${service.name}/${part}`);
+function listParts({ service, metadata, ...content }: Content): string[] {
+  const own = metadata.ownPart ?? hashContent(metadata.target, content);
+  return [...metadata.sharedParts, own].map((part) =>
+    `${service.name}/${part}`
+  );
+}
+
+/** Identifies a request by what an upstream gets of it. */
+function hashContent(
+  target: string,
+  { incoming, body }: Pick<Content, "incoming" | "body">,
+): string {
+  return createHash("sha1")
+    .update(`${incoming.method} ${target}\n`)
+    .update(body)
+    .digest("hex");
 }
 
 function describeParts(parts: readonly string[]): string {
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -38,6 +38,7 @@
 /** An attempt whose response head has arrived. */
 export interface OpenAttempt {
   readonly choice: Selection;
+  readonly sentAt: number;
   readonly exchange: Exchange;
   readonly outstandingRequest: OutstandingRequest;
   readonly upstreamResponse: UpstreamResponse;
@@ -241,7 +242,7 @@
       if (!exchange.hasConnected) {
         this.#dispatcher.markUnreachable(instance);
       } else if (!exchange.isClosed) {
-        await this.#quarantine.recordBroken(request, instance);
+        await this.#quarantine.recordBroken(request, instance, sentAt);
       }
       end(ATTEMPT_ENDED);
       return Result.err(sent.error);
@@ -272,6 +273,7 @@
     }
     return Result.ok({
       choice,
+      sentAt,
       exchange,
       outstandingRequest,
       upstreamResponse,
@@ -348,6 +350,7 @@
       load,
       verdict,
       parts: describeParts(request),
+      own_part: request.metadata.ownPart,
       error: message,
       left_ms: Math.round(request.deadlineAt - this.#clock.now()),
     });
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -249,10 +249,10 @@
   /** Examines an upstream that broke off an answer; this node may have, too. */
   async #recordBroken(
     request: RelayedRequest,
-    { exchange, choice }: OpenAttempt,
+    { exchange, choice, sentAt }: OpenAttempt,
   ): Promise<void> {
     if (!exchange.isClosed) {
-      await this.#quarantine.recordBroken(request, choice.instance);
+      await this.#quarantine.recordBroken(request, choice.instance, sentAt);
     }
   }
 
@@ -269,6 +269,7 @@
       events: events?.eventCount ?? 0,
       has_proof: events?.isProven ?? false,
       parts: describeParts(request),
+      own_part: request.metadata.ownPart,
       error,
       left_ms: Math.round(request.deadlineAt - this.#clock.now()),
     });
--- a/packages/relay/test/routing/crash-evidence.test.ts
+++ b/packages/relay/test/routing/crash-evidence.test.ts
@@ -6,6 +6,8 @@
 const HARMFUL = "harmful";
 /** Longer than the time within which crashes count as one. */
 const GAP_MS = 500;
+/** Time that requests have run when their process ends. */
+const RUN_MS = 20;
 
 /** A node's evidence, and a short way to let upstreams crash. */
 function create() {
@@ -21,7 +23,11 @@
       evidence.recordCrash(
         `p${processCount}`,
         clock.now(),
-        Object.entries(suspects).map(([id, parts]) => ({ id, parts })),
+        Object.entries(suspects).map(([id, parts]) => ({
+          id,
+          parts,
+          sentAt: clock.now() - RUN_MS,
+        })),
       );
     },
     answer: (...parts: string[]) => evidence.recordAnswer(parts, clock.now()),
@@ -110,6 +116,68 @@
     });
   });
 
+  // Guards against one request that callers send again and again, which ended
+  // nine upstreams as only the parts that it shares with others counted.
+  describe("of one request that crashes upstreams", () => {
+    it("holds it back after three crashes, and nothing that it shares", async () => {
+      const cluster = create();
+      for (let round = 0; round < 3; round++) {
+        await cluster.clock.advance(GAP_MS);
+        expect(cluster.isHarmful(SHARED, "own")).toBe(false);
+        cluster.crash({
+          own: [SHARED, "own"],
+          [`bystander${round}`]: [SHARED, `bystander${round}`],
+        });
+      }
+      expect(cluster.isHarmful(SHARED, "own")).toBe(true);
+      expect(cluster.isHarmful(SHARED, "other")).toBe(false);
+    });
+
+    it("keeps it back when requests with its shared parts are answered", async () => {
+      const cluster = create();
+      for (let round = 0; round < 3; round++) {
+        await cluster.clock.advance(GAP_MS);
+        cluster.crash({ own: [SHARED, "own"] });
+        cluster.answer(SHARED, "other");
+      }
+      await cluster.clock.advance(GAP_MS);
+      cluster.answer(SHARED, "other");
+      expect(cluster.isHarmful(SHARED, "own")).toBe(true);
+    });
+
+    it("counts each crash that follows a repeat, however soon", async () => {
+      const cluster = create();
+      await cluster.clock.advance(GAP_MS);
+      for (let repeat = 0; repeat < 3; repeat++) {
+        await cluster.clock.advance(RUN_MS + 1);
+        cluster.crash({ own: ["own"] });
+      }
+      expect(cluster.isHarmful("own")).toBe(true);
+    });
+
+    it("counts crashes once at which copies of it were sent before", async () => {
+      const cluster = create();
+      await cluster.clock.advance(GAP_MS);
+      for (let copy = 0; copy < 5; copy++) {
+        await cluster.clock.advance(2);
+        cluster.crash({ own: ["own"] });
+      }
+      expect(cluster.isHarmful("own")).toBe(false);
+    });
+
+    it("does not acquit a shared part with which others crash, too", async () => {
+      const cluster = create();
+      for (let repeat = 0; repeat < 3; repeat++) {
+        await cluster.clock.advance(GAP_MS);
+        cluster.crash({ own: [HARMFUL, "own"] });
+      }
+      expect(cluster.isHarmful(HARMFUL, "other")).toBe(false);
+      await cluster.clock.advance(GAP_MS);
+      cluster.crash({ other: [HARMFUL, "other"] });
+      expect(cluster.isHarmful(HARMFUL, "third")).toBe(true);
+    });
+  });
+
   describe("of failures without a harmful part", () => {
     it("counts processes that end together once", async () => {
       const cluster = create();
@@ -186,7 +254,7 @@
       await clock.advance(GAP_MS);
       for (let node = 0; node < 4; node++) {
         evidence.recordCrash("p1", clock.now(), [
-          { id: `r${node}`, parts: [HARMFUL] },
+          { id: `r${node}`, parts: [HARMFUL], sentAt: 0 },
         ]);
         await clock.advance(GAP_MS);
       }
