Refuse response heads that are made of two

Cause: on a kept connection the cut-off copy of the last head and the next head are one head for the parser, and only the last attempt id was checked. A head on a kept connection now has to hold one status line, also in its reason phrase and its values; ids and signatures that differ are refused on any connection. Connections with other reason phrases are not kept.

--- a/packages/relay/src/adapter.ts
+++ b/packages/relay/src/adapter.ts
@@ -173,6 +173,8 @@
 
 /** Reads and writes the headers of requests and responses. */
 export interface HeaderCodec {
+  /** Lower-case names of headers that identify the answer of a response. */
+  readonly identifyingHeaders: ReadonlySet<string>;
   parseRequest(request: IncomingMessage): RequestMetadata;
   /** Returns headers for the upstream as alternating names and values. */
   createForwardHeaders(
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -16,7 +16,13 @@
 import type { Quarantine } from "../routing/quarantine.ts";
 import type { UpstreamLimits } from "../routing/upstream-limits.ts";
 import { RetryBudget } from "../routing/retry-budget.ts";
-import { findFault, isAnswerTo, MISDIRECTED_STATUS } from "./response-check.ts";
+import {
+  findFault,
+  isAnswerTo,
+  isMergedHead,
+  MERGED_HEAD,
+  MISDIRECTED_STATUS,
+} from "./response-check.ts";
 import { ConnectionPool } from "./connection-pool.ts";
 import type { RelayKernel } from "../services.ts";
 import {
@@ -248,6 +254,10 @@
       return Result.err(sent.error);
     }
     const upstreamResponse = sent.value;
+    if (isMergedHead(upstreamResponse, this.#headerCodec)) {
+      end(ATTEMPT_ENDED);
+      return Result.err(MERGED_HEAD);
+    }
     const responseMetadata = this.#headerCodec.parseResponse(
       upstreamResponse.status,
       upstreamResponse.headers,
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import { STATUS_CODES } from "node:http";
 import { setImmediate } from "node:timers/promises";
 import { type Clock, describeError } from "@zinniahill/kernel";
 import type { Verdict } from "@zinniahill/schema";
@@ -36,6 +37,10 @@
   readonly rawHeaders: readonly string[];
   /** The last value of each header, by lower-case name. */
   readonly headers: ReadonlyMap<string, string>;
+  /** Names of headers that came twice, with different values. */
+  readonly conflictingHeaders: ReadonlySet<string>;
+  /** Whether the head holds the beginning of another one. */
+  readonly isMerged: boolean;
   /** Whether the headers say where the body ends, not only its connection. */
   readonly isFramed: boolean;
   /** Ends without an error only if the body is complete. */
@@ -59,6 +64,7 @@
   `over ${MAX_INFORMATIONAL_HEADS} informational heads came before the response`,
 );
 const CLOSED = new Error("the attempt has ended");
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}/;
 
 /** For answers that are not bounded together with others. */
 const UNCOUNTED: MemoryUse = { add() {}, remove() {} };
@@ -145,7 +151,7 @@
       reset: this.#keep === undefined,
     }, {
       onRequestStart: () => {},
-      onResponseStart: (controller, status) => {
+      onResponseStart: (controller, status, _headers, reason = "") => {
         if (status < MIN_FINAL_STATUS) {
           informationalHeads++;
           if (informationalHeads > MAX_INFORMATIONAL_HEADS) {
@@ -156,7 +162,7 @@
         this.#body = new ResponseBody(controller, this.#memory);
         const rawHeaders = convertRawHeaders(controller.rawHeaders);
         resolve(Result.ok(
-          this.#createResponse(status, rawHeaders, this.#body),
+          this.#createResponse(status, reason, rawHeaders, this.#body),
         ));
       },
       onResponseData: (_controller, chunk) => this.#body?.push(chunk),
@@ -170,16 +176,22 @@
 
   #createResponse(
     status: number,
+    reason: string,
     rawHeaders: readonly string[],
     body: ResponseBody,
   ): UpstreamResponse {
-    const headers = indexHeaders(rawHeaders);
-    this.#isReusable = this.#keep !== undefined && isKeepAlive(headers);
+    const { headers, conflicts } = indexHeaders(rawHeaders);
+    const isUsual = isUsualReason(status, reason);
+    // With other reason phrases, merged heads could not be recognized later.
+    this.#isReusable = this.#keep !== undefined && isUsual &&
+      isKeepAlive(headers);
     const isFramed = hasBodyFraming(headers);
     return {
       status,
       rawHeaders,
       headers,
+      conflictingHeaders: conflicts,
+      isMerged: this.#isKept && (!isUsual || holdsStatusLine(rawHeaders)),
       isFramed,
       body: isFramed ? body : this.#readUntilClose(body),
     };
@@ -240,12 +252,41 @@
   return Array.isArray(headers) ? headers.map(String) : [];
 }
 
-function indexHeaders(rawHeaders: readonly string[]): Map<string, string> {
+/** The headers of a response by lower-case name. */
+interface HeaderIndex {
+  readonly headers: ReadonlyMap<string, string>;
+  readonly conflicts: ReadonlySet<string>;
+}
+
+function indexHeaders(rawHeaders: readonly string[]): HeaderIndex {
   const headers = new Map<string, string>();
+  const conflicts = new Set<string>();
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    headers.set(rawHeaders[index]!.toLowerCase(), rawHeaders[index + 1]!);
+    const name = rawHeaders[index]!.toLowerCase();
+    const value = rawHeaders[index + 1]!;
+    if ((headers.get(name) ?? value) !== value) {
+      conflicts.add(name);
+    }
+    headers.set(name, value);
   }
-  return headers;
+  return { headers, conflicts };
+}
+
+/**
+ * Whether a reason phrase is the usual one, or none. The parser passes only the
+ * last piece of one that arrives in pieces.
+ */
+function isUsualReason(status: number, reason: string): boolean {
+  const usual = STATUS_CODES[status] ?? "";
+  return usual.toLowerCase().endsWith(reason.toLowerCase());
+}
+
+/**
+ * Whether a value holds the status line of another head. A head that is cut off
+ * within a value goes on with the next head on its connection.
+ */
+function holdsStatusLine(rawHeaders: readonly string[]): boolean {
+  return rawHeaders.some((text) => STATUS_LINE.test(text));
 }
 
 /**
--- a/packages/relay/src/serving/response-check.ts
+++ b/packages/relay/src/serving/response-check.ts
@@ -3,15 +3,28 @@
  *
  * @module
  */
-import type { ResponseMetadata } from "../adapter.ts";
+import type { HeaderCodec, ResponseMetadata } from "../adapter.ts";
 import type { AttemptFault, UpstreamResponse } from "./exchange.ts";
 import type { RelayedRequest } from "./relayed-request.ts";
 
 /** Statuses that tell a caller that its request has not run. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** The instance no longer leads the group of the request. */
 export const MISDIRECTED_STATUS = 421;
 
+/**
+ * Whether a head is made of two: a faulty upstream may send the beginning of an
+ * earlier head before the next one. Its status and the rest may then belong to
+ * different answers.
+ */
+export function isMergedHead(
+  { isMerged, conflictingHeaders }: UpstreamResponse,
+  { identifyingHeaders }: Pick<HeaderCodec, "identifyingHeaders">,
+): boolean {
+  return isMerged ||
+    [...conflictingHeaders].some((name) => identifyingHeaders.has(name));
+}
+
 /** Whether a response belongs to a request, and not to an earlier one. */
 export function isAnswerTo(
   { metadata }: RelayedRequest,
@@ -59,6 +72,12 @@
   return undefined;
 }
 
+/** The fault of a head that is made of two. */
+export const MERGED_HEAD: AttemptFault = createFault(
+  "may-have-run",
+  "the response head holds the beginning of another one",
+);
+
 function createFault(
   verdict: AttemptFault["verdict"],
   message: string,
