Leave time to other requests while an answer is read

Cause: each empty line was handled as an event, 25 ms for 64 KiB, and all that had arrived was worked on in one turn of the event loop. Empty lines are skipped in bulk and have a bound, events in pieces are searched once, and a body is read for at most 256 KiB in a turn.

--- a/packages/relay/src/serving/event-splitter.ts
+++ b/packages/relay/src/serving/event-splitter.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import { ByteBuffer } from "./byte-buffer.ts";
 
 /** Events that were completed by the same chunk. */
 export interface EventBlock {
@@ -22,6 +23,9 @@
 }
 
 const EVENT_END = "\n\n";
+const LINE_FEED = 0x0a;
+/** Of more empty lines before an event, there may be no end. */
+const MAX_EMPTY_LINES = 1024;
 /** Events are a few hundred bytes; a larger one may never end. */
 const MAX_EVENT_BYTES = 256 * 1024;
 /** A comment, or a field; upstreams add fields of their own, with values. */
@@ -33,7 +37,9 @@
  * forwarded.
  */
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0);
+  #pending = new ByteBuffer();
+  /** Bytes of the buffered event that do not hold its end. */
+  #searchedBytes = 0;
   #lastId: number;
   #remainingEvents: number;
 
@@ -55,41 +61,44 @@
    * is no event, or has no id after one that has.
    */
   push(chunk: Buffer): EventBlock | undefined {
-    const bytes = this.#pending.length === 0
-      ? chunk
-      : Buffer.concat([this.#pending, chunk]);
+    this.#pending.append(chunk);
+    const bytes = this.#pending.view;
     const events: Buffer[] = [];
     let lastId: string | undefined;
     let hasUnidentified = false;
     let start = 0;
-    for (
-      let end = bytes.indexOf(EVENT_END);
-      end !== -1;
-      end = bytes.indexOf(EVENT_END, start)
-    ) {
-      const event = bytes.subarray(start, end + EVENT_END.length);
-      start = end + EVENT_END.length;
-      this.#remainingEvents--;
-      if (this.#remainingEvents < 0) {
-        throw new Error("the stream has more events than were asked for");
+    let searched = this.#searchedBytes;
+    for (;;) {
+      const lines = skipEmptyLines(bytes, start);
+      const end = bytes.indexOf(EVENT_END, Math.max(lines, searched));
+      if (end === -1) {
+        break;
       }
-      const { id, isComment } = this.#parse(event.toString("latin1"));
+      const next = end + EVENT_END.length;
+      const { id, isComment } = this.#parse(
+        bytes.toString("latin1", lines, end),
+      );
       if (this.#isNew(id)) {
-        events.push(event);
+        events.push(bytes.subarray(start, next));
         lastId = id ?? lastId;
         hasUnidentified ||= id === undefined && !isComment;
       }
+      start = next;
+      searched = next;
     }
-    this.#pending = bytes.subarray(start);
-    if (this.#pending.length > MAX_EVENT_BYTES) {
-      throw new Error(`the event is too large: over ${MAX_EVENT_BYTES} bytes`);
-    }
-    return events.length === 0 ? undefined : {
+    const block = events.length === 0 ? undefined : {
       bytes: Buffer.concat(events),
       count: events.length,
       lastId,
       hasUnidentified,
     };
+    this.#pending.consume(start);
+    // The last byte may be the first half of the end.
+    this.#searchedBytes = Math.max(0, this.#pending.length - 1);
+    if (this.#pending.length > MAX_EVENT_BYTES) {
+      throw new Error(`the event is too large: over ${MAX_EVENT_BYTES} bytes`);
+    }
+    return block;
   }
 
   /**
@@ -97,8 +106,12 @@
    * where an event is due.
    */
   #parse(event: string): ParsedEvent {
+    this.#remainingEvents--;
+    if (this.#remainingEvents < 0) {
+      throw new Error("the stream has more events than were asked for");
+    }
     const id = ID_LINE.exec(event)?.[1];
-    const lines = event.trimEnd().split("\n");
+    const lines = event.split("\n");
     const isComment = lines.every((line) => line.startsWith(":"));
     const isEvent = lines.every((line) => EVENT_LINE.test(line));
     const isIdDue = this.#lastId !== -Infinity;
@@ -118,3 +131,15 @@
     return isNew;
   }
 }
+
+/** Returns the position of the first line at or after `start` with content. */
+function skipEmptyLines(bytes: Buffer, start: number): number {
+  let position = start;
+  while (bytes[position] === LINE_FEED) {
+    position++;
+    if (position - start > MAX_EMPTY_LINES) {
+      throw new Error("empty lines came where an event was due");
+    }
+  }
+  return position;
+}
--- a/packages/relay/src/serving/response-body.ts
+++ b/packages/relay/src/serving/response-body.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import { setImmediate } from "node:timers/promises";
 import type { MemoryAccount } from "./answer-memory.ts";
 
 /** Where the bytes of an answer are counted. */
@@ -23,6 +24,8 @@
 
 /** The source is paused while more bytes are buffered. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
+/** More bytes of one body are read in a later turn of the event loop. */
+const MAX_BYTES_PER_TURN = 256 * 1024;
 /** Memory that a chunk takes beside its bytes. */
 const CHUNK_OVERHEAD_BYTES = 256;
 const DONE: IteratorResult<Buffer> = { done: true, value: undefined };
@@ -33,6 +36,8 @@
   #memory: MemoryUse;
   #chunks: Buffer[] = [];
   #bufferedBytes = 0;
+  /** Bytes that were read since the reader last waited for a turn. */
+  #bytesInTurn = 0;
   #waiter: Waiter | undefined;
   #isComplete = false;
   #failure: Error | undefined;
@@ -50,6 +55,7 @@
 
   push(chunk: Buffer): void {
     if (this.#waiter !== undefined) {
+      this.#bytesInTurn += countBytes(chunk);
       this.#takeWaiter().resolve({ done: false, value: chunk });
       return;
     }
@@ -85,9 +91,19 @@
     this.fail(failure);
   }
 
-  next(): Promise<IteratorResult<Buffer>> {
+  /** Reads a chunk; a body that never ends leaves time to all others. */
+  async next(): Promise<IteratorResult<Buffer>> {
+    if (this.#bytesInTurn > MAX_BYTES_PER_TURN) {
+      await setImmediate();
+      this.#bytesInTurn = 0;
+    }
+    return this.#read();
+  }
+
+  #read(): Promise<IteratorResult<Buffer>> {
     const chunk = this.#chunks.shift();
     if (chunk !== undefined) {
+      this.#bytesInTurn += countBytes(chunk);
       this.#bufferedBytes -= countBytes(chunk);
       this.#memory.remove(countBytes(chunk));
       if (this.#chunks.length === 0) {
--- a/packages/relay/test/serving/event-splitter.test.ts
+++ b/packages/relay/test/serving/event-splitter.test.ts
@@ -127,6 +127,35 @@
     });
   });
 
+  // Guards against a process that is held for seconds by one answer.
+  describe("empty lines without end", () => {
+    it("are refused, before and after the first event", () => {
+      const lines = "\n".repeat(4096);
+      expect(() => split(lines, [])).toThrow(/empty lines/);
+      expect(() => split("id: 1\ndata: a\n\n" + lines, []))
+        .toThrow(/empty lines/);
+    });
+
+    it("pass unchanged if there are a few", () => {
+      const text = "\n\n\nid: 1\ndata: a\n\n\n\n\nid: 2\ndata: b\n\n";
+      fc.assert(fc.property(fc.array(fc.nat(), { maxLength: 8 }), (cuts) => {
+        expect(split(text, cuts).out).toBe(text);
+      }));
+    });
+  });
+
+  describe("an event in pieces of one byte", () => {
+    it("takes work in proportion to its length", () => {
+      const splitter = new EventSplitter(undefined);
+      const byte = Buffer.from("a");
+      expect(() => {
+        for (;;) {
+          splitter.push(byte);
+        }
+      }).toThrow("too large");
+    });
+  });
+
   describe("events that no other upstream can follow", () => {
     it("are those without an id, but for comments", () => {
       const hasUnidentified = (text: string) =>
--- a/packages/relay/test/serving/response-body.test.ts
+++ b/packages/relay/test/serving/response-body.test.ts
@@ -57,6 +57,31 @@
     });
   });
 
+  // Guards against requests that wait for seconds while one body is read.
+  describe("a body that arrives faster than it is read", () => {
+    it("leaves turns of the event loop to others", async () => {
+      const { body } = createBody();
+      for (let index = 0; index < 16; index++) {
+        body.push(Buffer.alloc(64 * 1024));
+      }
+      let readInTurn = 0;
+      const mostInTurn: number[] = [];
+      const countTurns = () => {
+        mostInTurn.push(readInTurn);
+        readInTurn = 0;
+        turn = setImmediate(countTurns);
+      };
+      let turn = setImmediate(countTurns);
+      for (let index = 0; index < 16; index++) {
+        const { value } = await body.next();
+        readInTurn += value!.length;
+      }
+      clearImmediate(turn);
+      mostInTurn.push(readInTurn);
+      expect(Math.max(...mostInTurn)).toBeLessThanOrEqual(512 * 1024);
+    });
+  });
+
   describe("a reader that falls behind", () => {
     it("pauses the source until it has caught up", async () => {
       const { body, source } = createBody();
