Soak: late entries, leads cut off, answers without end, merged heads

The stand-ins of runners count their heartbeats, and a lead ends a group that lacks a member for the stall time, as engines do. Processes that end by themselves are judged, too.

--- a/bench/src/soak.ts
+++ b/bench/src/soak.ts
@@ -1,6 +1,7 @@
 /**
  * `npm run soak -- --seeds N --first S`: plays seeds of the fault soak and
- * prints one line for each; a red one says how it is played again.
+ * prints one line for each; a red one says how it is played again. With
+ * `--faulty`, upstreams and the store also say what is wrong or has no end.
  *
  * @module
  */
@@ -8,6 +9,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { parseArgs } from "node:util";
+import { FAULTS, FAULTY_UPSTREAMS } from "./soak/faults.ts";
 import { playSeed } from "./soak/soak.ts";
 
 const FAULTS_MS = 10_000;
@@ -17,20 +19,23 @@
     seeds: { type: "string", default: "10" },
     first: { type: "string", default: "1" },
     nodes: { type: "string", default: "3" },
+    faulty: { type: "boolean", default: false },
   },
 });
 const first = Number(values.first);
+const faults = values.faulty ? { ...FAULTS, ...FAULTY_UPSTREAMS } : FAULTS;
 let red = 0;
 for (let seed = first; seed < first + Number(values.seeds); seed++) {
   const folder = join(tmpdir(), `zinniahill-soak-${process.pid}-${seed}`);
-  const { faults, calls, whole, violations } = await playSeed({
+  const { begun, calls, whole, violations } = await playSeed({
     seed,
     nodes: Number(values.nodes),
+    faults,
     faultsMs: FAULTS_MS,
     folder,
   });
   console.log(
-    `seed ${seed}: ${faults.length} faults, ${whole} of ${calls} calls ` +
+    `seed ${seed}: ${begun.length} faults, ${whole} of ${calls} calls ` +
       `whole, ${violations.length} promises broken`,
   );
   if (violations.length > 0) {
@@ -38,9 +43,10 @@
     violations.forEach(({ promise, detail }) =>
       console.log(`  ${promise}: ${detail}`)
     );
-    console.log(`  faults: ${faults.join(", ")}`);
+    console.log(`  faults: ${begun.join(", ")}`);
     console.log(
-      `  logs: ${folder}; again: npm run soak -- --seeds 1 --first ${seed}`,
+      `  logs: ${folder}; again: npm run soak -- --seeds 1 --first ${seed}` +
+        (values.faulty ? " --faulty" : ""),
     );
   }
 }
--- a/bench/src/soak/faults.ts
+++ b/bench/src/soak/faults.ts
@@ -24,12 +24,22 @@
 /** Harms its target for a time, and undoes it. */
 type Fault = (target: FaultTarget, durationMs: number) => Promise<void>;
 
+/** Faults by name; a seed draws among the names. */
+export type FaultTable = Readonly<Record<string, Fault>>;
+
 const RESTART_MS = 300;
 /** Limits and harmful prompts last longer than other faults. */
 const LONG_FACTOR = 4;
 
-/** Faults by name; a seed draws among the names. */
-export const FAULTS: Readonly<Record<string, Fault>> = {
+const LATE_ENTRY_SPREAD_MS = 5000;
+/** Share of the answers of a faulty upstream that have no end. */
+const ENDLESS_SHARE = 0.1;
+/** Of each kind of bytes without end, before the connection falls silent. */
+const ENDLESS_BYTES = 12 * 1024 * 1024;
+const STALE_HEAD = "HTTP/1.1 404 Not Found\r\nx-attempt-id: ";
+
+/** Faults of nodes, the store, and upstreams that fail or refuse. */
+export const FAULTS: FaultTable = {
   "node-killed": async (target, durationMs) => {
     const node = drawNode(target);
     node.signal("SIGKILL");
@@ -141,6 +151,67 @@
   },
 };
 
+/** Faults of what upstreams and the store say, beside those of `FAULTS`. */
+export const FAULTY_UPSTREAMS: FaultTable = {
+  "entries-late": async ({ clock, random, fleet }, durationMs) => {
+    const until = clock.now() + durationMs * LONG_FACTOR;
+    while (clock.now() < until) {
+      const runner = fleet.runners[random.below(fleet.runners.length)]!;
+      runner.registerLate(random.below(LATE_ENTRY_SPREAD_MS));
+      await clock.sleep(RESTART_MS);
+    }
+  },
+  "lead-cut-off": async (target, durationMs) => {
+    const lead = drawLead(target);
+    if (lead === undefined) {
+      return;
+    }
+    lead.cutOff();
+    await target.clock.sleep(durationMs * LONG_FACTOR);
+    lead.reconnect();
+  },
+  "answers-endless": async (target, durationMs) => {
+    const { clock, random, fleet } = target;
+    const faulty = fleet.runners[random.below(fleet.runners.length)]!;
+    const filler = ENDLESS_FILLERS[random.below(ENDLESS_FILLERS.length)]!;
+    faulty.createRawAnswer = (attempt) =>
+      random.fraction() < ENDLESS_SHARE
+        ? { bytes: createEndless(attempt, filler), close: undefined }
+        : undefined;
+    await clock.sleep(durationMs);
+    faulty.createRawAnswer = undefined;
+  },
+  "heads-cut-off": async ({ clock, random, fleet }, durationMs) => {
+    fleet.records.forEach((record) =>
+      record.createStaleResponse = (attempt) => {
+        const head = `${STALE_HEAD}${attempt}\r\ndate: `;
+        return head.slice(0, random.below(head.length));
+      }
+    );
+    await clock.sleep(durationMs);
+    fleet.records.forEach((record) => record.createStaleResponse = undefined);
+  },
+};
+
+/** What faulty streams repeat. */
+const ENDLESS_FILLERS = [
+  "\n",
+  ": still there\n\n",
+  "x".repeat(1022) + "\n\n",
+  "data: x\n",
+];
+
+function createEndless(attempt: string, filler: string): string {
+  const head = [
+    "HTTP/1.1 200 OK",
+    `x-attempt-id: ${attempt}`,
+    "x-response-seal: s",
+    "content-type: text/event-stream",
+  ];
+  const count = Math.floor(ENDLESS_BYTES / filler.length);
+  return `${head.join("\r\n")}\r\n\r\n${filler.repeat(count)}`;
+}
+
 /** Faults after which a node may not know what the others know. */
 export function isNodeFault(name: string): boolean {
   return name.startsWith("node");
--- a/bench/src/soak/node-process.ts
+++ b/bench/src/soak/node-process.ts
@@ -35,6 +35,9 @@
   readonly link: StoreRelay;
   /** Exit codes of planned stops. */
   readonly stopCodes: number[] = [];
+  /** Exit codes of ends that nobody asked for. */
+  readonly ownEndCodes: number[] = [];
+  #isStopping = false;
   #plan: NodePlan;
   #child: ChildProcess | undefined;
   #settingsFile: string;
@@ -82,7 +85,12 @@
     });
     child.stdout.pipe(log);
     child.stderr.pipe(log);
-    child.on("exit", () => {
+    child.on("exit", (code) => {
+      // A process that a signal has ended has no code.
+      if (code !== null && !this.#isStopping) {
+        this.ownEndCodes.push(code);
+      }
+      this.#isStopping = false;
       this.#child = this.#child === child ? undefined : this.#child;
     });
     this.#child = child;
@@ -101,6 +109,7 @@
     const exited = new Promise<number | null>((resolve) =>
       child.on("exit", (code) => resolve(code))
     );
+    this.#isStopping = true;
     child.kill("SIGTERM");
     const code = await exited;
     // Without a code, another fault has killed the process meanwhile.
--- a/bench/src/soak/soak.ts
+++ b/bench/src/soak/soak.ts
@@ -13,7 +13,7 @@
 } from "@zinniahill/kernel";
 import { Fleet } from "@zinniahill/stand-ins";
 import { Callers } from "./callers.ts";
-import { FAULTS, type FaultTarget, isNodeFault } from "./faults.ts";
+import { type FaultTable, type FaultTarget, isNodeFault } from "./faults.ts";
 import { NodeProcess } from "./node-process.ts";
 import {
   countRuns,
@@ -32,6 +32,8 @@
 export interface SoakPlan {
   readonly seed: number;
   readonly nodes: number;
+  /** What the seed draws among. */
+  readonly faults: FaultTable;
   /** How long faults begin. */
   readonly faultsMs: number;
   /** Folder of settings and logs. */
@@ -41,7 +43,8 @@
 /** What came of one seed. */
 export interface SoakResult {
   readonly seed: number;
-  readonly faults: readonly string[];
+  /** The faults that were begun, in order. */
+  readonly begun: readonly string[];
   readonly calls: number;
   readonly whole: number;
   readonly violations: readonly Violation[];
@@ -110,7 +113,7 @@
   const watched = watchGroups(clock, fleet, done.signal);
   const load = callers.run(CALLS_PER_SECOND, done.signal);
   const disturbances: Disturbance[] = [];
-  const faults = await runFaults(plan, target, disturbances);
+  const begun = await runFaults(plan, target, disturbances);
   const recovery = await judgeRecovery(clock, fleet, callers);
   done.abort();
   await load;
@@ -118,7 +121,7 @@
   const { answers } = callers;
   return {
     seed: plan.seed,
-    faults,
+    begun,
     calls: answers.length,
     whole: answers.filter(({ status, isWhole }) => status === OK && isWhole)
       .length,
@@ -176,22 +179,29 @@
   }
 }
 
-function judgeStops({ name, stopCodes }: NodeProcess): Violation[] {
-  return stopCodes.filter((code) => code !== 0).map((code) => ({
+function judgeStops(
+  { name, stopCodes, ownEndCodes }: NodeProcess,
+): Violation[] {
+  const failed = stopCodes.filter((code) => code !== 0).map((code) => ({
     promise: "planned stops",
     detail: `${name} exited with ${code}`,
   }));
+  const unasked = ownEndCodes.map((code) => ({
+    promise: "no ends of their own",
+    detail: `${name} exited by itself with ${code}`,
+  }));
+  return [...failed, ...unasked];
 }
 
 /** Begins faults one after the other; they may overlap. */
 async function runFaults(
-  { seed, faultsMs }: SoakPlan,
+  { seed, faultsMs, faults }: SoakPlan,
   target: FaultTarget,
   disturbances: Disturbance[],
 ): Promise<string[]> {
   const { clock, random } = target;
   const isUpstreamOnly = seed % UPSTREAM_ONLY_SEEDS === 0;
-  const names = Object.keys(FAULTS).filter((name) =>
+  const names = Object.keys(faults).filter((name) =>
     !isUpstreamOnly || !isNodeFault(name)
   );
   const until = clock.now() + faultsMs;
@@ -201,24 +211,23 @@
     const name = names[random.below(names.length)]!;
     const durationMs = MIN_FAULT_MS + random.below(FAULT_SPREAD_MS);
     begun.push(`${name} ${durationMs}`);
-    running.push(runFault(name, target, durationMs, disturbances));
+    const harm = faults[name]!(target, durationMs);
+    running.push(
+      isNodeFault(name) ? recordDisturbance(harm, disturbances) : harm,
+    );
     await clock.sleep(MIN_PAUSE_MS + random.below(PAUSE_SPREAD_MS));
   }
   await Promise.all(running);
   return begun;
 }
 
-async function runFault(
-  name: string,
-  target: FaultTarget,
-  durationMs: number,
+async function recordDisturbance(
+  harm: Promise<void>,
   disturbances: Disturbance[],
 ): Promise<void> {
   const from = performance.now();
-  await FAULTS[name]!(target, durationMs);
-  if (isNodeFault(name)) {
-    disturbances.push({ from, until: performance.now() });
-  }
+  await harm;
+  disturbances.push({ from, until: performance.now() });
 }
 
 async function waitFor(
--- a/bench/test/soak.test.ts
+++ b/bench/test/soak.test.ts
@@ -4,6 +4,11 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, describe, expect, it } from "vitest";
+import {
+  FAULTS,
+  type FaultTable,
+  FAULTY_UPSTREAMS,
+} from "../src/soak/faults.ts";
 import { judgeAnswer, type SeenAnswer } from "../src/soak/promises.ts";
 import {
   type Disturbance,
@@ -151,13 +156,19 @@
 
 describe("a short soak of the real programs", () => {
   // The second seed leaves the nodes alone and lets upstreams name limits.
-  it.each([7, 702])(
+  // The last one lets upstreams and the store say what is wrong or endless.
+  it.each<[number, FaultTable]>([
+    [7, FAULTS],
+    [702, FAULTS],
+    [9001, { ...FAULTS, ...FAULTY_UPSTREAMS }],
+  ])(
     "breaks no promise while faults overlap (seed %i)",
-    async (seed) => {
+    async (seed, faults) => {
       const folder = mkdtempSync(join(tmpdir(), "zinniahill-soak-"));
       const { violations, whole } = await playSeed({
         seed,
         nodes: 3,
+        faults,
         faultsMs: 5000,
         folder,
       });
--- a/stand-ins/src/fleet/fleet.ts
+++ b/stand-ins/src/fleet/fleet.ts
@@ -18,6 +18,8 @@
 export const FLEET_HOST = "calls.example";
 export const FLEET_MODEL = "m1";
 export const FLEET_KEY = "key-of-north";
+/** After this time without a member, a lead ends its group. */
+const STALL_MS = 5000;
 const ENGINES = "engines";
 const RECORDS = "records";
 
@@ -88,17 +90,27 @@
     loadMs: number,
     domain: string | undefined,
   ): Promise<void> {
-    const runner = new FleetRunner({
+    const runner: FleetRunner = new FleetRunner({
       store: this.store,
       service,
       zone: "z1",
       loadMs,
+      onLeft: (group) => this.#breakLater(group, runner),
       ...(domain === undefined ? {} : { domain }),
     });
     await runner.start();
     list.push(runner);
   }
 
+  /** Lets the lead of a group end it, unless the member is back by then. */
+  #breakLater(group: string, member: FleetRunner): void {
+    setTimeout(() => {
+      if (member.membership?.Name !== group) {
+        this.runners.forEach((runner) => runner.breakGroup(group));
+      }
+    }, STALL_MS).unref();
+  }
+
   #createConfiguration(): object {
     const route = (
       Name: string,
--- a/stand-ins/src/fleet/node-settings.ts
+++ b/stand-ins/src/fleet/node-settings.ts
@@ -31,6 +31,7 @@
 MemoryMb = 500
 [Bounds]
 GraceS = 6
+StallMs = 5000
 RetryBudgetRatio = 0.2
 RetryAllowance = 100
 [Provider]
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -22,6 +22,8 @@
   readonly domain?: string;
   /** Time to load weights. */
   readonly loadMs?: number;
+  /** Called when the runner has left a group in whatever way. */
+  readonly onLeft?: (group: string) => void;
 }
 
 /** The runner's place in a group. */
@@ -81,6 +83,8 @@
 const TRICKLE_MS = 40;
 /** Time until a process that crashed is back. */
 const CRASH_MS = 400;
+/** Time from a late entry until the next one. */
+const HEARTBEAT_MS = 200;
 const REFUSED_HEADERS = { "x-not-executed": "1" };
 
 /** Serves one runner's interface over HTTP and registers it in the store. */
@@ -138,6 +142,8 @@
   #born = Date.now();
   #state: "ready" | "draining" = "ready";
   #orderCount = 0;
+  #heartbeatCount = 0;
+  #isCutOff = false;
   #fence = 0;
   #epoch = 0;
   #model: string | undefined;
@@ -175,8 +181,48 @@
 
   /** Writes the runner's entry. */
   register(): void {
-    const { store, service, zone, domain } = this.#options;
-    store.put("keyed.servers", this.id, {
+    this.#heartbeatCount++;
+    if (!this.#isCutOff) {
+      this.#options.store.put("keyed.servers", this.id, this.#createEntry());
+    }
+  }
+
+  /** Lets the store carry out a write of the present entry after some time. */
+  registerLate(delayMs: number): void {
+    const entry = this.#createEntry();
+    this.#heartbeatCount++;
+    setTimeout(() => {
+      if (!this.#isStopped && !this.#isCutOff) {
+        this.#options.store.put("keyed.servers", this.id, entry);
+        setTimeout(() => this.#isStopped || this.register(), HEARTBEAT_MS);
+      }
+    }, delayMs);
+  }
+
+  /** Loses the paths to the store and to all nodes, but not to other runners. */
+  cutOff(): void {
+    this.isSilent = true;
+    this.#isCutOff = true;
+    this.unregister();
+  }
+
+  reconnect(): void {
+    this.isSilent = false;
+    this.#isCutOff = false;
+    this.register();
+  }
+
+  /** Ends the group that the runner leads, if it still leads it. */
+  breakGroup(group: string): void {
+    if (this.#membership?.Name === group && this.#membership.rank === 0) {
+      this.#membership.State = "broken";
+      this.register();
+    }
+  }
+
+  #createEntry(): object {
+    const { service, zone, domain } = this.#options;
+    return {
       Service: service,
       Address: this.#address,
       Zone: zone,
@@ -184,10 +230,10 @@
       Slots: 8,
       State: this.#state,
       ColdLeftMs: 0,
-      SeqNo: 1,
+      SeqNo: this.#heartbeatCount,
       born: this.#born,
       ...(domain === undefined ? {} : this.#describeEngine()),
-    });
+    };
   }
 
   unregister(): void {
@@ -199,13 +245,22 @@
     this.#born++;
     this.#state = "ready";
     this.#orderCount = 0;
+    this.#heartbeatCount = 0;
     this.#fence = 0;
     this.#epoch = 0;
     this.#model = undefined;
-    this.#membership = undefined;
+    this.#setMembership(undefined);
     this.register();
   }
 
+  #setMembership(membership: Membership | undefined): void {
+    const before = this.#membership;
+    this.#membership = membership;
+    if (before !== undefined && before.Name !== membership?.Name) {
+      this.#options.onLeft?.(before.Name);
+    }
+  }
+
   drain(): void {
     this.#state = "draining";
     this.register();
@@ -308,7 +363,7 @@
       if (!this.#isIn(order)) {
         return 200;
       }
-      this.#membership = undefined;
+      this.#setMembership(undefined);
       this.register();
       return 202;
     },
@@ -330,12 +385,12 @@
     this.#epoch = epoch!;
     this.#model = Model;
     this.#staged = [Model!];
-    this.#membership = {
+    this.#setMembership({
       Name: group!,
       epoch: epoch!,
       rank: Members!.indexOf(this.id),
       State: "joining",
-    };
+    });
     this.register();
     const ms = isWarm ? WARM_JOIN_MS : this.#options.loadMs ?? WARM_JOIN_MS;
     setTimeout(() => this.#setState(order, "ready"), ms);
@@ -446,7 +501,7 @@
     this.crashes.push({ part: this.crashesOn!, at: performance.now() });
     const { port } = this.#server.address() as AddressInfo;
     this.#close();
-    this.#membership = undefined;
+    this.#setMembership(undefined);
     setTimeout(() => {
       if (!this.#isStopped) {
         this.#server.listen(port, HOST);
