Do not try a lead while its group ends

Nothing depends on the outcome any more, as the lead ends the group itself or is listed again. Its status is now ending, and nobody is asked until the stall time is over.

--- a/packages/relay/src/placement/unlisted-leads.ts
+++ b/packages/relay/src/placement/unlisted-leads.ts
@@ -26,10 +26,10 @@
 const MAX_LEFT_GROUPS = 4096;
 
 /**
- * Status of an unlisted lead: `gone`; `may-return` to the list; or `unknown`,
- * so that it has to be queried.
+ * Status of an unlisted lead: `gone`; `may-return` to the list; `ending`, as a
+ * member has left its group; or `unknown`, so that it has to be queried.
  */
-export type LeadStatus = "gone" | "may-return" | "unknown";
+export type LeadStatus = "gone" | "may-return" | "ending" | "unknown";
 
 /** Determines whether unlisted leads are gone. */
 export class UnlistedLeads {
@@ -75,7 +75,10 @@
       this.#leftGroups.has(createGroupKey(group.name, group.epoch)) ||
       this.#instances.find(lead.id) !== undefined ||
       this.#departures.isEnded(group);
-    return isGone ? "gone" : "unknown";
+    if (isGone) {
+      return "gone";
+    }
+    return this.#departures.has(group) ? "ending" : "unknown";
   }
 
   /**
