Let each member leave before it joins, if no node reaches its lead

No time margin shows that a lead has ended its group, so a member is free only by its own entry: all members are ordered to leave, and those that do not answer are held and tried again. Those that have left still wait for the stall time.

--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -25,10 +25,10 @@
 import { GroupDissolver } from "./group-dissolver.ts";
 import type { HolderElector } from "./holder-elector.ts";
 import { HostHealth } from "./host-health.ts";
-import { MemberDepartures } from "./member-departures.ts";
 import { WeightLoadLimiter } from "./weight-load-limiter.ts";
 import { OrderSender } from "./order-sender.ts";
 import { createPlan, type Formation, type Plan } from "./plan.ts";
+import { ReleasedHosts } from "./released-hosts.ts";
 import { WeightStager } from "./weight-stager.ts";
 import { RELISTING_MS, UnlistedLeads } from "./unlisted-leads.ts";
 
@@ -69,6 +69,7 @@
   #weightStager: WeightStager;
   #groupDissolver: GroupDissolver;
   #freeHosts: FreeHosts;
+  #releasedHosts: ReleasedHosts;
   #epochs = new EpochSequence();
   /** Groups and hosts with a task in progress. */
   #busyGroups = new Set<string>();
@@ -89,12 +90,7 @@
     this.#demand = kernel.find("demand");
     this.#tasks = new TaskGroup(this.#clock, this.#logger);
     this.#orderSender = new OrderSender(kernel);
-    const departures = new MemberDepartures(kernel);
-    this.#unlistedLeads = new UnlistedLeads(
-      kernel,
-      this.#orderSender,
-      departures,
-    );
+    this.#unlistedLeads = new UnlistedLeads(kernel, this.#orderSender);
     this.#health = new HostHealth(kernel, this.#orderSender);
     this.#loadLimiter = new WeightLoadLimiter(
       this.#clock,
@@ -111,11 +107,12 @@
       this.#loadLimiter,
     );
     this.#groupDissolver = new GroupDissolver(kernel, this.#orderSender);
+    this.#releasedHosts = new ReleasedHosts(kernel);
     this.#freeHosts = new FreeHosts(
       kernel,
       this.#health,
       this.#weightStager,
-      departures,
+      this.#releasedHosts,
     );
     this.#groupChecker = new GroupChecker(kernel, {
       health: this.#health,
@@ -169,6 +166,7 @@
       health: this.#health.dump(),
       loads: this.#loadLimiter.runningCount,
       unlistedLeads: this.#unlistedLeads.dump(),
+      releasedHosts: this.#releasedHosts.dump(),
       pendingChecks: this.#groupChecker.dump(),
     };
   }
--- a/packages/relay/src/placement/free-hosts.ts
+++ b/packages/relay/src/placement/free-hosts.ts
@@ -8,8 +8,8 @@
 import type { Instance } from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
 import type { HostHealth } from "./host-health.ts";
-import type { MemberDepartures } from "./member-departures.ts";
 import type { FreeHost } from "./plan.ts";
+import type { ReleasedHosts } from "./released-hosts.ts";
 import type { WeightStager } from "./weight-stager.ts";
 
 /** Lists free hosts with the models in their memory and staged on them. */
@@ -17,18 +17,18 @@
   #instances: Instances;
   #health: HostHealth;
   #weightStager: WeightStager;
-  #departures: MemberDepartures;
+  #releasedHosts: ReleasedHosts;
 
   constructor(
     kernel: RelayKernel,
     health: HostHealth,
     weightStager: WeightStager,
-    departures: MemberDepartures,
+    releasedHosts: ReleasedHosts,
   ) {
     this.#instances = kernel.find("instances");
     this.#health = health;
     this.#weightStager = weightStager;
-    this.#departures = departures;
+    this.#releasedHosts = releasedHosts;
   }
 
   /** Lists responsive hosts of a service that no group or task occupies. */
@@ -44,7 +44,7 @@
       .filter((instance) =>
         instance.engine !== undefined && !occupiedHosts.has(instance.id) &&
         !busyHosts.has(instance.id) && !this.#health.isMissing(instance) &&
-        !this.#departures.isHeldBack(instance)
+        !this.#releasedHosts.isHeldBack(instance.id)
       )
       .map((instance) => this.#describe(instance));
   }
--- a/packages/relay/src/placement/unlisted-leads.ts
+++ b/packages/relay/src/placement/unlisted-leads.ts
@@ -2,8 +2,8 @@
  * Decides whether leads that the store no longer lists are gone.
  *
  * A lead that no node reaches may still be open and in touch with its members.
- * Only what it says itself shows that it has left, or a member that has left
- * its group shows that it has ended the group.
+ * It is gone only if it says so itself; otherwise its members have to leave
+ * before they join other groups.
  *
  * @module
  */
@@ -16,7 +16,6 @@
 import type { RelayKernel } from "../services.ts";
 import type { HolderElector } from "./holder-elector.ts";
 import type { LeadRelease } from "./lead-release.ts";
-import type { MemberDepartures } from "./member-departures.ts";
 import { isMemberOf, type OrderSender } from "./order-sender.ts";
 
 /** Time after which entries that expired in a store outage are listed again. */
@@ -27,10 +26,10 @@
 const MAX_LEFT_GROUPS = 4096;
 
 /**
- * Status of an unlisted lead: `gone`; `may-return` to the list; `ending`, as a
- * member has left its group; or `unknown`, so that it has to be queried.
+ * Status of an unlisted lead: `gone`; `may-return` to the list; or `unknown`,
+ * so that it has to be queried.
  */
-export type LeadStatus = "gone" | "may-return" | "ending" | "unknown";
+export type LeadStatus = "gone" | "may-return" | "unknown";
 
 /** Determines whether unlisted leads are gone. */
 export class UnlistedLeads {
@@ -42,17 +41,12 @@
   #elector: HolderElector;
   #leadRelease: LeadRelease;
   #orderSender: OrderSender;
-  #departures: MemberDepartures;
   /** Groups whose lead has said that it is not in them. */
   #leftGroups = new Set<string>();
   /** Since when no node has been known to reach the lead, by group. */
   #unreachableSince = new Map<string, number>();
 
-  constructor(
-    kernel: RelayKernel,
-    orderSender: OrderSender,
-    departures: MemberDepartures,
-  ) {
+  constructor(kernel: RelayKernel, orderSender: OrderSender) {
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#stallMs = kernel.find("settings").limits.stallMs;
@@ -61,31 +55,26 @@
     this.#elector = kernel.find("holder");
     this.#leadRelease = kernel.find("leadRelease");
     this.#orderSender = orderSender;
-    this.#departures = departures;
     this.#instances.onInstance((instance) => this.#forget(instance));
   }
 
   /** Returns the status of the lead of a group without a listed lead. */
-  getStatus(group: Group): LeadStatus {
-    const lead = parseGroupLead(group.name);
+  getStatus({ name, epoch }: Group): LeadStatus {
+    const lead = parseGroupLead(name);
     if (this.#feeds.sinceOutageMs("instances") < RELISTING_MS) {
       return "may-return";
     }
     // A lead that is listed without the group has left it.
     const isGone = lead === undefined ||
-      this.#leftGroups.has(createGroupKey(group.name, group.epoch)) ||
-      this.#instances.find(lead.id) !== undefined ||
-      this.#departures.isEnded(group);
-    if (isGone) {
-      return "gone";
-    }
-    return this.#departures.has(group) ? "ending" : "unknown";
+      this.#leftGroups.has(createGroupKey(name, epoch)) ||
+      this.#instances.find(lead.id) !== undefined;
+    return isGone ? "gone" : "unknown";
   }
 
   /**
    * Orders the lead to leave, as it may still serve and only be disconnected
-   * from the store. If no node reaches it, a member is ordered to leave in its
-   * place, so that the lead ends the group itself.
+   * from the store. If no node reaches it, the members are ordered to leave in
+   * its place.
    */
   async release(group: Group, signal: AbortSignal): Promise<void> {
     const { name, epoch } = group;
@@ -113,9 +102,10 @@
     const minUnreachableMs = outcome === "absent"
       ? ABSENCE_CONFIRMATION_MS
       : this.#stallMs;
-    const isDue = now - since >= minUnreachableMs;
-    if (isDue && !this.#departures.has(group)) {
-      await this.#releaseMember(group, signal);
+    if (now - since >= minUnreachableMs) {
+      await Promise.all(
+        group.members.map(({ id }) => this.#releaseMember(group, id, signal)),
+      );
     }
   }
 
@@ -126,35 +116,31 @@
     };
   }
 
-  /** Orders members to leave until one of them follows. */
+  /** Orders a member to leave; one that does not answer is tried again later. */
   async #releaseMember(
-    { name, epoch, members }: Group,
+    { name, epoch }: Group,
+    id: string,
     signal: AbortSignal,
   ): Promise<void> {
-    for (const { id } of members) {
-      try {
-        await this.#orderSender.send(
-          id,
-          { kind: "leave", group: name, epoch },
-          ({ engine }) => !isMemberOf(engine.membership, name, epoch),
-          signal,
-        );
-        this.#logger.info("member_released", {
-          group: name,
-          epoch,
-          member: id,
-        });
-        return;
-      } catch (failure) {
-        signal.throwIfAborted();
-        this.#logger.info("member_not_released", {
-          group: name,
-          epoch,
-          member: id,
-          error: describeError(failure),
-        });
-      }
+    let error: string | undefined;
+    try {
+      await this.#orderSender.send(
+        id,
+        { kind: "leave", group: name, epoch },
+        ({ engine }) => !isMemberOf(engine.membership, name, epoch),
+        signal,
+      );
+    } catch (failure) {
+      signal.throwIfAborted();
+      error = describeError(failure);
     }
+    this.#logger.info("member_released", {
+      group: name,
+      epoch,
+      member: id,
+      has_left: error === undefined,
+      error,
+    });
   }
 
   /** Forgets what was believed of a lead that is listed in its group. */
