Write pending log lines before the process ends

Cause: lines are written in the background, one write at a time, and the process exited without waiting for them. What was logged in the last turns of the event loop was lost: of a planned stop, a line written beside node_stopped.

--- a/packages/kernel/src/bounded-sink.ts
+++ b/packages/kernel/src/bounded-sink.ts
@@ -59,6 +59,8 @@
   #pendingBytes = 0;
   #isWriting = false;
   #droppedLines = 0;
+  /** Called once nothing is pending. */
+  #onIdle: () => void = () => {};
 
   constructor(descriptor: number, maxBytes: number = MAX_PENDING_BYTES) {
     super({ decodeStrings: false });
@@ -71,6 +73,20 @@
     return this.#droppedLines;
   }
 
+  /** Waits until all lines are written, or until the limit. */
+  async flush(limitMs: number): Promise<void> {
+    if (!this.#isWriting) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, limitMs);
+      this.#onIdle = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   override _write(
     line: string,
     _encoding: string,
@@ -88,7 +104,11 @@
   }
 
   #flush(): void {
-    if (this.#isWriting || this.#pending.length === 0) {
+    if (this.#isWriting) {
+      return;
+    }
+    if (this.#pending.length === 0) {
+      this.#onIdle();
       return;
     }
     this.#isWriting = true;
@@ -121,5 +141,6 @@
     this.#droppedLines++;
     this.#pendingBytes -= bytes.length;
     this.#isWriting = false;
+    this.#flush();
   }
 }
--- a/packages/kernel/src/logger.ts
+++ b/packages/kernel/src/logger.ts
@@ -6,6 +6,7 @@
 import winston from "winston";
 import { BoundedSink } from "./bounded-sink.ts";
 import { type Clock, SystemClock } from "./clock.ts";
+import type { Service } from "./service.ts";
 
 /** Values that a log line can hold. */
 export type FieldValue = string | number | boolean | undefined;
@@ -68,12 +69,14 @@
 /** Lines of one event in an interval; further lines are only counted. */
 const MAX_LINES_PER_INTERVAL = 300;
 const INTERVAL_MS = 1000;
+/** A reader that stalls may delay the end of the process by this time. */
+const FLUSH_LIMIT_MS = 200;
 
 /**
  * A logger that writes lines to standard output. It limits the lines of each
  * event and logs how many were left out.
  */
-export class LineLogger implements Logger {
+export class LineLogger implements Logger, Service {
   #logger: winston.Logger;
   #fields: Fields;
   #clock: Clock;
@@ -120,6 +123,11 @@
     this.#write("debug", event, fields);
   }
 
+  /** Writes what is pending, as the process may end after it; called last. */
+  stop(): Promise<void> {
+    return this.#sink.flush(FLUSH_LIMIT_MS);
+  }
+
   #write(level: Level, event: string, fields: Fields): void {
     this.#endIntervalIfDue();
     const count = this.#counts.get(event) ?? { lines: 0, dropped: 0 };
--- a/packages/kernel/test/logger.test.ts
+++ b/packages/kernel/test/logger.test.ts
@@ -1,4 +1,5 @@
-import { spawnSync } from "node:child_process";
+import { spawn, spawnSync } from "node:child_process";
+import { once } from "node:events";
 import {
   closeSync,
   mkdtempSync,
@@ -8,6 +9,7 @@
 } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import process from "node:process";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import {
   BoundedSink,
@@ -60,6 +62,47 @@
     });
   });
 
+  describe("the end of the process", () => {
+    const MODULE = new URL("../dist/index.js", import.meta.url);
+
+    /** Logs more than a pipe holds, and ends after `stop`. */
+    function spawnLogger() {
+      const script = `
+        const { LineLogger } = await import("${MODULE}");
+        const logger = new LineLogger({ level: "info", fields: {} });
+        for (let line = 0; line < 250; line++) {
+          logger.info("long", { text: "x".repeat(2000) });
+        }
+        logger.info("last");
+        await logger.stop();
+        process.exit(0);
+      `;
+      return spawn(process.execPath, ["--input-type=module", "-e", script], {
+        stdio: ["ignore", "pipe", "inherit"],
+      });
+    }
+
+    // Guards against a process that ends before its last lines are written.
+    it("waits for a reader that is late", async () => {
+      const child = spawnLogger();
+      const closed = once(child, "close");
+      let read = "";
+      await once(child.stdout, "readable");
+      await new SystemClock().sleep(50);
+      child.stdout.on("data", (data) => read += data).resume();
+      await closed;
+      expect(read).toContain("event=last");
+    });
+
+    it("does not wait long for a reader that stalls", async () => {
+      const child = spawnLogger();
+      await once(child.stdout, "readable");
+      const [code] = await once(child, "exit");
+      expect(code).toBe(0);
+      child.stdout.destroy();
+    });
+  });
+
   describe("a reader that stalls", () => {
     it("does not block the process", async () => {
       const pipe = join(folder, "pipe");
