Name the answers whose connections are closed before they are sent

The logs could not tell an answer that was sent from one that was only handed to its connection: the first line that a cut answer has is request_answered, and node_stopped counted requests without an answer only.

- answer_cut names each answer whose connection was closed before the operating system had taken it, by the caller or by the node.
- node_draining, node_closing (new) and node_stopped count such answers as unsent, beside in_flight; gauge answers_unsent, counter answers_cut_total.
- explain reads the new lines.

--- a/packages/cli/src/explanation.ts
+++ b/packages/cli/src/explanation.ts
@@ -42,7 +42,9 @@
   "instance_draining",
   "instance_gone",
   "instance_missing",
+  "node_closing",
   "node_draining",
+  "node_stopped",
   "placement_held",
   "placement_lost",
 ]);
@@ -54,7 +56,9 @@
   "configuration_adopted",
   "dependency_lost",
   "dependency_regained",
+  "node_closing",
   "node_draining",
+  "node_stopped",
 ]);
 
 const SUBJECT_FIELDS = ["instance", "group", "lead"] as const;
@@ -95,6 +99,9 @@
     } after ${getField(line, "attempts")} attempts; first byte after ${
       getField(line, "first_ms")
     } ms, last after ${getField(line, "total_ms")} ms${describeLoad(line)}`,
+  answer_cut: (line) =>
+    `the ${getField(line, "by")} closed the connection before the answer was ` +
+    `sent; at most ${getField(line, "unsent_bytes")} bytes were left`,
   request_refused: (line) => {
     const code = getField(line, "code");
     const cause = REFUSAL_CAUSES[code]?.(line) ?? getField(line, "reason");
--- a/packages/cli/test/explain.test.ts
+++ b/packages/cli/test/explain.test.ts
@@ -8,6 +8,8 @@
 time=2026-08-28T16:55:40.500Z level=info event=group_checked node=n2 group="m1~1~i-1~10.0.0.1:80" epoch=1 present=5 listed=6 expected=6
 time=2026-08-28T16:55:41.400Z level=info event=request_answered node=n1 request=r1 route=a instance=i-2 load=3 upstream_load=44 status=200 attempts=2 events=7 first_ms=700 total_ms=1400
 time=2026-08-28T16:55:42.000Z level=info event=request_refused node=n1 request=r2 path=/a/ code=unauthorized verdict=not-run status=401 reason="the API key is missing or unknown" version=11 configuration_age_ms=587 total_ms=1
+time=2026-08-28T16:55:44.000Z level=warn event=answer_cut node=n1 request=r3 by=node unsent_bytes=4100197
+time=2026-08-28T16:55:43.999Z level=info event=node_closing node=n1 in_flight=0 unsent=1
 time=2026-08-28T16:50:00.000Z level=info event=group_changed node=n1 lead=i-1 group="m1~1~i-1~10.0.0.1:80" from=ready to=open
 `;
 
@@ -51,6 +53,13 @@
       .toEqual(["group_suspected", "group_checked"]);
   });
 
+  it("names an answer that a stop has cut, and the stop", () => {
+    const { findings, context } = explainRequest("r3", all);
+    expect(findings[0]).toContain("the node closed the connection before");
+    expect(findings[0]).toContain("at most 4100197 bytes were left");
+    expect(context.map(({ event }) => event)).toContain("node_closing");
+  });
+
   it("shows an outdated request count next to the upstream's own", () => {
     const { findings } = explainRequest("r1", all);
     expect(findings[1]).toContain(
--- a/packages/relay/src/gauges.ts
+++ b/packages/relay/src/gauges.ts
@@ -64,9 +64,13 @@
         () => answerMemory.heldBytes,
       ],
       requests_in_flight: [
-        "Requests that have not ended",
+        "Requests without an answer",
         () => publicServer.inFlight,
       ],
+      answers_unsent: [
+        "Answers that the operating system has not taken completely",
+        () => publicServer.unsent,
+      ],
     };
     const metrics = kernel.find("metrics");
     for (const [name, [help, read]] of Object.entries(this.#gauges)) {
--- a/packages/relay/src/graceful-shutdown.ts
+++ b/packages/relay/src/graceful-shutdown.ts
@@ -26,7 +26,11 @@
   const { limits } = node.find("settings");
   const deadlineAt = clock.now() + limits.gracePeriodMs - KILL_MARGIN_MS;
   lifecycle.drain();
-  logger.info("node_draining", { in_flight: publicServer.inFlight });
+  const describeWork = () => ({
+    in_flight: publicServer.inFlight,
+    unsent: publicServer.unsent,
+  });
+  logger.info("node_draining", describeWork());
   await clock.sleep(
     Math.min(
       limits.lookupValidityMs * LOOKUP_VALIDITY_FACTOR,
@@ -34,6 +38,7 @@
     ),
   );
   lifecycle.close();
+  logger.info("node_closing", describeWork());
   const hasClosed = publicServer.stopListening();
   while (publicServer.inFlight > 0 && clock.now() < deadlineAt) {
     await clock.sleep(POLL_INTERVAL_MS);
@@ -41,6 +46,6 @@
   const expired = publicServer.inFlight;
   lifecycle.expire();
   await Promise.race([hasClosed, clock.sleep(FLUSH_MS)]);
-  logger.info("node_stopped", { expired, in_flight: publicServer.inFlight });
+  logger.info("node_stopped", { expired, ...describeWork() });
   await node.stop();
 }
--- a/packages/relay/src/relay-metrics.ts
+++ b/packages/relay/src/relay-metrics.ts
@@ -9,6 +9,7 @@
 import type { Route } from "./model/configuration.ts";
 import type { Order, OrderReply } from "./model/order.ts";
 import type { DeliveredResponse } from "./serving/request-handlers.ts";
+import type { CutSource } from "./serving/unsent-answers.ts";
 
 const MS_PER_SECOND = 1000;
 const LATENCY_BUCKETS_S = [
@@ -71,6 +72,12 @@
     buckets: LOAD_ERROR_BUCKETS,
     registers: [this.#registry],
   });
+  #cuts = new Counter({
+    name: "zinniahill_answers_cut_total",
+    help: "Whole answers whose connection was closed before they were sent",
+    labelNames: ["by"],
+    registers: [this.#registry],
+  });
   #orders = new Counter({
     name: "zinniahill_orders_total",
     help: "Orders to engines by kind and outcome",
@@ -109,6 +116,11 @@
     }
   }
 
+  /** Counts an answer whose connection was closed before it was sent. */
+  recordCut(by: CutSource): void {
+    this.#cuts.inc({ by });
+  }
+
   /** Counts a refusal. */
   recordRefusal({ code, verdict }: Refusal): void {
     this.#refusals.inc({ code, verdict });
--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -30,6 +30,7 @@
 import type { RelayedRequest } from "./relayed-request.ts";
 import { writeRefusal } from "./response-writer.ts";
 import { RequestReader } from "./request-reader.ts";
+import { UnsentAnswers } from "./unsent-answers.ts";
 
 /** Limit of Node's HTTP parser; the configured one is checked per request. */
 const MAX_HEADER_BYTES = 128 * 1024;
@@ -57,6 +58,7 @@
   #reader: RequestReader;
   #handlers: RequestHandlers;
   #server: Server;
+  #unsent: UnsentAnswers;
   #inFlight = 0;
 
   constructor(kernel: RelayKernel) {
@@ -71,6 +73,7 @@
     this.#headerCodec = kernel.find("format");
     this.#reader = new RequestReader(kernel);
     this.#handlers = kernel.find("answers");
+    this.#unsent = new UnsentAnswers(this.#logger, this.#metrics);
     this.#configuration.onChange(({ limits }) => this.#applyLimits(limits));
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -100,6 +103,7 @@
 
   stop(): Promise<void> {
     return new Promise((resolve) => {
+      this.#unsent.abandon();
       this.#server.close(() => resolve());
       this.#server.closeAllConnections();
     });
@@ -111,18 +115,24 @@
    */
   stopListening(): Promise<void> {
     return new Promise((resolve) => {
+      this.#unsent.abandon();
       this.#server.close(() => resolve());
       this.#server.closeIdleConnections();
     });
   }
 
-  /** Number of requests in progress. */
+  /** Number of requests without an answer. */
   get inFlight(): number {
     return this.#inFlight;
   }
 
+  /** Number of answers that the operating system has not taken completely. */
+  get unsent(): number {
+    return this.#unsent.count;
+  }
+
   dump(): unknown {
-    return { inFlight: this.#inFlight };
+    return { inFlight: this.#inFlight, unsent: this.unsent };
   }
 
   #applyLimits(limits: Configuration["limits"]): void {
@@ -158,6 +168,7 @@
       this.#refuse(id, metadata, receivedAt, incoming, response, failure);
     } finally {
       this.#inFlight--;
+      this.#unsent.follow(id, response);
     }
   }
 
