End a node after callers have their answers, not before

Cause: an answer counted as done once it was handed to its socket. Two paths lost what came after. (1) The HTTP server's own close, when the node stops listening and again at its end, destroys each connection whose last response was ended, also if the operating system has not taken it. (2) The process ended as soon as the operating system had taken the last answer; if the caller's link or the host's network ends with the process, what is on its way is lost. That hits the requests that last longest, as theirs is the last answer of a stop.

Change: ServerConnections ends each connection on this side after its last response and waits until the caller has closed it, three seconds after the answer at most and within the grace period. It stops accepting without the HTTP server's close; a connection on which a request is arriving stays open for it. Connections that say connection: close are ended the same way.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -26,6 +26,7 @@
   type PeerTransport,
   WebSocketTransport,
 } from "./peer-transport.ts";
+export { ServerConnections } from "./server-connections.ts";
 export {
   type PlainServiceCall,
   PlainServiceClient,
--- /dev/null
+++ b/packages/clients/src/server-connections.ts
@@ -0,0 +1,160 @@
+/**
+ * The connections of an HTTP server, which end without losing an answer.
+ *
+ * An answer has arrived when its caller closes the connection, not when the
+ * operating system has taken it: with the process, its host or its network may
+ * end. So a connection is ended on this side only, and is open until the caller
+ * has closed it, too.
+ *
+ * @module
+ */
+import type { Server, ServerResponse } from "node:http";
+import { Server as TcpServer, type Socket } from "node:net";
+
+/** One connection and what it owes its caller. */
+interface OpenConnection {
+  /** Responses that are not sent, in the order of their requests. */
+  readonly owed: Set<ServerResponse>;
+  /** Bytes that had been received when the last response was sent. */
+  bytesRead: number;
+  /** When the last response was sent, or else the connection was accepted. */
+  idleSince: number;
+}
+
+/** How long bytes may take from this process to a caller, or back. */
+const LINGER_MS = 3000;
+
+/** Tracks the connections of a server from its creation on. */
+export class ServerConnections {
+  #server: Server;
+  #connections = new Map<Socket, OpenConnection>();
+  #isFinishing = false;
+  /** Called when the last connection is closed. */
+  #onEmpty: () => void = () => {};
+
+  constructor(server: Server) {
+    this.#server = server;
+    server.on("connection", (socket: Socket) => this.#add(socket));
+    server.on("request", ({ socket }, response) => {
+      this.#addResponse(socket, response);
+    });
+  }
+
+  /** Responses that are not sent, of all connections. */
+  listOwed(): ServerResponse[] {
+    return [...this.#connections.values()].flatMap(({ owed }) => [...owed]);
+  }
+
+  /** Whether a connection owes just one response. */
+  owesOne(socket: Socket): boolean {
+    return this.#connections.get(socket)?.owed.size === 1;
+  }
+
+  /** Accepts no more connections; those that are open are served on. */
+  stopAccepting(): void {
+    // `close` of an HTTP server destroys connections whose answer is not sent.
+    TcpServer.prototype.close.call(this.#server);
+  }
+
+  /**
+   * Ends each connection after its last response, and waits until callers have
+   * closed all of them, or until the limit.
+   */
+  async finish(limitMs: number): Promise<void> {
+    this.stopAccepting();
+    this.#isFinishing = true;
+    for (const [socket, connection] of this.#connections) {
+      this.#endIfIdle(socket, connection);
+    }
+    if (this.#connections.size === 0) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, limitMs);
+      this.#onEmpty = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  /** Closes all connections at once. */
+  destroy(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+      this.#connections.forEach((_connection, socket) => socket.destroy());
+    });
+  }
+
+  #add(socket: Socket): void {
+    const connection: OpenConnection = {
+      owed: new Set(),
+      bytesRead: 0,
+      idleSince: performance.now(),
+    };
+    this.#connections.set(socket, connection);
+    // The server calls it after a response that says `connection: close`.
+    socket.destroySoon = () => {
+      connection.idleSince = performance.now();
+      this.#end(socket, connection);
+    };
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      if (this.#connections.size === 0) {
+        this.#onEmpty();
+      }
+    });
+  }
+
+  #addResponse(socket: Socket, response: ServerResponse): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined || socket.writableEnded) {
+      return;
+    }
+    connection.owed.add(response);
+    response.once("close", () => {
+      connection.owed.delete(response);
+      connection.bytesRead = socket.bytesRead;
+      connection.idleSince = performance.now();
+      if (this.#isFinishing) {
+        this.#endIfIdle(socket, connection);
+      }
+    });
+  }
+
+  /** Ends a connection, unless it owes a response or a request arrives. */
+  #endIfIdle(socket: Socket, connection: OpenConnection): void {
+    const { owed, bytesRead } = connection;
+    if (owed.size > 0) {
+      return;
+    }
+    const isUsed = bytesRead > 0 && bytesRead === socket.bytesRead;
+    if (isUsed) {
+      this.#end(socket, connection);
+      return;
+    }
+    const timer = setTimeout(() => {
+      if (owed.size === 0) {
+        this.#end(socket, connection);
+      }
+    }, computeLeftMs(connection)).unref();
+    socket.once("close", () => clearTimeout(timer));
+  }
+
+  /** Ends this side; the caller closes the other one once it has all bytes. */
+  #end(socket: Socket, connection: OpenConnection): void {
+    if (socket.writableEnded) {
+      return;
+    }
+    socket.end();
+    const timer = setTimeout(
+      () => socket.destroy(),
+      computeLeftMs(connection),
+    ).unref();
+    socket.once("close", () => clearTimeout(timer));
+  }
+}
+
+function computeLeftMs({ idleSince }: OpenConnection): number {
+  return Math.max(0, idleSince + LINGER_MS - performance.now());
+}
--- a/packages/relay/src/graceful-shutdown.ts
+++ b/packages/relay/src/graceful-shutdown.ts
@@ -11,12 +11,11 @@
 const KILL_MARGIN_MS = 400;
 /** Time for the last answers to reach their callers. */
 const FLUSH_MS = 150;
-const POLL_INTERVAL_MS = 20;
 
 /**
  * Keeps serving while callers may use a cached lookup result, then refuses new
- * requests and waits for those in flight. Those that do not end in time get a
- * final answer.
+ * requests and waits until callers have the answers to those in flight. Those
+ * that do not end in time get a final answer.
  */
 export async function shutDownGracefully(node: RelayKernel): Promise<void> {
   const clock = node.find("clock");
@@ -39,13 +38,10 @@
   );
   lifecycle.close();
   logger.info("node_closing", describeWork());
-  const hasClosed = publicServer.stopListening();
-  while (publicServer.inFlight > 0 && clock.now() < deadlineAt) {
-    await clock.sleep(POLL_INTERVAL_MS);
-  }
+  await publicServer.finish(deadlineAt - clock.now());
   const expired = publicServer.inFlight;
   lifecycle.expire();
-  await Promise.race([hasClosed, clock.sleep(FLUSH_MS)]);
+  await publicServer.finish(FLUSH_MS);
   logger.info("node_stopped", { expired, ...describeWork() });
   await node.stop();
 }
--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -10,7 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Duplex } from "node:stream";
-import { closeAfterLinger } from "@zinniahill/clients";
+import { closeAfterLinger, ServerConnections } from "@zinniahill/clients";
 import {
   type Clock,
   describeError,
@@ -58,6 +58,7 @@
   #reader: RequestReader;
   #handlers: RequestHandlers;
   #server: Server;
+  #connections: ServerConnections;
   #unsent: UnsentAnswers;
   #inFlight = 0;
 
@@ -81,6 +82,7 @@
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       requestTimeout: 0,
     });
+    this.#connections = new ServerConnections(this.#server);
     this.#server.on("request", (request, response) => {
       void this.#serve(request, response);
     });
@@ -102,23 +104,16 @@
   }
 
   stop(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#unsent.abandon();
-      this.#server.close(() => resolve());
-      this.#server.closeAllConnections();
-    });
+    this.#unsent.abandon();
+    return this.#connections.destroy();
   }
 
   /**
-   * Stops accepting connections and closes idle ones; resolves once the last
-   * one is closed, after its response.
+   * Stops accepting connections and ends each one after its last response;
+   * resolves once callers have closed all of them, or at the limit.
    */
-  stopListening(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#unsent.abandon();
-      this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
-    });
+  finish(limitMs: number): Promise<void> {
+    return this.#connections.finish(limitMs);
   }
 
   /** Number of requests without an answer. */
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -125,6 +125,12 @@
   createRawAnswer: RawAnswerFactory | undefined;
   /** Time that a plain answer takes. */
   answerMs = 0;
+  /** Bytes that follow in a plain answer. */
+  fillerBytes = 0;
+  /** Events of a stream, the time before each, and bytes that each holds. */
+  eventCount = EVENTS;
+  eventMs = EVENT_MS;
+  eventBytes = 0;
   /** Requests a second that all answers name as the limit, if it is set. */
   limitPerS: number | undefined;
   /** Arrival of each request, refused ones included. */
@@ -462,7 +468,9 @@
     if (!isEngine) {
       setTimeout(() => {
         this.#sendStaleResponse(request, attempt);
-        response.writeHead(200, headers).end(`answer to ${attempt}`);
+        response.writeHead(200, headers).end(
+          `answer to ${attempt}${"x".repeat(this.fillerBytes)}`,
+        );
         this.#repeatAnswer(request, attempt, headers);
       }, this.answerMs);
       return;
@@ -547,8 +555,8 @@
   ): Promise<void> {
     let sent = 0;
     const first = Number(request.headers["last-event-id"] ?? 0) + 1;
-    for (let id = first; id <= EVENTS; id++) {
-      await new Promise((resolve) => setTimeout(resolve, EVENT_MS));
+    for (let id = first; id <= this.eventCount; id++) {
+      await new Promise((resolve) => setTimeout(resolve, this.eventMs));
       if (this.isStalled) {
         return;
       }
@@ -560,7 +568,8 @@
         response.write(`id: ${id}\nda`, () => response.destroy());
         return;
       }
-      response.write(`id: ${id}\ndata: piece ${id}\n\n`);
+      const filler = "x".repeat(this.eventBytes);
+      response.write(`id: ${id}\ndata: piece ${id}${filler}\n\n`);
       sent++;
     }
     response.end();
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -42,6 +42,7 @@
   type LogRetention,
 } from "./log-model.ts";
 export { LogStandIn } from "./log.ts";
+export { DelayedLink, type LinkQuality } from "./delayed-link.ts";
 export { type LinkMode, MemoryNetwork } from "./memory/network.ts";
 export {
   HOST_LIST_END,
