--- a/packages/node/src/serving/http.ts
+++ b/packages/node/src/serving/http.ts
@@ -10,7 +10,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { closeAfterLinger } from "@zinniahill/clients";
+import { closeAfterLinger, ServerConnections } from "@zinniahill/clients";
 import { Refusal } from "@zinniahill/schema";
 import polka, { type Polka } from "polka";
 import type { z } from "zod";
@@ -37,8 +37,8 @@
 const MS_PER_SECOND = 1000;
 /** How long a caller whose body was not read may take to read the reply. */
 const UNREAD_LINGER_MS = 1000;
-/** How long a reply that was written may take to reach its caller. */
-const CLOSE_LINGER_MS = 1000;
+/** How long replies that were written may take to reach their callers. */
+const CLOSE_LINGER_MS = 3000;
 /** Without a reason, each abort would record a stack of its own. */
 const CALLER_GONE = new Error("the caller has gone");
 const METHODS = ["GET", "POST"] as const;
@@ -46,10 +46,12 @@
 /** An HTTP server whose requests are tasks. */
 export class HttpListener {
   #server: Server;
+  #connections: ServerConnections;
   #app: Polka;
 
   constructor(onRequest: RequestHook = () => {}) {
     this.#server = createServer();
+    this.#connections = new ServerConnections(this.#server);
     this.#app = polka({
       server: this.#server,
       onNoMatch: (request, response) => this.#refuseRoute(request, response),
@@ -116,22 +118,18 @@
     });
   }
 
+  /** Requests whose reply is not sent. */
+  get inFlight(): number {
+    return this.#connections.listOwed().length;
+  }
+
   /**
-   * Stops listening and ends idle connections at once. Others may still be
-   * read by their caller and are ended a moment later.
+   * Stops listening and ends each connection after its last reply. Those that
+   * callers have not closed a moment later are closed.
    */
-  close(): Promise<void> {
-    return new Promise((resolve) => {
-      const linger = setTimeout(
-        () => this.#server.closeAllConnections(),
-        CLOSE_LINGER_MS,
-      );
-      this.#server.close(() => {
-        clearTimeout(linger);
-        resolve();
-      });
-      this.#server.closeIdleConnections();
-    });
+  async close(): Promise<void> {
+    await this.#connections.finish(CLOSE_LINGER_MS);
+    await this.#connections.destroy();
   }
 }
 
--- a/packages/node/src/serving/public-api.ts
+++ b/packages/node/src/serving/public-api.ts
@@ -43,7 +43,6 @@
   #chat: Chat;
   #serviceCalls: ServiceCalls;
   #listener: HttpListener;
-  #inFlight = 0;
 
   constructor(kernel: NodeKernel) {
     this.#random = kernel.find("random");
@@ -89,13 +88,13 @@
     return this.#listener.close();
   }
 
-  /** Requests that have not ended. */
+  /** Requests whose reply is not sent. */
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#listener.inFlight;
   }
 
   dump(): unknown {
-    return { inFlight: this.#inFlight };
+    return { inFlight: this.inFlight };
   }
 
   /** Adds a route for callers; a refusal is logged with the request's id. */
@@ -103,7 +102,6 @@
     this.#listener.on(method, path, async (request, response) => {
       const id = String(response.getHeader(REQUEST_ID_HEADER));
       let caller: Caller | undefined;
-      this.#inFlight++;
       try {
         this.#refuseWhenClosing(response);
         caller = this.#authentication.authenticate(request);
@@ -111,8 +109,6 @@
       } catch (failure) {
         this.#logRefusal(id, caller, failure);
         throw failure;
-      } finally {
-        this.#inFlight--;
       }
     });
   }
--- a/packages/node/test/serving/public-api.test.ts
+++ b/packages/node/test/serving/public-api.test.ts
@@ -1,4 +1,5 @@
 import { connect } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { Refusal } from "@zinniahill/schema";
 import OpenAI from "openai";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
@@ -18,6 +19,8 @@
   messages: [{ role: "user" as const, content: "hello" }],
 };
 const CHAT_PATH = "/v1/chat/completions";
+/** More than the operating system takes at once. */
+const LARGE_REPLY_BYTES = 12_000_000;
 
 describe("PublicApi", () => {
   let api: RunningApi;
@@ -128,6 +131,31 @@
     });
   });
 
+  describe("a listener that closes", () => {
+    // Guards against replies that are cut as the process still holds their end.
+    it("sends the rest of a reply whose caller reads it late", async () => {
+      const listener = new HttpListener();
+      listener.on("GET", "/large", async (_request, response) => {
+        await Promise.resolve(response.end("x".repeat(LARGE_REPLY_BYTES)));
+      });
+      const address = await findFreeAddress();
+      await listener.listen(address);
+      const [host, port] = address.split(":");
+      const caller = connect({ host: host!, port: Number(port) });
+      let received = "";
+      caller.on("data", (data) => received += data.toString("latin1"));
+      caller.write("GET /large HTTP/1.1\r\nhost: a\r\n\r\n");
+      caller.pause();
+      await sleep(200);
+      expect(listener.inFlight).toBe(1);
+      const closed = listener.close();
+      await sleep(200);
+      caller.resume();
+      await closed;
+      expect(received.length).toBeGreaterThan(LARGE_REPLY_BYTES);
+    });
+  });
+
   describe("refusals of chat completions", () => {
     it.each<[string, number, string, () => Promise<Response>]>([
       [
