Serve requests that come behind others on a connection

What callers saw: a request sent before the answer to an earlier one got 504 at once; around a planned stop it got no answer at all, as the connection ended after the earlier one.

Cause: a response has a socket only once the earlier ones are sent. Without one, the caller was taken for gone. And connection: close was set when a request arrived, not on the last response of the connection.

Change: a request waits for its turn on its connection (HTTP/1.1 answers keep the order), and is refused at once when the turn comes after its deadline. A draining node lets the last response of each connection that has not begun say connection: close, also of those that arrived before the drain. More than 32 requests on one connection are refused.

--- a/packages/clients/src/server-connections.ts
+++ b/packages/clients/src/server-connections.ts
@@ -45,9 +45,22 @@
     return [...this.#connections.values()].flatMap(({ owed }) => [...owed]);
   }
 
-  /** Whether a connection owes just one response. */
-  owesOne(socket: Socket): boolean {
-    return this.#connections.get(socket)?.owed.size === 1;
+  /** Number of responses that are not sent on one connection. */
+  countOwed(socket: Socket): number {
+    return this.#connections.get(socket)?.owed.size ?? 0;
+  }
+
+  /** Lets the last response on each connection say that it will be closed. */
+  announceClose(): void {
+    this.#connections.forEach((connection) => announceClose(connection));
+  }
+
+  /** The same for the connection of one response. */
+  announceCloseAfter(response: ServerResponse): void {
+    const connection = this.#connections.get(response.req.socket);
+    if (connection !== undefined) {
+      announceClose(connection);
+    }
   }
 
   /** Accepts no more connections; those that are open are served on. */
@@ -155,6 +168,21 @@
   }
 }
 
+/** A caller may send requests before it has the answers to earlier ones. */
+function announceClose({ owed }: OpenConnection): void {
+  const last = [...owed].at(-1);
+  for (const response of owed) {
+    if (response.headersSent) {
+      continue;
+    }
+    if (response === last) {
+      response.setHeader("connection", "close");
+    } else if (response.hasHeader("connection")) {
+      response.removeHeader("connection");
+    }
+  }
+}
+
 function computeLeftMs({ idleSince }: OpenConnection): number {
   return Math.max(0, idleSince + LINGER_MS - performance.now());
 }
--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -30,6 +30,7 @@
 import type { RelayedRequest } from "./relayed-request.ts";
 import { writeRefusal } from "./response-writer.ts";
 import { RequestReader } from "./request-reader.ts";
+import { waitForTurn } from "./request-turn.ts";
 import { UnsentAnswers } from "./unsent-answers.ts";
 
 /** Limit of Node's HTTP parser; the configured one is checked per request. */
@@ -38,6 +39,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const UNREAD_LINGER_MS = 500;
 const MAX_QUEUED_CONNECTIONS = 1024;
+/** Requests that one connection may have in progress or waiting. */
+const MAX_REQUESTS_PER_CONNECTION = 32;
 /** Status lines for requests that Node's HTTP parser rejects, by error code. */
 const CLIENT_ERROR_STATUSES: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
@@ -76,6 +79,11 @@
     this.#handlers = kernel.find("answers");
     this.#unsent = new UnsentAnswers(this.#logger, this.#metrics);
     this.#configuration.onChange(({ limits }) => this.#applyLimits(limits));
+    this.#lifecycle.onChange(() => {
+      if (this.#lifecycle.isDraining) {
+        this.#connections.announceClose();
+      }
+    });
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
@@ -145,9 +153,13 @@
     const metadata = this.#headerCodec.parseRequest(incoming);
     const id = metadata.attemptId ?? this.#random.id();
     if (this.#lifecycle.isDraining) {
-      response.setHeader("connection", "close");
+      this.#connections.announceCloseAfter(response);
     }
     try {
+      if (response.socket === null) {
+        this.#checkWaiting(incoming);
+        await waitForTurn(incoming.socket, response);
+      }
       this.#checkClosing();
       const request = await this.#reader.read(
         id,
@@ -167,6 +179,16 @@
     }
   }
 
+  #checkWaiting({ socket }: IncomingMessage): void {
+    if (this.#connections.countOwed(socket) > MAX_REQUESTS_PER_CONNECTION) {
+      throw new Refusal(
+        "overloaded",
+        "not-run",
+        "too many earlier requests of the connection are not answered",
+      );
+    }
+  }
+
   #checkClosing(): void {
     if (this.#lifecycle.isClosing) {
       throw new Refusal("stopping", "not-run", "the node is shutting down", 0);
--- a/packages/relay/src/serving/request-reader.ts
+++ b/packages/relay/src/serving/request-reader.ts
@@ -69,6 +69,13 @@
     this.#recordDemand(service, metadata);
     const deadlineAt = receivedAt +
       Math.min(metadata.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    if (this.#clock.now() >= deadlineAt) {
+      throw new Refusal(
+        "overloaded",
+        "not-run",
+        "the deadline passed before earlier requests were answered",
+      );
+    }
     const body = await this.#readBody(
       incoming,
       limits.maxBodyBytes,
--- a/packages/relay/src/serving/unsent-answers.ts
+++ b/packages/relay/src/serving/unsent-answers.ts
@@ -31,13 +31,15 @@
   /** Follows an answer whose last byte was written to its connection. */
   follow(request: string, response: ServerResponse): void {
     const { socket } = response;
-    if (!response.writableEnded || response.destroyed) {
+    const isFollowed = response.writableEnded && !response.writableFinished &&
+      !response.destroyed && socket !== null;
+    if (!isFollowed) {
       return;
     }
     this.#requests.set(response, request);
     // Node also emits it when the connection was destroyed before.
     response.once("finish", () => {
-      if (socket?.destroyed === false) {
+      if (!socket.destroyed) {
         this.#requests.delete(response);
       }
     });
