Do not hold an upstream for unreachable when this node ends the attempt

Cause: an attempt without a connection marked its upstream unreachable for a second, also when the attempt was cancelled before it had connected, or before a kept connection was used: by its caller, the deadline, the stop of the node or the memory. Own cancellation was taken for evidence about the upstream. The other use of that evidence, of answers broken off, already looked at who had ended the exchange; both now do in one place.

Test: 20 times a caller that closes its side at once and then a sound stream: 20 of 20 refused with 503 before, none now.

--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -245,10 +245,9 @@
       request.sentTo.add(instance.id);
     }
     if (sent.isErr) {
-      if (!exchange.hasConnected) {
-        this.#dispatcher.markUnreachable(instance);
-      } else if (!exchange.isClosed) {
-        await this.#quarantine.recordBroken(request, instance, sentAt);
+      // An attempt that this node has ended says nothing about the upstream.
+      if (!exchange.isClosed) {
+        await this.#recordFailure(request, instance, exchange, sentAt);
       }
       end(ATTEMPT_ENDED);
       return Result.err(sent.error);
@@ -292,6 +291,19 @@
     });
   }
 
+  async #recordFailure(
+    request: RelayedRequest,
+    instance: Instance,
+    { hasConnected }: Exchange,
+    sentAt: number,
+  ): Promise<void> {
+    if (hasConnected) {
+      await this.#quarantine.recordBroken(request, instance, sentAt);
+    } else {
+      this.#dispatcher.markUnreachable(instance);
+    }
+  }
+
   /**
    * A request that must not run twice gets a connection of its own: the close
    * of a kept one may cross with the request, which then may have run.
