Pass on no request that comes after the last answer on its connection

Connections now stay open for their caller's end after their last answer, so a caller may send one more request there; it was run, and its answer could not be sent. Such requests are ignored and named by request_ignored. A connection on which a request has come in part when the node closes is kept for it.

Test: a draining node answers with connection: close, and the caller sends one more request there.

--- a/packages/cli/src/explanation.ts
+++ b/packages/cli/src/explanation.ts
@@ -102,6 +102,8 @@
   answer_cut: (line) =>
     `the ${getField(line, "by")} closed the connection before the answer was ` +
     `sent; at most ${getField(line, "unsent_bytes")} bytes were left`,
+  request_ignored: () =>
+    "came after the last answer on its connection and was not passed on",
   request_refused: (line) => {
     const code = getField(line, "code");
     const cause = REFUSAL_CAUSES[code]?.(line) ?? getField(line, "reason");
--- a/packages/clients/src/server-connections.ts
+++ b/packages/clients/src/server-connections.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { Server, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as TcpServer, type Socket } from "node:net";
 
 /** One connection and what it owes its caller. */
@@ -35,8 +35,10 @@
   constructor(server: Server) {
     this.#server = server;
     server.on("connection", (socket: Socket) => this.#add(socket));
-    server.on("request", ({ socket }, response) => {
-      this.#addResponse(socket, response);
+    server.on("request", (request, response) => {
+      if (!this.isLate(request)) {
+        this.#addResponse(request.socket, response);
+      }
     });
   }
 
@@ -50,6 +52,11 @@
     return this.#connections.get(socket)?.owed.size ?? 0;
   }
 
+  /** Whether a request comes too late to be answered on its connection. */
+  isLate({ socket }: IncomingMessage): boolean {
+    return socket.writableEnded;
+  }
+
   /** Lets the last response on each connection say that it will be closed. */
   announceClose(): void {
     this.#connections.forEach((connection) => announceClose(connection));
@@ -121,7 +128,7 @@
 
   #addResponse(socket: Socket, response: ServerResponse): void {
     const connection = this.#connections.get(socket);
-    if (connection === undefined || socket.writableEnded) {
+    if (connection === undefined) {
       return;
     }
     connection.owed.add(response);
@@ -141,16 +148,19 @@
     if (owed.size > 0) {
       return;
     }
-    const isUsed = bytesRead > 0 && bytesRead === socket.bytesRead;
-    if (isUsed) {
+    if (socket.bytesRead === bytesRead && bytesRead > 0) {
       this.#end(socket, connection);
       return;
     }
+    // A request has come in part, or the first one may be on its way.
+    const waitMs = bytesRead === socket.bytesRead
+      ? computeLeftMs(connection)
+      : LINGER_MS;
     const timer = setTimeout(() => {
       if (owed.size === 0) {
         this.#end(socket, connection);
       }
-    }, computeLeftMs(connection)).unref();
+    }, waitMs).unref();
     socket.once("close", () => clearTimeout(timer));
   }
 
--- a/packages/node/src/serving/http.ts
+++ b/packages/node/src/serving/http.ts
@@ -71,6 +71,9 @@
       request: RoutedRequest,
       response: ServerResponse,
     ) => {
+      if (this.#connections.isLate(request)) {
+        return;
+      }
       try {
         await task(request, response);
       } catch (failure) {
--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -92,7 +92,11 @@
     });
     this.#connections = new ServerConnections(this.#server);
     this.#server.on("request", (request, response) => {
-      void this.#serve(request, response);
+      if (this.#connections.isLate(request)) {
+        this.#ignore(request);
+      } else {
+        void this.#serve(request, response);
+      }
     });
     this.#server.on("clientError", (failure, socket) => {
       this.#rejectMalformed(failure, socket);
@@ -143,6 +147,12 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  /** A request after the last answer on its connection is never passed on. */
+  #ignore(incoming: IncomingMessage): void {
+    const { attemptId, target } = this.#headerCodec.parseRequest(incoming);
+    this.#logger.info("request_ignored", { request: attemptId, path: target });
+  }
+
   /** Runs the task of one request; every error is answered with a refusal. */
   async #serve(
     incoming: IncomingMessage,
