--- a/bench/src/soak.ts
+++ b/bench/src/soak.ts
@@ -1,7 +1,8 @@
 /**
  * `npm run soak -- --seeds N --first S`: plays seeds of the fault soak and
  * prints one line for each; a red one says how it is played again. With
- * `--faulty`, upstreams and the store also say what is wrong or has no end.
+ * `--faulty`, upstreams and the store also say what is wrong or has no end;
+ * with `--stops`, nodes stop and start as planned and nothing fails.
  *
  * @module
  */
@@ -11,6 +12,7 @@
 import { parseArgs } from "node:util";
 import { FAULTS, FAULTY_UPSTREAMS } from "./soak/faults.ts";
 import { playSeed } from "./soak/soak.ts";
+import { playStops } from "./soak/stops.ts";
 
 const FAULTS_MS = 10_000;
 
@@ -20,6 +22,7 @@
     first: { type: "string", default: "1" },
     nodes: { type: "string", default: "3" },
     faulty: { type: "boolean", default: false },
+    stops: { type: "boolean", default: false },
   },
 });
 const first = Number(values.first);
@@ -27,13 +30,15 @@
 let red = 0;
 for (let seed = first; seed < first + Number(values.seeds); seed++) {
   const folder = join(tmpdir(), `zinniahill-soak-${process.pid}-${seed}`);
-  const { begun, calls, whole, violations } = await playSeed({
+  const plan = {
     seed,
     nodes: Number(values.nodes),
-    faults,
     faultsMs: FAULTS_MS,
     folder,
-  });
+  };
+  const { begun, calls, whole, violations } = values.stops
+    ? await playStops(plan)
+    : await playSeed({ ...plan, faults });
   console.log(
     `seed ${seed}: ${begun.length} faults, ${whole} of ${calls} calls ` +
       `whole, ${violations.length} promises broken`,
@@ -46,7 +51,8 @@
     console.log(`  faults: ${begun.join(", ")}`);
     console.log(
       `  logs: ${folder}; again: npm run soak -- --seeds 1 --first ${seed}` +
-        (values.faulty ? " --faulty" : ""),
+        ` --nodes ${values.nodes}` + (values.faulty ? " --faulty" : "") +
+        (values.stops ? " --stops" : ""),
     );
   }
 }
--- a/bench/src/soak/promises.ts
+++ b/bench/src/soak/promises.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Fleet, FleetRunner } from "@zinniahill/stand-ins";
+import type { NodeProcess } from "./node-process.ts";
 
 /** One answer as its caller saw it. */
 export interface SeenAnswer {
@@ -92,3 +93,18 @@
     order.Op === "join" && order.group === group
   );
 }
+
+/** Checks how a node's process has ended. */
+export function judgeStops(
+  { name, stopCodes, ownEndCodes }: NodeProcess,
+): Violation[] {
+  const failed = stopCodes.filter((code) => code !== 0).map((code) => ({
+    promise: "planned stops",
+    detail: `${name} exited with ${code}`,
+  }));
+  const unasked = ownEndCodes.map((code) => ({
+    promise: "no ends of their own",
+    detail: `${name} exited by itself with ${code}`,
+  }));
+  return [...failed, ...unasked];
+}
--- a/bench/src/soak/soak.ts
+++ b/bench/src/soak/soak.ts
@@ -19,6 +19,7 @@
   countRuns,
   judgeAnswer,
   judgeGroups,
+  judgeStops,
   type Violation,
 } from "./promises.ts";
 import {
@@ -179,20 +180,6 @@
   }
 }
 
-function judgeStops(
-  { name, stopCodes, ownEndCodes }: NodeProcess,
-): Violation[] {
-  const failed = stopCodes.filter((code) => code !== 0).map((code) => ({
-    promise: "planned stops",
-    detail: `${name} exited with ${code}`,
-  }));
-  const unasked = ownEndCodes.map((code) => ({
-    promise: "no ends of their own",
-    detail: `${name} exited by itself with ${code}`,
-  }));
-  return [...failed, ...unasked];
-}
-
 /** Begins faults one after the other; they may overlap. */
 async function runFaults(
   { seed, faultsMs, faults }: SoakPlan,
