--- a/bench/test/soak.test.ts
+++ b/bench/test/soak.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { DelayedLink, type LinkQuality } from "@zinniahill/stand-ins";
 import { afterEach, describe, expect, it } from "vitest";
 import {
   FAULTS,
@@ -16,6 +17,7 @@
   judgeLimit,
 } from "../src/soak/upstream-promises.ts";
 import { playSeed } from "../src/soak/soak.ts";
+import { playStops } from "../src/soak/stops.ts";
 import { type RelayMode, StoreRelay } from "../src/soak/store-relay.ts";
 
 const WHOLE_STREAM = [1, 2, 3, 4, 5, 6]
@@ -154,6 +156,76 @@
   });
 });
 
+describe("a link of callers", () => {
+  let server: Server | undefined;
+  let link: DelayedLink | undefined;
+
+  afterEach(() => {
+    link?.close();
+    server?.close();
+  });
+
+  async function connectThrough(quality: LinkQuality): Promise<Socket> {
+    server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.end("x".repeat(2000));
+    });
+    await new Promise<void>((resolve) =>
+      server!.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    link = new DelayedLink(`127.0.0.1:${port}`, quality);
+    const [host, near] = (await link.listen()).split(":");
+    return connect(Number(near), host);
+  }
+
+  it.each<[LinkQuality, number]>([
+    [{ delayMs: 100 }, 100],
+    [{ delayMs: 0, bytesPerMs: 10 }, 200],
+  ])(
+    "passes on all bytes and the end after its delay: %o",
+    async (quality, ms) => {
+      const startedAt = performance.now();
+      const socket = await connectThrough(quality);
+      let received = 0;
+      socket.on("data", ({ length }) => received += length);
+      await new Promise((resolve) => socket.on("end", resolve));
+      expect(received).toBe(2000);
+      expect(performance.now() - startedAt).toBeGreaterThanOrEqual(ms);
+    },
+  );
+
+  it("loses what is on its way when it is cut", async () => {
+    const socket = await connectThrough({ delayMs: 300 });
+    let received = 0;
+    socket.on("data", ({ length }) => received += length);
+    socket.on("error", () => {});
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    link!.cut();
+    await new Promise((resolve) => socket.on("close", resolve));
+    expect(received).toBe(0);
+  });
+});
+
+describe("a short soak of planned stops", () => {
+  // Guards against answers that are cut around planned stops; both seeds found
+  // some before connections waited for their callers.
+  it.each([1, 2])(
+    "cuts no answer to a request that ran (seed %i)",
+    async (seed) => {
+      const folder = mkdtempSync(join(tmpdir(), "zinniahill-stops-"));
+      const { violations, whole } = await playStops({
+        seed,
+        nodes: 4,
+        faultsMs: 10_000,
+        folder,
+      });
+      expect(violations).toEqual([]);
+      expect(whole).toBeGreaterThan(50);
+    },
+  );
+});
+
 describe("a short soak of the real programs", () => {
   // The second seed leaves the nodes alone and lets upstreams name limits.
   // The last one lets upstreams and the store say what is wrong or endless.
