--- a/bench/src/soak/stops.ts
+++ b/bench/src/soak/stops.ts
@@ -47,6 +47,9 @@
   { delayMs: 300 },
   { delayMs: 5, bytesPerMs: 4 },
 ];
+/** In each so many seeds, runners are behind links, too. */
+const LINKED_SEEDS = 3;
+const RUNNER_LINK: LinkQuality = { delayMs: 40 };
 const OK = 200;
 const OPEN_GROUPS = 2;
 /** A stream has six events. */
@@ -73,6 +76,7 @@
     runnersPerDomain: 4,
     modelHosts: 3,
     loadMs: 300,
+    ...(plan.seed % LINKED_SEEDS === 0 ? { link: RUNNER_LINK } : {}),
   });
   await fleet.start();
   fleet.runners.forEach((runner) => runner.eventMs = EVENT_MS);
--- a/stand-ins/src/fleet/fleet.ts
+++ b/stand-ins/src/fleet/fleet.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { LinkQuality } from "../delayed-link.ts";
 import { FleetRunner } from "./runner.ts";
 import { FleetStore } from "./store.ts";
 
@@ -13,6 +14,8 @@
   /** Hosts of one replica. */
   readonly modelHosts: number;
   readonly loadMs?: number;
+  /** The links by which nodes reach the runners, if they are not direct. */
+  readonly link?: LinkQuality;
 }
 
 export const FLEET_HOST = "calls.example";
@@ -90,6 +93,7 @@
     loadMs: number,
     domain: string | undefined,
   ): Promise<void> {
+    const { link } = this.#options;
     const runner: FleetRunner = new FleetRunner({
       store: this.store,
       service,
@@ -97,6 +101,7 @@
       loadMs,
       onLeft: (group) => this.#breakLater(group, runner),
       ...(domain === undefined ? {} : { domain }),
+      ...(link === undefined ? {} : { link }),
     });
     await runner.start();
     list.push(runner);
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -11,6 +11,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { DelayedLink, type LinkQuality } from "../delayed-link.ts";
 import type { FleetStore } from "./store.ts";
 
 /** What a runner is created with. */
@@ -22,6 +23,8 @@
   readonly domain?: string;
   /** Time to load weights. */
   readonly loadMs?: number;
+  /** The link by which nodes reach the runner, if it is not direct. */
+  readonly link?: LinkQuality;
   /** Called when the runner has left a group in whatever way. */
   readonly onLeft?: (group: string) => void;
 }
@@ -145,6 +148,7 @@
   #server: Server;
   #isStopped = false;
   #address = "";
+  #link: DelayedLink | undefined;
   #born = Date.now();
   #state: "ready" | "draining" = "ready";
   #orderCount = 0;
@@ -176,12 +180,18 @@
   async start(): Promise<void> {
     await new Promise<void>((resolve) => this.#server.listen(0, HOST, resolve));
     this.#address = `${HOST}:${(this.#server.address() as AddressInfo).port}`;
+    const { link: quality } = this.#options;
+    if (quality !== undefined) {
+      this.#link = new DelayedLink(this.#address, quality);
+      this.#address = await this.#link.listen();
+    }
     this.register();
   }
 
   /** Ends the process; the store lists it until `unregister`. */
   stop(): void {
     this.#isStopped = true;
+    this.#link?.close();
     this.#close();
   }
 
