Move no stream from a stalled group to another that has stalled, too

What callers saw: streams that had begun ended with a 502 in the middle, at nodes that were stopping, when the events of all groups were late at once.

Cause: groups were reported as stalled one after the other, and the requests of the first were ended to be sent to the second, before that one was found to have stalled in the same check. Then no group was left, and the streams were cut because of silence alone. The retry was withdrawn from the budget only after the stream was ended, too late if none was left.

Change: all stalled groups are reported before any request is told; a stream is ended only once its retry was withdrawn.

Test: two groups fall silent at once; the first listener saw one suspicion before, now two.

--- a/packages/relay/src/routing/outstanding-requests.ts
+++ b/packages/relay/src/routing/outstanding-requests.ts
@@ -239,6 +239,7 @@
 
   #findStalls(): void {
     const now = this.#clock.now();
+    const stalled: RequestState[] = [];
     for (const [instance, target] of this.#byInstance) {
       if (target.group === undefined) {
         continue;
@@ -259,9 +260,13 @@
       );
       const quietMs = now - Math.max(lastEventAt, expectedSince);
       if (quietMs >= this.#getTimeoutMs(hasBegun, target.group)) {
-        this.#reportStall(instance, target, target.group, quietMs);
+        stalled.push(
+          ...this.#reportStall(instance, target, target.group, quietMs),
+        );
       }
     }
+    // A listener may look for another group, which must not have stalled, too.
+    stalled.forEach(({ listener }) => listener());
   }
 
   /**
@@ -278,17 +283,18 @@
       );
   }
 
+  /** Reports a group as stalled and returns the requests that are new in it. */
   #reportStall(
     instance: string,
     target: InstanceRequests,
     { name, epoch }: GroupRef,
     quietMs: number,
-  ): void {
+  ): RequestState[] {
     const newlyStalled = [...target.requests].filter(({ isStalled }) =>
       !isStalled
     );
     if (newlyStalled.length === 0) {
-      return;
+      return [];
     }
     this.#logger.warn("group_stalled", {
       group: name,
@@ -301,9 +307,7 @@
     this.#groups.suspect(name, epoch, "own requests");
     this.#mesh.broadcast({ kind: "suspect", instance, group: name, epoch });
     this.#placement.checkGroup(name, epoch);
-    for (const request of newlyStalled) {
-      request.isStalled = true;
-      request.listener();
-    }
+    newlyStalled.forEach((request) => request.isStalled = true);
+    return newlyStalled;
   }
 }
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -139,6 +139,14 @@
 
   /** Withdraws a retry from the budget, if one more attempt is allowed. */
   tryWithdrawRetry(request: RelayedRequest): boolean {
+    if (request.hasReservedRetry) {
+      request.hasReservedRetry = false;
+      return !this.hasExpired(request);
+    }
+    return this.#withdrawRetry(request);
+  }
+
+  #withdrawRetry(request: RelayedRequest): boolean {
     const { memory, service, route, sentTo } = request;
     return sentTo.size < route.maxAttempts && !this.hasExpired(request) &&
       !memory.isEvicted &&
@@ -219,7 +227,7 @@
     };
     if (request.route.isResumable) {
       outstandingRequest.onStall(() => {
-        if (this.#hasOtherGroup(request, choice)) {
+        if (this.#reserveRetry(request, choice)) {
           exchange.close(GROUP_STALLED);
         }
       });
@@ -323,12 +331,16 @@
     );
   }
 
-  /** Whether another group has room for a request of a stalled group. */
-  #hasOtherGroup(request: RelayedRequest, { instance }: Selection): boolean {
+  /**
+   * Withdraws a retry for a request of a stalled group, if another group has
+   * room for it. Silence alone is no reason to end an answer.
+   */
+  #reserveRetry(request: RelayedRequest, { instance }: Selection): boolean {
     const { route, sentTo } = request;
     const excluded = new Set([...sentTo, instance.id]);
-    return excluded.size < route.maxAttempts &&
-      this.#choose(request, excluded).isOk;
+    request.hasReservedRetry = excluded.size < route.maxAttempts &&
+      this.#choose(request, excluded).isOk && this.#withdrawRetry(request);
+    return request.hasReservedRetry;
   }
 
   /**
--- a/packages/relay/src/serving/relayed-request.ts
+++ b/packages/relay/src/serving/relayed-request.ts
@@ -32,6 +32,8 @@
   readonly sentTo: Set<string>;
   /** Whether any of these instances may have run the request. */
   mayHaveRun: boolean;
+  /** Whether a retry was withdrawn from the budget and is not used yet. */
+  hasReservedRetry: boolean;
 }
 
 /** Shared parts that a log line names at most. */
--- a/packages/relay/src/serving/request-reader.ts
+++ b/packages/relay/src/serving/request-reader.ts
@@ -97,6 +97,7 @@
       memory: this.#openMemory(id, response),
       sentTo: new Set(),
       mayHaveRun: false,
+      hasReservedRetry: false,
     };
   }
 
--- a/packages/relay/test/routing/outstanding-requests.test.ts
+++ b/packages/relay/test/routing/outstanding-requests.test.ts
@@ -81,6 +81,21 @@
       expect(stalled).toEqual([0, 1]);
     });
 
+    // Guards against streams that are moved from one stalled group to another,
+    // which ends them if no further group is there.
+    it("reveal all stalled groups before any request is told", async () => {
+      const { env, outstanding } = await start();
+      const suspicions: number[] = [];
+      for (const epoch of [7, 8]) {
+        const group = { name: `large~${epoch}`, epoch };
+        const request = outstanding.begin(`i-${epoch}`, group, true);
+        request.recordEvent();
+        request.onStall(() => suspicions.push(env.suspicions));
+      }
+      await env.clock.advance(400);
+      expect(suspicions).toEqual([2, 2]);
+    });
+
     it("reveal a stall even if events reach another node", async () => {
       const { env, outstanding } = await start();
       outstanding.begin(LEAD, GROUP, true).recordEvent();
