--- a/bench/src/soak/stops.ts
+++ b/bench/src/soak/stops.ts
@@ -170,6 +170,7 @@
 /** Steps by name; a seed draws among the names. */
 const STEPS: Readonly<Record<string, Step>> = {
   "stop": (target) => stopAndStart(target, 0),
+  // Stops are drawn more often than the rest.
   "stop again": (target) => stopAndStart(target, 0),
   "stop while it starts": (target) =>
     stopAndStart(target, EARLY_STOP_SPREAD_MS),
