Log which side ended an attempt, and when the configuration changed

Change: ended_by in attempt_failed and answer_broken, adopted_ms_ago in request_refused, and the counter answers_unfinished_total.

--- a/packages/relay/src/relay-metrics.ts
+++ b/packages/relay/src/relay-metrics.ts
@@ -86,6 +86,12 @@
     labelNames: ["by"],
     registers: [this.#registry],
   });
+  #unfinished = new Counter({
+    name: "zinniahill_answers_unfinished_total",
+    help: "Answers that had begun and were broken off, by the refusal's code",
+    labelNames: ["code"],
+    registers: [this.#registry],
+  });
   #limits = new Counter({
     name: "zinniahill_limits_applied_total",
     help: "Times that a limit on what callers take of the process was applied",
@@ -152,6 +158,11 @@
     this.#cuts.inc({ by });
   }
 
+  /** Counts an answer that had begun when its request was refused. */
+  recordUnfinished({ code }: Refusal): void {
+    this.#unfinished.inc({ code });
+  }
+
   /** Counts a limit that was applied to a caller. */
   recordLimit(limit: AppliedLimit): void {
     this.#limits.inc({ limit });
--- a/packages/relay/src/routing/current-configuration.ts
+++ b/packages/relay/src/routing/current-configuration.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Logger, Service } from "@zinniahill/kernel";
+import type { Clock, Logger, Service } from "@zinniahill/kernel";
 import type { Feeds } from "../feeds/feeds.ts";
 import type { Configuration } from "../model/configuration.ts";
 import type { KeyRecord } from "../model/peer-message.ts";
@@ -17,15 +17,18 @@
 
 /** Adopts each newer configuration, and never an older one. */
 export class CurrentConfiguration implements Service {
+  #clock: Clock;
   #logger: Logger;
   #decoder: RecordDecoder;
   #feeds: Feeds;
   #routeTable: RouteTable | undefined;
+  #adoptedAt: number | undefined;
   /** Keys that have been logged as unknown. */
   #unknownKeys = new Set<string>();
   #listeners = new Set<(configuration: Configuration) => void>();
 
   constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#decoder = kernel.find("decoder");
     this.#feeds = kernel.find("feeds");
@@ -41,6 +44,13 @@
     return this.#routeTable?.configuration;
   }
 
+  /** How long ago this node adopted the current configuration. */
+  get adoptedMsAgo(): number | undefined {
+    return this.#adoptedAt === undefined
+      ? undefined
+      : Math.round(this.#clock.now() - this.#adoptedAt);
+  }
+
   /** Calls a listener after each change. */
   onChange(listener: (configuration: Configuration) => void): void {
     this.#listeners.add(listener);
@@ -90,6 +100,7 @@
       return;
     }
     this.#routeTable = new RouteTable(configuration);
+    this.#adoptedAt = this.#clock.now();
     this.#logger.info("configuration_adopted", {
       version: configuration.version,
       before: previous,
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -375,7 +375,7 @@
   #logFault(
     request: RelayedRequest,
     { instance, group, load }: Selection,
-    { verdict, message }: AttemptFault,
+    { verdict, message, endedBy }: AttemptFault,
   ): void {
     this.#logger.info("attempt_failed", {
       request: request.id,
@@ -386,6 +386,7 @@
       parts: describeParts(request),
       own_part: request.metadata.ownPart,
       error: message,
+      ended_by: endedBy,
       left_ms: Math.round(request.deadlineAt - this.#clock.now()),
     });
   }
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -51,6 +51,7 @@
 export interface AttemptFault {
   readonly verdict: Verdict;
   readonly message: string;
+  readonly endedBy: "node" | "upstream";
 }
 
 /** Buffered responses are a few kB; a node holds hundreds of them at once. */
@@ -213,6 +214,7 @@
     return {
       verdict: this.hasConnected ? "may-have-run" : "not-run",
       message: describeError(failure),
+      endedBy: this.#isClosed ? "node" : "upstream",
     };
   }
 
--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -276,6 +276,9 @@
       ? failure
       : new Refusal("internal", "may-have-run", describeError(failure));
     this.#metrics.recordRefusal(refusal);
+    if (response.headersSent) {
+      this.#metrics.recordUnfinished(refusal);
+    }
     this.#logger.info("request_refused", {
       request: id,
       path: metadata.target,
@@ -286,6 +289,7 @@
       reason: refusal.message,
       version: this.#configuration.current?.version,
       configuration_age_ms: Math.round(this.#feeds.ageMs("configuration")),
+      adopted_ms_ago: this.#configuration.adoptedMsAgo,
       total_ms: Math.round(this.#clock.now() - receivedAt),
       has_begun: response.headersSent,
     });
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -13,7 +13,11 @@
 import { createFaultRefusal } from "./fault-refusal.ts";
 import type { Quarantine } from "../routing/quarantine.ts";
 import { EventForwarder } from "./event-forwarder.ts";
-import { collectBody, type UpstreamResponse } from "./exchange.ts";
+import {
+  type AttemptFault,
+  collectBody,
+  type UpstreamResponse,
+} from "./exchange.ts";
 import { describeParts, type RelayedRequest } from "./relayed-request.ts";
 import { writeBufferedResponse } from "./response-writer.ts";
 
@@ -121,10 +125,10 @@
         return Result.ok({ upstreamResponse, body, source });
       } catch (failure) {
         request.mayHaveRun = true;
-        const { message } = exchange.createFault(failure);
-        this.#logInterruption(request, opened.value, message);
+        const fault = exchange.createFault(failure);
+        this.#logInterruption(request, opened.value, fault);
         await this.#recordBroken(request, opened.value);
-        const refusal = this.#decideAfterInterruption(request, message);
+        const refusal = this.#decideAfterInterruption(request, fault.message);
         if (refusal !== undefined) {
           return Result.err(refusal);
         }
@@ -189,14 +193,14 @@
         });
       } catch (failure) {
         request.mayHaveRun = true;
-        const { message } = attempt.exchange.createFault(failure);
-        this.#logInterruption(request, attempt, message, events);
+        const fault = attempt.exchange.createFault(failure);
+        this.#logInterruption(request, attempt, fault, events);
         if (!events.isProven) {
           await this.#recordBroken(request, attempt);
         }
         const refusal = events.canResume
-          ? this.#decideAfterInterruption(request, message)
-          : createFaultRefusal(request, message);
+          ? this.#decideAfterInterruption(request, fault.message)
+          : createFaultRefusal(request, fault.message);
         if (refusal !== undefined) {
           return Result.err(refusal);
         }
@@ -259,7 +263,7 @@
   #logInterruption(
     request: RelayedRequest,
     { choice }: OpenAttempt,
-    error: string,
+    { message, endedBy }: AttemptFault,
     events?: EventForwarder,
   ): void {
     this.#logger.info("answer_broken", {
@@ -270,7 +274,8 @@
       has_proof: events?.isProven ?? false,
       parts: describeParts(request),
       own_part: request.metadata.ownPart,
-      error,
+      error: message,
+      ended_by: endedBy,
       left_ms: Math.round(request.deadlineAt - this.#clock.now()),
     });
   }
--- a/packages/relay/src/serving/response-check.ts
+++ b/packages/relay/src/serving/response-check.ts
@@ -82,5 +82,5 @@
   verdict: AttemptFault["verdict"],
   message: string,
 ): AttemptFault {
-  return { verdict, message };
+  return { verdict, message, endedBy: "upstream" };
 }
