Test upstreams that fall silent for a second

Cause: no test or soak had an upstream that stops for a second and goes on; stand-ins that fell silent stayed so, and the streams of the tests found room in another group.

--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -11,6 +11,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import { DelayedLink, type LinkQuality } from "../delayed-link.ts";
 import type { FleetStore } from "./store.ts";
 
@@ -147,6 +148,10 @@
   #options: RunnerOptions;
   #server: Server;
   #isStopped = false;
+  /** Resolves when streams go on. */
+  #streamPause: Promise<void> = Promise.resolve();
+  /** Resolves when requests are answered again. */
+  #silence: Promise<void> = Promise.resolve();
   #address = "";
   #link: DelayedLink | undefined;
   #born = Date.now();
@@ -200,6 +205,17 @@
     this.#close();
   }
 
+  /** Sends no events for some time, then goes on; reports are answered. */
+  pauseStreams(durationMs: number): void {
+    this.#streamPause = delay(durationMs);
+  }
+
+  /** Sends nothing at all for some time, then goes on. */
+  fallSilent(durationMs: number): void {
+    this.#silence = delay(durationMs);
+    this.#streamPause = this.#silence;
+  }
+
   /** Writes the runner's entry. */
   register(): void {
     this.#heartbeatCount++;
@@ -313,6 +329,7 @@
     for await (const chunk of request) {
       chunks.push(chunk as Uint8Array);
     }
+    await this.#silence;
     if (this.isSilent) {
       return;
     }
@@ -578,6 +595,7 @@
     const first = Number(request.headers["last-event-id"] ?? 0) + 1;
     for (let id = first; id <= this.eventCount; id++) {
       await new Promise((resolve) => setTimeout(resolve, this.eventMs));
+      await this.#streamPause;
       if (this.isStalled) {
         return;
       }
