Replace a silent attempt only once another one answers

Cause: after 350 ms without an event, a node closed the connections of the group's resumable streams and then sent them elsewhere. If that group refused or was silent too, no attempt was left. Streams with events without ids could not be resumed at all and were closed as well. The class of the fault: a suspicion is acted on before the substitute is known to work.

Change: the silent attempt goes on while a replacement is made (the same choice, budget and bound on attempts as before). Its first bytes end the silent attempt; the next event of the silent one ends the replacement. A replacement that fails is followed by another one, if one is allowed, and ends nothing.

--- a/packages/cli/src/explanation.ts
+++ b/packages/cli/src/explanation.ts
@@ -91,6 +91,10 @@
     `the response from ${getField(line, "instance")} broke off after ${
       getField(line, "events")
     } events: ${getField(line, "error")}`,
+  attempt_replaced: (line) =>
+    `${getField(line, "instance")} was silent, so ${
+      getField(line, "by")
+    } was tried as well`,
   attempt_repeated: (line) =>
     `${getField(line, "instance")} answered ${
       getField(line, "status")
--- a/packages/relay/src/routing/outstanding-requests.ts
+++ b/packages/relay/src/routing/outstanding-requests.ts
@@ -25,7 +25,7 @@
   /** Stops to expect events, as none are read until `resume`. */
   pause(): void;
   resume(): void;
-  /** Calls a listener once when the instance stalls. */
+  /** Calls a listener when the instance stalls, once until the next event. */
   onStall(listener: () => void): void;
   end(): void;
 }
@@ -171,6 +171,7 @@
     return {
       recordEvent: () => {
         state.hasBegun = true;
+        state.isStalled = false;
         this.#recordEvent(target);
       },
       pause: () => {
--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -38,6 +38,7 @@
   REFUSED_RETRY_AFTER_MS,
 } from "./fault-refusal.ts";
 import { describeParts, type RelayedRequest } from "./relayed-request.ts";
+import { type AttemptOutcome, Replacement } from "./replacement.ts";
 import { createUpstreamRequest } from "./upstream-request.ts";
 import { UpstreamStatements } from "./upstream-statements.ts";
 
@@ -55,8 +56,8 @@
 
 /** Shared abort reasons; each abort without one captures a stack trace. */
 export const ATTEMPT_ENDED = new Error("the attempt has ended");
-const CALLER_DISCONNECTED = new Error("the caller disconnected");
 const DEADLINE_PASSED = new Error("the deadline has passed");
+const OK_STATUS = 200;
 const NODE_STOPS = new Error("the node stops");
 const GROUP_STALLED = new Error("the group has stalled");
 /** Connections that may fail before the request is refused. */
@@ -97,32 +98,26 @@
 
   /**
    * Sends a request to instances until one responds or no further attempt is
-   * allowed. `lastEventId` is the event after which a stream is resumed.
+   * allowed. A replacement that was begun before is the next attempt.
    */
-  async open(
-    request: RelayedRequest,
-    lastEventId: string | undefined,
-  ): Promise<Result<OpenAttempt, Refusal>> {
+  async open(request: RelayedRequest): Promise<Result<OpenAttempt, Refusal>> {
     for (
       let attemptCount = 0;
       attemptCount < MAX_UNSENT_ATTEMPTS;
       attemptCount++
     ) {
-      const chosen = this.#chooseAllowed(request);
-      if (chosen.isErr) {
+      const attempted = await this.#attempt(request);
+      if (attempted.isErr) {
         const refusal = request.mayHaveRun
-          ? createFaultRefusal(request, chosen.error.message)
-          : chosen.error;
+          ? createFaultRefusal(request, attempted.error.message)
+          : attempted.error;
         return Result.err(refusal);
       }
-      const opened = await this.#send(request, chosen.value, lastEventId);
-      if (opened.isOk) {
-        return Result.ok(opened.value);
+      const outcome = attempted.value;
+      if (outcome.isOk) {
+        return Result.ok(outcome.value);
       }
-      const fault = opened.error;
-      request.mayHaveRun ||= fault.verdict === "may-have-run";
-      this.#logFault(request, chosen.value, fault);
-      const refusal = this.#decideAfterFault(request, fault);
+      const refusal = this.#decideAfterFault(request, outcome.error);
       if (refusal !== undefined) {
         return Result.err(refusal);
       }
@@ -137,13 +132,14 @@
     );
   }
 
-  /** Withdraws a retry from the budget, if one more attempt is allowed. */
+  /**
+   * Withdraws a retry from the budget, if one more attempt is allowed. The one
+   * of a replacement was withdrawn when it began.
+   */
   tryWithdrawRetry(request: RelayedRequest): boolean {
-    if (request.hasReservedRetry) {
-      request.hasReservedRetry = false;
-      return !this.hasExpired(request);
-    }
-    return this.#withdrawRetry(request);
+    return request.replacement === undefined
+      ? this.#withdrawRetry(request)
+      : !this.hasExpired(request);
   }
 
   #withdrawRetry(request: RelayedRequest): boolean {
@@ -170,6 +166,47 @@
     };
   }
 
+  /** Makes the next attempt; the error is the refusal if there is none. */
+  async #attempt(
+    request: RelayedRequest,
+  ): Promise<Result<AttemptOutcome, Refusal>> {
+    const { replacement } = request;
+    if (replacement !== undefined) {
+      request.replacement = undefined;
+      return Result.ok(await replacement.outcome);
+    }
+    const chosen = this.#chooseAllowed(request);
+    if (chosen.isErr) {
+      return Result.err(chosen.error);
+    }
+    if (request.sentTo.size === 0) {
+      this.#retryBudget.deposit(request.service.name);
+    }
+    return Result.ok(await this.#sendLogged(request, chosen.value));
+  }
+
+  /** Makes one attempt and records its fault. */
+  async #sendLogged(
+    request: RelayedRequest,
+    choice: Selection,
+    signal: AbortSignal = request.callerSignal,
+  ): Promise<AttemptOutcome> {
+    const opened = await this.#send(request, choice, signal);
+    if (opened.isErr) {
+      this.#recordFault(request, choice, opened.error);
+    }
+    return opened;
+  }
+
+  #recordFault(
+    request: RelayedRequest,
+    choice: Selection,
+    fault: AttemptFault,
+  ): void {
+    request.mayHaveRun ||= fault.verdict === "may-have-run";
+    this.#logFault(request, choice, fault);
+  }
+
   /** Chooses an instance, unless the request crashes upstreams. */
   #chooseAllowed(request: RelayedRequest): Result<Selection, Refusal> {
     const refusal = this.#quarantine.check(request);
@@ -191,12 +228,12 @@
     });
   }
 
-  /** Makes one attempt, up to the response head. */
+  /** Makes one attempt, up to the response head; the signal ends it. */
   async #send(
     request: RelayedRequest,
     choice: Selection,
-    lastEventId: string | undefined,
-  ): Promise<Result<OpenAttempt, AttemptFault>> {
+    signal: AbortSignal,
+  ): Promise<AttemptOutcome> {
     const { instance, group } = choice;
     const exchange = this.#createExchange(request, instance);
     const outstandingRequest = this.#outstanding.begin(
@@ -204,10 +241,8 @@
       group,
       request.route.kind === "stream",
     );
-    const onDisconnect = () => exchange.close(CALLER_DISCONNECTED);
-    request.callerSignal.addEventListener("abort", onDisconnect, {
-      once: true,
-    });
+    const onAbort = () => exchange.close(signal.reason);
+    signal.addEventListener("abort", onAbort, { once: true });
     const withdrawEviction = request.memory
       .onEvict((reason) => exchange.close(reason));
     const onExpiry = () => exchange.close(NODE_STOPS);
@@ -221,22 +256,17 @@
       cancelDeadline();
       withdrawEviction();
       this.#expirySignal.removeEventListener("abort", onExpiry);
-      request.callerSignal.removeEventListener("abort", onDisconnect);
+      signal.removeEventListener("abort", onAbort);
       outstandingRequest.end();
       exchange.close(reason);
     };
     if (request.route.isResumable) {
-      outstandingRequest.onStall(() => {
-        if (this.#reserveRetry(request, choice)) {
-          exchange.close(GROUP_STALLED);
-        }
-      });
-    }
-    if (request.callerSignal.aborted) {
-      onDisconnect();
+      outstandingRequest.onStall(() =>
+        this.#replace(request, choice, () => exchange.close(GROUP_STALLED))
+      );
     }
-    if (request.sentTo.size === 0) {
-      this.#retryBudget.deposit(request.service.name);
+    if (signal.aborted) {
+      onAbort();
     }
     this.#limits.take(instance);
     const sentAt = this.#clock.now();
@@ -246,7 +276,6 @@
         request,
         choice,
         request.deadlineAt - sentAt,
-        lastEventId,
       ),
     );
     if (exchange.hasConnected) {
@@ -332,15 +361,75 @@
   }
 
   /**
-   * Withdraws a retry for a request of a stalled group, if another group has
-   * room for it. Silence alone is no reason to end an answer.
+   * Begins a replacement for a request of a stalled group, if another group has
+   * room for it; `end` ends the first attempt once the replacement answers.
    */
-  #reserveRetry(request: RelayedRequest, { instance }: Selection): boolean {
+  #replace(
+    request: RelayedRequest,
+    silent: Selection,
+    end: () => void,
+  ): void {
     const { route, sentTo } = request;
+    const { instance } = silent;
     const excluded = new Set([...sentTo, instance.id]);
-    request.hasReservedRetry = excluded.size < route.maxAttempts &&
-      this.#choose(request, excluded).isOk && this.#withdrawRetry(request);
-    return request.hasReservedRetry;
+    const isAllowed = request.replacement === undefined && request.canResume &&
+      !request.callerSignal.aborted && excluded.size < route.maxAttempts &&
+      this.#quarantine.check(request) === undefined;
+    if (!isAllowed) {
+      return;
+    }
+    const chosen = this.#choose(request, excluded);
+    if (chosen.isErr || !this.#withdrawRetry(request)) {
+      return;
+    }
+    const choice = chosen.value;
+    this.#logger.info("attempt_replaced", {
+      request: request.id,
+      instance: instance.id,
+      by: choice.instance.id,
+      group: choice.group?.name,
+      left_ms: Math.round(request.deadlineAt - this.#clock.now()),
+    });
+    const replacement = new Replacement((signal) =>
+      this.#sendReplacement(request, choice, signal)
+    );
+    request.replacement = replacement;
+    void replacement.outcome.then(({ isOk }) => {
+      if (request.replacement !== replacement) {
+        return;
+      }
+      if (isOk) {
+        end();
+      } else {
+        request.replacement = undefined;
+        this.#replace(request, silent, end);
+      }
+    });
+  }
+
+  /** Makes an attempt up to the first bytes of a stream. */
+  async #sendReplacement(
+    request: RelayedRequest,
+    choice: Selection,
+    replacementSignal: AbortSignal,
+  ): Promise<AttemptOutcome> {
+    const signal = AbortSignal.any([request.callerSignal, replacementSignal]);
+    const opened = await this.#sendLogged(request, choice, signal);
+    if (opened.isErr) {
+      return opened;
+    }
+    const { exchange, upstreamResponse: { status }, end } = opened.value;
+    const hasBegun = status === OK_STATUS && await exchange.waitUntilBegun();
+    if (hasBegun && !signal.aborted) {
+      return opened;
+    }
+    const message = status === OK_STATUS
+      ? "the response ended before its first bytes"
+      : `the upstream answered with status ${status}`;
+    const fault = exchange.createFault(new Error(message));
+    end(ATTEMPT_ENDED);
+    this.#recordFault(request, choice, fault);
+    return Result.err(fault);
   }
 
   /**
--- a/packages/relay/src/serving/event-forwarder.ts
+++ b/packages/relay/src/serving/event-forwarder.ts
@@ -20,11 +20,9 @@
   #clock: Clock;
   #quarantine: Quarantine;
   #request: RelayedRequest;
-  #lastEventId: string | undefined;
   #firstByteAt: number | undefined;
   #lastEventAt: number | undefined;
   #eventCount = 0;
-  #canResume = true;
   #longestGapMs = 0;
   /** Arrival of the first event of the current attempt. */
   #answeredAt: number | undefined;
@@ -34,12 +32,6 @@
     this.#clock = clock;
     this.#quarantine = quarantine;
     this.#request = request;
-    this.#lastEventId = request.metadata.lastEventId;
-  }
-
-  /** Id of the event after which a further attempt has to go on. */
-  get lastEventId(): string | undefined {
-    return this.#lastEventId;
   }
 
   get firstByteAt(): number | undefined {
@@ -51,14 +43,6 @@
     return this.#eventCount;
   }
 
-  /**
-   * Whether another upstream can go on where the last one stopped: all events
-   * that were forwarded have ids.
-   */
-  get canResume(): boolean {
-    return this.#canResume;
-  }
-
   get longestGapMs(): number {
     return this.#longestGapMs;
   }
@@ -73,7 +57,7 @@
     const { memory, metadata } = this.#request;
     const { outputTokens } = metadata;
     const splitter = new EventSplitter(
-      this.#lastEventId,
+      this.#request.lastEventId,
       outputTokens > 0 ? outputTokens + MAX_EVENTS_WITHOUT_TOKENS : Infinity,
     );
     try {
@@ -99,12 +83,13 @@
         continue;
       }
       outstandingRequest.recordEvent();
+      this.#cancelReplacement();
       if (!response.headersSent) {
         writeStreamHead(response, upstreamResponse);
       }
       this.#recordEvents(block.count);
-      this.#lastEventId = block.lastId ?? this.#lastEventId;
-      this.#canResume &&= !block.hasUnidentified;
+      this.#request.lastEventId = block.lastId ?? this.#request.lastEventId;
+      this.#request.canResume &&= !block.hasUnidentified;
       if (!response.write(block.bytes)) {
         await this.#waitForCaller(attempt);
       }
@@ -121,6 +106,13 @@
     this.#prove(this.#answeredAt ?? this.#clock.now());
   }
 
+  /** The upstream goes on, so no other one is needed. */
+  #cancelReplacement(): void {
+    if (this.#request.replacement?.tryCancel() === true) {
+      this.#request.replacement = undefined;
+    }
+  }
+
   /**
    * Waits until the caller has read what was written. Nothing is read from the
    * upstream meanwhile, so its silence says nothing about the group.
--- a/packages/relay/src/serving/relayed-request.ts
+++ b/packages/relay/src/serving/relayed-request.ts
@@ -8,6 +8,7 @@
 import type { Account, Route, ServiceProfile } from "../model/configuration.ts";
 import type { RequestMetadata } from "../adapter.ts";
 import type { MemoryAccount } from "@zinniahill/clients";
+import type { Replacement } from "./replacement.ts";
 
 /** A request that was read completely, with its route. */
 export interface RelayedRequest {
@@ -32,8 +33,15 @@
   readonly sentTo: Set<string>;
   /** Whether any of these instances may have run the request. */
   mayHaveRun: boolean;
-  /** Whether a retry was withdrawn from the budget and is not used yet. */
-  hasReservedRetry: boolean;
+  /** Id of the event after which a further attempt has to go on. */
+  lastEventId: string | undefined;
+  /**
+   * Whether another upstream can go on where the last one stopped: all events
+   * that were forwarded have ids.
+   */
+  canResume: boolean;
+  /** An attempt that is made while the upstream is silent. */
+  replacement: Replacement | undefined;
 }
 
 /** Shared parts that a log line names at most. */
--- /dev/null
+++ b/packages/relay/src/serving/replacement.ts
@@ -0,0 +1,57 @@
+/**
+ * A further attempt of a request whose upstream is silent.
+ *
+ * A sound upstream may fall silent for a second, so its attempt goes on until
+ * the replacement has begun to answer. Whichever continues first answers the
+ * request, and the other one ends.
+ *
+ * @module
+ */
+import type { Result } from "true-myth";
+import type { OpenAttempt } from "./attempts.ts";
+import type { AttemptFault } from "./exchange.ts";
+
+/** The result of an attempt. */
+export type AttemptOutcome = Result<OpenAttempt, AttemptFault>;
+
+const CANCELLED = new Error("the silent upstream has continued");
+
+/** One replacement; it must be taken or ended. */
+export class Replacement {
+  #controller = new AbortController();
+  #outcome: Promise<AttemptOutcome>;
+  #opened: OpenAttempt | undefined;
+
+  /** `open` makes the attempt; its signal is aborted when it must end. */
+  constructor(open: (signal: AbortSignal) => Promise<AttemptOutcome>) {
+    const { signal } = this.#controller;
+    this.#outcome = open(signal).then((outcome) => {
+      if (outcome.isOk && signal.aborted) {
+        outcome.value.end(signal.reason);
+      } else if (outcome.isOk) {
+        this.#opened = outcome.value;
+      }
+      return outcome;
+    });
+  }
+
+  /** Resolves once the attempt has begun to answer, or has failed. */
+  get outcome(): Promise<AttemptOutcome> {
+    return this.#outcome;
+  }
+
+  /** Ends the attempt unless it has begun to answer; returns whether it has. */
+  tryCancel(): boolean {
+    if (this.#opened !== undefined) {
+      return false;
+    }
+    this.#controller.abort(CANCELLED);
+    return true;
+  }
+
+  /** Ends the attempt in any case. */
+  end(reason: Error): void {
+    this.#controller.abort(reason);
+    this.#opened?.end(reason);
+  }
+}
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -75,8 +75,12 @@
   }
 
   /** Answers a request; the error is the refusal of an unanswered one. */
-  handle(request: RelayedRequest): Promise<Outcome> {
-    return this.#handlers[request.route.kind](request);
+  async handle(request: RelayedRequest): Promise<Outcome> {
+    try {
+      return await this.#handlers[request.route.kind](request);
+    } finally {
+      request.replacement?.end(ATTEMPT_ENDED);
+    }
   }
 
   readonly #handlers: Readonly<Record<RequestKind, RequestHandler>> = {
@@ -113,7 +117,7 @@
     request: RelayedRequest,
   ): Promise<Result<BufferedResponse, Refusal>> {
     for (;;) {
-      const opened = await this.#attempts.open(request, undefined);
+      const opened = await this.#attempts.open(request);
       if (opened.isErr) {
         return Result.err(opened.error);
       }
@@ -164,7 +168,7 @@
   async #handleStream(request: RelayedRequest): Promise<Outcome> {
     const events = new EventForwarder(this.#clock, this.#quarantine, request);
     for (;;) {
-      const opened = await this.#attempts.open(request, events.lastEventId);
+      const opened = await this.#attempts.open(request);
       if (opened.isErr) {
         return Result.err(opened.error);
       }
@@ -198,7 +202,7 @@
         if (!events.isProven) {
           await this.#recordBroken(request, attempt);
         }
-        const refusal = events.canResume
+        const refusal = request.canResume
           ? this.#decideAfterInterruption(request, fault.message)
           : createFaultRefusal(request, fault.message);
         if (refusal !== undefined) {
--- a/packages/relay/src/serving/upstream-request.ts
+++ b/packages/relay/src/serving/upstream-request.ts
@@ -42,7 +42,6 @@
   request: RelayedRequest,
   { instance }: Selection,
   remainingMs: number,
-  lastEventId: string | undefined,
 ): UpstreamRequest {
   const { incoming, metadata, route, service, account, rank, body } = request;
   const headers = codec.createForwardHeaders(incoming, {
@@ -52,7 +51,7 @@
     priority: service.engine === undefined
       ? undefined
       : Math.min(MAX_PRIORITY, rank),
-    lastEventId,
+    lastEventId: request.lastEventId,
   });
   if (body.length > 0) {
     headers.push("content-length", String(body.length));
