Keep a group with requests while a member is only silent

Cause: when a group had stalled, the holder gave each member 0.4 s for two reports and then ordered the lead to leave, which ends all requests at it, also those that no other group takes or that must not run twice.

Change: a missing report says whether the process has ended or is silent. While only silence makes a group incomplete and the group has requests of any node, its members are probed again, up to 2 s after the last event, when callers give streams up. A group without requests, or with a member that has ended or left, is dissolved at once as before.

The unit test's fake of a probe returns the new result, with unchanged bounds.

--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -167,6 +167,12 @@
     this.#readOutstanding = source;
   }
 
+  /** Requests in progress at an instance, of this node and its peers. */
+  countOutstanding(instance: string): number {
+    const own = this.#readOutstanding().find(([id]) => id === instance);
+    return (own?.[1] ?? 0) + this.peerLoads.count(instance);
+  }
+
   /** Sets the source of the callers' work that heartbeats report. */
   setDemandSource(source: DemandSource): void {
     this.#readDemand = source;
--- a/packages/relay/src/placement/group-checker.ts
+++ b/packages/relay/src/placement/group-checker.ts
@@ -8,6 +8,7 @@
 import type { Group, Groups } from "../hosts/groups.ts";
 import type { Instances } from "../hosts/instances.ts";
 import type { CurrentConfiguration } from "../routing/current-configuration.ts";
+import type { Mesh } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
 import { getFabricDomain } from "./free-hosts.ts";
 import type { GroupDissolver } from "./group-dissolver.ts";
@@ -30,6 +31,22 @@
  * the store. If one fails meanwhile, the group stalls.
  */
 const UNLISTED_RECHECK_INTERVAL_MS = 3000;
+/**
+ * A member may be silent for this long while its group has requests, as a sound
+ * host may fall silent for a second. Callers give up a stream after 2 s without
+ * an event, of which a group that is checked has been silent for 0.35 s.
+ */
+const MAX_SILENCE_MS = 1650;
+const SILENCE_CHECK_INTERVAL_MS = 100;
+
+/** What the members of a group report. */
+interface GroupFindings {
+  readonly isComplete: boolean;
+  /** Whether only the silence of members makes the group incomplete. */
+  readonly isSilent: boolean;
+  /** Whether members are slow and could be replaced. */
+  readonly canReplaceSlow: boolean;
+}
 
 /** What the checker uses of the placement controller. */
 export interface GroupCheckerContext {
@@ -51,6 +68,7 @@
   #instances: Instances;
   #groups: Groups;
   #elector: HolderElector;
+  #mesh: Mesh;
   #context: GroupCheckerContext;
   #pending: PendingChecks;
   #lastCheckedAt = new Map<string, number>();
@@ -63,6 +81,7 @@
     this.#instances = kernel.find("instances");
     this.#groups = kernel.find("groups");
     this.#elector = kernel.find("holder");
+    this.#mesh = kernel.find("mesh");
     this.#context = context;
     this.#pending = new PendingChecks(this.#clock);
   }
@@ -102,45 +121,79 @@
 
   /**
    * Dissolves the group if a member is missing, has left, or is slow and
-   * replaceable.
+   * replaceable. A silent member is only missing once the group has no requests
+   * left or its callers give up, as dissolving ends all requests.
    */
   async #check(group: Group, signal: AbortSignal): Promise<void> {
+    const startedAt = this.#clock.now();
+    for (;;) {
+      const { isComplete, isSilent, canReplaceSlow } = await this.#probeMembers(
+        group,
+        signal,
+      );
+      const silentMs = this.#clock.now() - startedAt;
+      if (isSilent && silentMs < MAX_SILENCE_MS && this.#hasRequests(group)) {
+        await this.#clock.sleep(SILENCE_CHECK_INTERVAL_MS, signal);
+        continue;
+      }
+      if (!isComplete || canReplaceSlow) {
+        await this.#context.dissolver.dissolve(
+          group,
+          isComplete ? "a member is slow" : "a member is missing",
+          signal,
+        );
+      }
+      return;
+    }
+  }
+
+  #hasRequests({ lead }: Group): boolean {
+    return lead !== undefined && this.#mesh.countOutstanding(lead.id) > 0;
+  }
+
+  async #probeMembers(
+    group: Group,
+    signal: AbortSignal,
+  ): Promise<GroupFindings> {
     const size = this.#findGroupSize(group);
     // A member that is only disconnected from the store is still working.
     const departed = this.#instances.listDeparted(group.name, group.epoch);
-    const reports = await Promise.all(
+    const probes = await Promise.all(
       [...group.members, ...departed]
         .map((member) => this.#context.health.probe(member, signal)),
     );
-    const present = reports.filter((report) =>
-      isMemberOf(report?.engine.membership, group.name, group.epoch)
+    const reports = probes.flatMap((probe) => probe.isOk ? [probe.value] : []);
+    const silent = probes.filter((probe) =>
+      probe.isErr && probe.error === "silent"
+    );
+    const present = reports.filter(({ engine }) =>
+      isMemberOf(engine.membership, group.name, group.epoch)
     );
     const isComplete = present.length === size;
     if (isComplete) {
       this.#lastCompleteAt.set(group.name, this.#clock.now());
     }
-    const slowReports = reports.filter((report) =>
-      report !== undefined && isSlowReport(report)
-    );
+    const slowReports = reports.filter((report) => isSlowReport(report));
     const canReplaceSlow = slowReports.length > 0 && size !== undefined &&
       slowReports.length <= this.#countStagedSpares(group);
     this.#logger.info("group_checked", {
       group: group.name,
       epoch: group.epoch,
       present: present.length,
+      silent: silent.length,
       listed: group.members.length,
       departed: departed.length,
       expected: size,
       slow: slowReports.length,
       can_replace_slow: canReplaceSlow,
     });
-    if (!isComplete || canReplaceSlow) {
-      await this.#context.dissolver.dissolve(
-        group,
-        isComplete ? "a member is slow" : "a member is missing",
-        signal,
-      );
-    }
+    return {
+      isComplete,
+      // A member that has ended or left will not come back.
+      isSilent: size !== undefined && present.length < size &&
+        present.length + silent.length >= size,
+      canReplaceSlow,
+    };
   }
 
   /** Finds the hosts that the group's model needs; undefined if unknown. */
--- a/packages/relay/src/placement/group-former.ts
+++ b/packages/relay/src/placement/group-former.ts
@@ -193,7 +193,7 @@
     const { name, epoch } = group;
     const instance = this.#findMember(id);
     const report = await this.#orderSender.requestReport(instance, signal);
-    const membership = report?.engine.membership;
+    const membership = report.isOk ? report.value.engine.membership : undefined;
     if (
       !isMemberOf(membership, name, epoch) ||
       instance.bornAt !== startTimes.get(id) || !this.#isReady(group, id)
--- a/packages/relay/src/placement/host-health.ts
+++ b/packages/relay/src/placement/host-health.ts
@@ -4,10 +4,11 @@
  * @module
  */
 import type { Clock, Logger } from "@zinniahill/kernel";
+import type { Result } from "true-myth";
 import type { Instances } from "../hosts/instances.ts";
 import type { EngineReport, Instance } from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
-import type { OrderSender } from "./order-sender.ts";
+import type { MissingCause, OrderSender } from "./order-sender.ts";
 
 /** A host that did not answer is tried again after this time. */
 const MISSING_RETRY_MS = 1500;
@@ -35,11 +36,11 @@
   async probe(
     instance: Instance,
     signal: AbortSignal,
-  ): Promise<EngineReport | undefined> {
+  ): Promise<Result<EngineReport, MissingCause>> {
     const report = await this.#orderSender.requestReport(instance, signal);
-    if (report === undefined) {
+    if (report.isErr) {
       this.#markMissing(instance);
-    } else if (isSlowReport(report)) {
+    } else if (isSlowReport(report.value)) {
       this.#slowUntil.set(
         createProcessKey(instance),
         this.#clock.now() + SLOW_RETRY_MS,
--- a/packages/relay/src/placement/order-sender.ts
+++ b/packages/relay/src/placement/order-sender.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock, Logger } from "@zinniahill/kernel";
+import { Result } from "true-myth";
 import type { Instances } from "../hosts/instances.ts";
 import type { EngineReport, Instance, Membership } from "../model/instance.ts";
 import type { Order, OrderReply } from "../model/order.ts";
@@ -17,6 +18,12 @@
   override name = "PlacementError";
 }
 
+/**
+ * Why a process sends no report: it has ended, or it is silent, which a sound
+ * one may be for a second.
+ */
+export type MissingCause = "ended" | "silent";
+
 /** A host that is up answers within a few milliseconds. */
 const REPLY_TIMEOUT_MS = 200;
 const MAX_ATTEMPTS = 3;
@@ -40,11 +47,12 @@
     this.#metrics = kernel.find("metrics");
   }
 
-  /** Requests a report; undefined if the listed process does not answer. */
+  /** Requests a report; the error says why the listed process has sent none. */
   async requestReport(
     instance: Instance,
     signal: AbortSignal,
-  ): Promise<EngineReport | undefined> {
+  ): Promise<Result<EngineReport, MissingCause>> {
+    let cause: MissingCause = "silent";
     for (let attempt = 1; attempt <= MAX_ATTEMPTS - 1; attempt++) {
       const report = await this.#engines.requestReport(
         instance,
@@ -53,14 +61,17 @@
       );
       signal.throwIfAborted();
       if (report.isOk) {
-        return isSameProcess(instance, report.value) ? report.value : undefined;
+        return isSameProcess(instance, report.value)
+          ? Result.ok(report.value)
+          : Result.err("ended");
       }
+      cause = report.error.isGone === true ? "ended" : "silent";
       this.#logger.info("report_failed", {
         instance: instance.id,
         error: report.error.message,
       });
     }
-    return undefined;
+    return Result.err(cause);
   }
 
   /**
@@ -87,13 +98,13 @@
         throw new PlacementError(`${id} has seen a later fencing number`);
       }
       const report = await this.requestReport(this.#findInstance(id), signal);
-      if (report === undefined) {
+      if (report.isErr) {
         throw new PlacementError(`${id} did not answer`);
       }
-      if (isDone(report)) {
+      if (isDone(report.value)) {
         return;
       }
-      orderCount = report.orderCount;
+      orderCount = report.value.orderCount;
       await this.#clock.sleep(RETRY_DELAY_MS, signal);
     }
     throw new PlacementError(
--- a/packages/relay/test/placement/group-checker.test.ts
+++ b/packages/relay/test/placement/group-checker.test.ts
@@ -1,10 +1,12 @@
 import { Kernel, ManualClock } from "@zinniahill/kernel";
+import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
 import type { Group } from "../../src/hosts/groups.ts";
 import {
   type CheckCause,
   GroupChecker,
 } from "../../src/placement/group-checker.ts";
+import type { MissingCause } from "../../src/placement/order-sender.ts";
 import type { RelayKernel, RelayServices } from "../../src/services.ts";
 
 const GROUP = {
@@ -13,17 +15,25 @@
   service: "engines",
   model: "large",
   members: [{ id: "i-1" }],
+  lead: { id: "i-1" },
 } as unknown as Group;
 
-/** Requests a check every 100 ms and counts those that are made. */
-async function countChecks(
-  cause: CheckCause,
-  isComplete: boolean,
-  durationMs: number,
-): Promise<number> {
+type Probe = Result<unknown, MissingCause>;
+
+const PRESENT: Probe = Result.ok({
+  engine: { membership: { group: "large~1", epoch: 1 } },
+  timeFactor: 1,
+});
+
+/** Creates a checker of a group with one member and `hostCount` expected. */
+async function create(
+  hostCount: number,
+  probe: () => Probe = () => PRESENT,
+  countOutstanding: () => number = () => 0,
+) {
   const clock = new ManualClock();
   const silentLogger = { error() {}, warn() {}, info() {}, debug() {} };
-  const engine = { models: [{ name: "large", hostCount: isComplete ? 1 : 2 }] };
+  const engine = { models: [{ name: "large", hostCount }] };
   const kernel: RelayKernel = new Kernel<RelayServices>();
   kernel
     .provide("clock", [], () => clock)
@@ -35,27 +45,42 @@
     )
     .provide("instances", [], () => ({ listDeparted: () => [] }) as never)
     .provide("groups", [], () => ({ find: () => GROUP }) as never)
+    .provide("mesh", [], () => ({ countOutstanding }) as never)
     .provide("holder", [], () => ({ isHolder: true }) as never);
   await kernel.start();
-  let checks = 0;
+  const counts = { checks: 0, dissolved: 0 };
   const checker = new GroupChecker(kernel, {
     health: {
       probe: () => {
-        checks++;
-        const membership = { group: "large~1", epoch: 1 };
-        return Promise.resolve({ engine: { membership }, timeFactor: 1 });
+        counts.checks++;
+        return Promise.resolve(probe());
+      },
+    } as never,
+    dissolver: {
+      dissolve: () => {
+        counts.dissolved++;
+        return Promise.resolve();
       },
     } as never,
-    dissolver: { dissolve: () => Promise.resolve() } as never,
     isBusy: () => false,
     runTask: (_group, work) => void work(new AbortController().signal),
     listFreeHosts: () => [],
   });
+  return { clock, checker, counts };
+}
+
+/** Requests a check every 100 ms and counts those that are made. */
+async function countChecks(
+  cause: CheckCause,
+  isComplete: boolean,
+  durationMs: number,
+): Promise<number> {
+  const { clock, checker, counts } = await create(isComplete ? 1 : 2);
   for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
     checker.request(GROUP.name, GROUP.epoch, cause);
     await clock.advance(100);
   }
-  return checks;
+  return counts.checks;
 }
 
 describe("GroupChecker", () => {
@@ -69,6 +94,60 @@
     });
   });
 
+  describe("a group with a silent member", () => {
+    const silent: Probe = Result.err("silent");
+
+    // Guards against LOST: the streams of a group ended as one of its members
+    // had not answered for 0.4 s.
+    it("stays while it has requests, if the member answers within a second", async () => {
+      let probe = silent;
+      const { clock, checker, counts } = await create(1, () => probe, () => 3);
+      checker.request(GROUP.name, GROUP.epoch, "stalled");
+      await clock.advance(1000);
+      probe = PRESENT;
+      await clock.advance(3000);
+      expect(counts.dissolved).toBe(0);
+    });
+
+    it("is dissolved once its requests are gone", async () => {
+      let requests = 3;
+      const { clock, checker, counts } = await create(
+        1,
+        () => silent,
+        () => requests,
+      );
+      checker.request(GROUP.name, GROUP.epoch, "stalled");
+      await clock.advance(500);
+      expect(counts.dissolved).toBe(0);
+      requests = 0;
+      await clock.advance(200);
+      expect(counts.dissolved).toBe(1);
+    });
+
+    // Guards against a dead group that holds its requests until they time out.
+    it("is dissolved when callers give its streams up, 2 s after the last event", async () => {
+      const { clock, checker, counts } = await create(1, () => silent, () => 3);
+      checker.request(GROUP.name, GROUP.epoch, "stalled");
+      await clock.advance(1500);
+      expect(counts.dissolved).toBe(0);
+      await clock.advance(300);
+      expect(counts.dissolved).toBe(1);
+    });
+  });
+
+  describe("a group with a member that has ended", () => {
+    it("is dissolved at once, whatever its requests", async () => {
+      const { clock, checker, counts } = await create(
+        1,
+        () => Result.err("ended"),
+        () => 3,
+      );
+      checker.request(GROUP.name, GROUP.epoch, "stalled");
+      await clock.advance(0);
+      expect(counts.dissolved).toBe(1);
+    });
+  });
+
   describe("a group that stalls", () => {
     it("is checked often, whatever the last check found", async () => {
       expect(await countChecks("stalled", true, 2000)).toBe(4);
