Count only attempts without a connection as unsent

Cause: the loop over attempts counted every attempt towards the four that may fail to connect. After three such, a silent fourth ended the loop with the verdict not-run, although it may have run and its replacement was answering.

Change: only attempts that did not reach an upstream count, and the refusal after them says may-have-run if one may have run.

--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -101,11 +101,9 @@
    * allowed. A replacement that was begun before is the next attempt.
    */
   async open(request: RelayedRequest): Promise<Result<OpenAttempt, Refusal>> {
-    for (
-      let attemptCount = 0;
-      attemptCount < MAX_UNSENT_ATTEMPTS;
-      attemptCount++
-    ) {
+    let unsentAttempts = 0;
+    while (unsentAttempts < MAX_UNSENT_ATTEMPTS) {
+      const sentBefore = request.sentTo.size;
       const attempted = await this.#attempt(request);
       if (attempted.isErr) {
         const refusal = request.mayHaveRun
@@ -117,16 +115,18 @@
       if (outcome.isOk) {
         return Result.ok(outcome.value);
       }
+      unsentAttempts += Number(request.sentTo.size === sentBefore);
       const refusal = this.#decideAfterFault(request, outcome.error);
       if (refusal !== undefined) {
         return Result.err(refusal);
       }
     }
+    const message = "no upstream instance accepted a connection";
     return Result.err(
-      new Refusal(
+      request.mayHaveRun ? createFaultRefusal(request, message) : new Refusal(
         "no-upstream",
         "not-run",
-        "no upstream instance accepted a connection",
+        message,
         REFUSED_RETRY_AFTER_MS,
       ),
     );
