Notify stalled requests again while the silence lasts

Cause: a request was told once that its group had stalled. If no other group had room, or the replacement stalled as well, it waited for the silent upstreams until its deadline, though a further group was free by then.

Change: the listener is called every 300 ms until an event arrives; a stall is logged and reported to peers once, as before. Requests whose callers read slowly expect no event and are not notified.

Result: the test of two stalled groups failed before and passes now.

--- a/packages/relay/src/routing/outstanding-requests.ts
+++ b/packages/relay/src/routing/outstanding-requests.ts
@@ -25,7 +25,7 @@
   /** Stops to expect events, as none are read until `resume`. */
   pause(): void;
   resume(): void;
-  /** Calls a listener when the instance stalls, once until the next event. */
+  /** Calls a listener when the instance stalls, repeatedly until an event. */
   onStall(listener: () => void): void;
   end(): void;
 }
@@ -53,10 +53,14 @@
   /** Whether an event has arrived; from then on they arrive steadily. */
   hasBegun: boolean;
   isStalled: boolean;
+  /** When the listener was last called in this stall. */
+  notifiedAt: number;
   listener: () => void;
 }
 
 const CHECK_INTERVAL_MS = 50;
+/** Another group may have room, or stall, while the first one is silent. */
+const NOTIFY_INTERVAL_MS = 300;
 const PRUNE_INTERVAL_MS = 10_000;
 /**
  * Exceeds the interval between events of a stream that has begun, which is up
@@ -165,6 +169,7 @@
       isStream,
       hasBegun: false,
       isStalled: false,
+      notifiedAt: -Infinity,
       listener: () => {},
     };
     target.requests.add(state);
@@ -172,6 +177,7 @@
       recordEvent: () => {
         state.hasBegun = true;
         state.isStalled = false;
+        state.notifiedAt = -Infinity;
         this.#recordEvent(target);
       },
       pause: () => {
@@ -282,31 +288,36 @@
       );
   }
 
-  /** Reports a group as stalled and returns the requests that are new in it. */
+  /**
+   * Reports a group as stalled if requests are new in it; returns those whose
+   * listeners are due. A request whose caller reads slowly expects no events.
+   */
   #reportStall(
     instance: string,
     target: InstanceRequests,
     { name, epoch }: GroupRef,
     quietMs: number,
   ): RequestState[] {
-    const newlyStalled = [...target.requests].filter(({ isStalled }) =>
-      !isStalled
-    );
-    if (newlyStalled.length === 0) {
-      return [];
+    const now = this.#clock.now();
+    const waiting = [...target.requests].filter(({ isPaused }) => !isPaused);
+    if (waiting.some(({ isStalled }) => !isStalled)) {
+      this.#logger.warn("group_stalled", {
+        group: name,
+        epoch,
+        lead: instance,
+        requests: target.requests.size,
+        begun: [...target.requests].filter(({ hasBegun }) => hasBegun).length,
+        quiet_ms: Math.round(quietMs),
+      });
+      this.#groups.suspect(name, epoch, "own requests");
+      this.#mesh.broadcast({ kind: "suspect", instance, group: name, epoch });
+      this.#placement.checkGroup(name, epoch);
+      waiting.forEach((request) => request.isStalled = true);
     }
-    this.#logger.warn("group_stalled", {
-      group: name,
-      epoch,
-      lead: instance,
-      requests: target.requests.size,
-      begun: [...target.requests].filter(({ hasBegun }) => hasBegun).length,
-      quiet_ms: Math.round(quietMs),
-    });
-    this.#groups.suspect(name, epoch, "own requests");
-    this.#mesh.broadcast({ kind: "suspect", instance, group: name, epoch });
-    this.#placement.checkGroup(name, epoch);
-    newlyStalled.forEach((request) => request.isStalled = true);
-    return newlyStalled;
+    const due = waiting.filter(({ notifiedAt }) =>
+      now - notifiedAt >= NOTIFY_INTERVAL_MS
+    );
+    due.forEach((request) => request.notifiedAt = now);
+    return due;
   }
 }
--- a/packages/relay/test/serving/replacement.test.ts
+++ b/packages/relay/test/serving/replacement.test.ts
@@ -235,6 +235,30 @@
 }
 
 describe("Attempts", () => {
+  describe("a replacement whose group has stalled, too", () => {
+    // Guards against requests that wait for two broken groups until their
+    // deadline, while another group has room.
+    it("is replaced once the first attempt has ended", async () => {
+      const first = await listenSilently();
+      const second = await listenSilently();
+      const other = await listenComplete(FIRST_EVENT);
+      const relayed = createHandlers([
+        first.address,
+        second.address,
+        other.address,
+      ]);
+      const { received, isOk } = await relay(relayed);
+      await setTimeout(SETTLE_MS);
+      relayed.counted[0]!.stall();
+      await setTimeout(SETTLE_MS);
+      relayed.counted[1]!.stall();
+      await setTimeout(SETTLE_MS);
+      first.reset();
+      expect(await received).toBe(FIRST_EVENT);
+      expect(isOk()).toBe(true);
+    });
+  });
+
   describe("a replacement after three instances that accept no connection", () => {
     // Guards against a refusal as "not run" while a replacement is answering: a
     // silent attempt counts as a fourth connection that failed.
