Hand a stream over only to a replacement that sends an event

Callers of a silent upstream could still get an unfinished stream: the first bytes of the replacement ended the silent attempt, also a part of an event, a comment or nothing at all, and the replacement might break next.

Cause: bytes were taken for an answer. Besides, the end of a request left its replacement in place, so that a failed one was followed by another after the answer; a response with a failure was dropped although no other attempt was left; and the quarantine did not learn that a replacement had broken.

Change: EventStream splits the responses of an attempt into events and reads ahead to the first one after the last that was forwarded, or the proper end. A failure is kept as the answer in case the silent attempt ends. The request drops its replacement before it ends it, and broken ones are recorded.

--- a/packages/relay/src/serving/attempts.ts
+++ b/packages/relay/src/serving/attempts.ts
@@ -24,6 +24,7 @@
   MISDIRECTED_STATUS,
 } from "./response-check.ts";
 import { ConnectionPool } from "./connection-pool.ts";
+import { EventStream } from "./event-stream.ts";
 import type { RelayKernel } from "../services.ts";
 import {
   type AttemptFault,
@@ -50,6 +51,8 @@
   readonly outstandingRequest: OutstandingRequest;
   readonly upstreamResponse: UpstreamResponse;
   readonly responseMetadata: ResponseMetadata;
+  /** Events that a replacement has begun to read. */
+  readonly events?: EventStream;
   /** Ends the attempt and aborts the upstream's work if it is still running. */
   end(reason: Error): void;
 }
@@ -394,20 +397,20 @@
       this.#sendReplacement(request, choice, signal)
     );
     request.replacement = replacement;
-    void replacement.outcome.then(({ isOk }) => {
+    void replacement.outcome.then(({ isErr }) => {
       if (request.replacement !== replacement) {
         return;
       }
-      if (isOk) {
+      if (replacement.isAnswering) {
         end();
-      } else {
+      } else if (isErr) {
         request.replacement = undefined;
         this.#replace(request, silent, end);
       }
     });
   }
 
-  /** Makes an attempt up to the first bytes of a stream. */
+  /** Makes an attempt up to the first event of a stream. */
   async #sendReplacement(
     request: RelayedRequest,
     choice: Selection,
@@ -415,21 +418,30 @@
   ): Promise<AttemptOutcome> {
     const signal = AbortSignal.any([request.callerSignal, replacementSignal]);
     const opened = await this.#sendLogged(request, choice, signal);
-    if (opened.isErr) {
+    if (opened.isErr || opened.value.upstreamResponse.status !== OK_STATUS) {
       return opened;
     }
-    const { exchange, upstreamResponse: { status }, end } = opened.value;
-    const hasBegun = status === OK_STATUS && await exchange.waitUntilBegun();
-    if (hasBegun && !signal.aborted) {
-      return opened;
+    const { exchange, upstreamResponse, sentAt, end } = opened.value;
+    const events = new EventStream(request, upstreamResponse);
+    try {
+      await events.readAhead();
+    } catch (failure) {
+      const fault = exchange.createFault(failure);
+      if (!exchange.isClosed) {
+        await this.#recordFailure(request, choice.instance, exchange, sentAt);
+      }
+      end(ATTEMPT_ENDED);
+      this.#recordFault(request, choice, fault);
+      return Result.err(fault);
     }
-    const message = status === OK_STATUS
-      ? "the response ended before its first bytes"
-      : `the upstream answered with status ${status}`;
-    const fault = exchange.createFault(new Error(message));
-    end(ATTEMPT_ENDED);
-    this.#recordFault(request, choice, fault);
-    return Result.err(fault);
+    return Result.ok({
+      ...opened.value,
+      events,
+      end: (reason) => {
+        end(reason);
+        events.close();
+      },
+    });
   }
 
   /**
--- a/packages/relay/src/serving/event-forwarder.ts
+++ b/packages/relay/src/serving/event-forwarder.ts
@@ -6,12 +6,10 @@
 import type { Clock } from "@zinniahill/kernel";
 import type { Quarantine } from "../routing/quarantine.ts";
 import type { OpenAttempt } from "./attempts.ts";
-import { EventSplitter } from "./event-splitter.ts";
+import { EventStream } from "./event-stream.ts";
 import type { RelayedRequest } from "./relayed-request.ts";
 import { waitForDrain, writeStreamHead } from "./response-writer.ts";
 
-/** An event holds at least one token; comments come beside them. */
-const MAX_EVENTS_WITHOUT_TOKENS = 256;
 /** An upstream that runs on for so long does not crash on the prompt. */
 const PROOF_MS = 200;
 
@@ -54,36 +52,18 @@
 
   /** Forwards all events; throws if the upstream interrupts the stream. */
   async forward(attempt: OpenAttempt): Promise<void> {
-    const { memory, metadata } = this.#request;
-    const { outputTokens } = metadata;
-    const splitter = new EventSplitter(
-      this.#request.lastEventId,
-      outputTokens > 0 ? outputTokens + MAX_EVENTS_WITHOUT_TOKENS : Infinity,
-    );
-    try {
-      await this.#forwardEvents(attempt, splitter);
-    } finally {
-      memory.remove(splitter.pendingBytes);
-    }
-  }
-
-  async #forwardEvents(
-    attempt: OpenAttempt,
-    splitter: EventSplitter,
-  ): Promise<void> {
     const { upstreamResponse, outstandingRequest } = attempt;
-    const { memory, response } = this.#request;
+    const { response } = this.#request;
+    const events = attempt.events ??
+      new EventStream(this.#request, upstreamResponse);
     this.#answeredAt = undefined;
     this.#isProven = false;
-    for await (const chunk of upstreamResponse.body) {
-      memory.remove(splitter.pendingBytes);
-      const block = splitter.push(chunk);
-      memory.add(splitter.pendingBytes);
-      if (block === undefined) {
+    for await (const block of events.read()) {
+      outstandingRequest.recordEvent();
+      if (!this.#cancelReplacement()) {
+        // The replacement goes on from the events before this block.
         continue;
       }
-      outstandingRequest.recordEvent();
-      this.#cancelReplacement();
       if (!response.headersSent) {
         writeStreamHead(response, upstreamResponse);
       }
@@ -94,23 +74,20 @@
         await this.#waitForCaller(attempt);
       }
     }
-    if (splitter.pendingBytes > 0) {
-      throw new Error("the stream ended within an event");
-    }
-    if (this.#answeredAt === undefined && !upstreamResponse.isFramed) {
-      throw new Error("the connection ended before the first event");
-    }
     if (!response.headersSent) {
       writeStreamHead(response, upstreamResponse);
     }
     this.#prove(this.#answeredAt ?? this.#clock.now());
   }
 
-  /** The upstream goes on, so no other one is needed. */
-  #cancelReplacement(): void {
-    if (this.#request.replacement?.tryCancel() === true) {
-      this.#request.replacement = undefined;
+  /** Returns false if a replacement is answering, which ends this attempt. */
+  #cancelReplacement(): boolean {
+    const { replacement } = this.#request;
+    if (replacement?.tryCancel() === false) {
+      return false;
     }
+    this.#request.replacement = undefined;
+    return true;
   }
 
   /**
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -138,11 +138,6 @@
     return new Promise((resolve) => this.#dispatch(request, resolve));
   }
 
-  /** Resolves with whether the body of the response begins to arrive. */
-  waitUntilBegun(): Promise<boolean> {
-    return this.#body?.waitUntilBegun() ?? Promise.resolve(false);
-  }
-
   #dispatch(
     { method, target, headers, body, maxAnswerBytes }: UpstreamRequest,
     resolve: (sent: Result<UpstreamResponse, AttemptFault>) => void,
--- a/packages/relay/src/serving/replacement.ts
+++ b/packages/relay/src/serving/replacement.ts
@@ -2,12 +2,13 @@
  * A further attempt of a request whose upstream is silent.
  *
  * A sound upstream may fall silent for a second, so its attempt goes on until
- * the replacement has begun to answer. Whichever continues first answers the
- * request, and the other one ends.
+ * the replacement answers. Whichever continues first answers the request, and
+ * the other one ends.
  *
  * @module
  */
-import type { Result } from "true-myth";
+import { describeError } from "@zinniahill/kernel";
+import { Result } from "true-myth";
 import type { OpenAttempt } from "./attempts.ts";
 import type { AttemptFault } from "./exchange.ts";
 
@@ -25,7 +26,7 @@
   /** `open` makes the attempt; its signal is aborted when it must end. */
   constructor(open: (signal: AbortSignal) => Promise<AttemptOutcome>) {
     const { signal } = this.#controller;
-    this.#outcome = open(signal).then((outcome) => {
+    this.#outcome = open(signal).catch(createOutcome).then((outcome) => {
       if (outcome.isOk && signal.aborted) {
         outcome.value.end(signal.reason);
       } else if (outcome.isOk) {
@@ -35,17 +36,22 @@
     });
   }
 
-  /** Resolves once the attempt has begun to answer, or has failed. */
+  /** Resolves once the attempt answers or has failed. */
   get outcome(): Promise<AttemptOutcome> {
     return this.#outcome;
   }
 
-  /** Ends the attempt unless it has begun to answer; returns whether it has. */
+  /** Whether it goes on with the stream; a failure may be its answer, too. */
+  get isAnswering(): boolean {
+    return this.#opened?.events !== undefined;
+  }
+
+  /** Ends the attempt unless it is answering; returns whether it has ended. */
   tryCancel(): boolean {
-    if (this.#opened !== undefined) {
+    if (this.isAnswering) {
       return false;
     }
-    this.#controller.abort(CANCELLED);
+    this.end(CANCELLED);
     return true;
   }
 
@@ -55,3 +61,11 @@
     this.#opened?.end(reason);
   }
 }
+
+function createOutcome(failure: unknown): AttemptOutcome {
+  return Result.err({
+    verdict: "may-have-run",
+    message: describeError(failure),
+    endedBy: "node",
+  });
+}
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -79,7 +79,9 @@
     try {
       return await this.#handlers[request.route.kind](request);
     } finally {
-      request.replacement?.end(ATTEMPT_ENDED);
+      const { replacement } = request;
+      request.replacement = undefined;
+      replacement?.end(ATTEMPT_ENDED);
     }
   }
 
--- a/packages/relay/src/serving/response-body.ts
+++ b/packages/relay/src/serving/response-body.ts
@@ -39,8 +39,6 @@
   /** Bytes that were read since the reader last waited for a turn. */
   #bytesInTurn = 0;
   #waiter: Waiter | undefined;
-  /** Called once the first chunk, the end or a failure has come. */
-  #onBegun: () => void = () => {};
   #isComplete = false;
   #failure: Error | undefined;
 
@@ -55,17 +53,6 @@
       this.#chunks.length === 0;
   }
 
-  /** Resolves with whether bytes or the end arrive, not a failure. */
-  async waitUntilBegun(): Promise<boolean> {
-    const hasBegun = () => this.#isComplete || this.#chunks.length > 0;
-    if (!hasBegun() && this.#failure === undefined) {
-      await new Promise<void>((resolve) => {
-        this.#onBegun = resolve;
-      });
-    }
-    return hasBegun() && this.#failure === undefined;
-  }
-
   push(chunk: Buffer): void {
     if (this.#waiter !== undefined) {
       this.#bytesInTurn += countBytes(chunk);
@@ -73,7 +60,6 @@
       return;
     }
     this.#chunks.push(chunk);
-    this.#onBegun();
     this.#bufferedBytes += countBytes(chunk);
     this.#memory.add(countBytes(chunk));
     if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
@@ -84,7 +70,6 @@
   /** Ends the body after its last chunk. */
   complete(): void {
     this.#isComplete = true;
-    this.#onBegun();
     if (this.#waiter !== undefined) {
       this.#takeWaiter().resolve(DONE);
     }
@@ -93,7 +78,6 @@
   /** Ends the body, which is not complete. */
   fail(failure: Error): void {
     this.#failure ??= failure;
-    this.#onBegun();
     if (this.#waiter !== undefined) {
       this.#takeWaiter().reject(failure);
     }
--- a/packages/relay/test/serving/replacement.test.ts
+++ b/packages/relay/test/serving/replacement.test.ts
@@ -235,6 +235,52 @@
 }
 
 describe("Attempts", () => {
+  describe("a replacement that is open when its request ends", () => {
+    // Guards against attempts that begin after the answer, and that the node
+    // counts at their instance for ever.
+    it("is not followed by another one", async () => {
+      const pausing = await listenPausing();
+      const silent = await listenSilently();
+      const other = await listenComplete(SECOND_EVENT);
+      const relayed = createHandlers([
+        pausing.address,
+        silent.address,
+        other.address,
+      ]);
+      const { received, isOk } = await relay(relayed);
+      await setTimeout(SETTLE_MS);
+      relayed.counted[0]!.stall();
+      await setTimeout(SETTLE_MS);
+      pausing.end();
+      expect(await received).toBe(FIRST_EVENT);
+      await setTimeout(SETTLE_MS);
+      expect(isOk()).toBe(true);
+      expect(silent.countRequests()).toBe(1);
+      expect(other.countRequests()).toBe(0);
+      expect(relayed.counted.every(({ isEnded }) => isEnded)).toBe(true);
+    });
+  });
+
+  describe("a replacement that begins with a part of an event", () => {
+    // Guards against LOST: the silent upstream was given up for bytes that hold
+    // no event, and then the replacement broke.
+    it("does not end the silent attempt", async () => {
+      const pausing = await listenPausing();
+      const breaking = await listen((_request, response) => {
+        response.writeHead(200, STREAM_HEADERS).write("id: 2\n");
+        void setTimeout(SETTLE_MS).then(() => response.destroy());
+      });
+      const relayed = createHandlers([pausing.address, breaking]);
+      const { received, isOk } = await relay(relayed);
+      await setTimeout(SETTLE_MS);
+      relayed.counted[0]!.stall();
+      await setTimeout(2 * SETTLE_MS);
+      pausing.end(SECOND_EVENT);
+      expect(await received).toBe(FIRST_EVENT + SECOND_EVENT);
+      expect(isOk()).toBe(true);
+    });
+  });
+
   describe("a replacement whose group has stalled, too", () => {
     // Guards against requests that wait for two broken groups until their
     // deadline, while another group has room.
@@ -259,6 +305,47 @@
     });
   });
 
+  describe("a replacement that answers with a failure", () => {
+    // Guards against an upstream's own failure that the node replaces by a 502
+    // although no other upstream answers.
+    it("is the answer if the silent attempt has ended", async () => {
+      const silent = await listenSilently();
+      const failing = await listen((_request, response) => {
+        void setTimeout(SETTLE_MS).then(() =>
+          response.writeHead(500).end("failed")
+        );
+      });
+      const relayed = createHandlers([silent.address, failing]);
+      const { received, isOk } = await relay(relayed);
+      await setTimeout(SETTLE_MS);
+      relayed.counted[0]!.stall();
+      await setTimeout(SETTLE_MS / 2);
+      silent.reset();
+      expect(await received).toBe("failed");
+      expect(isOk()).toBe(true);
+    });
+  });
+
+  describe("a replacement whose upstream breaks after the head", () => {
+    // Guards against prompts that crash one upstream after the other, as the
+    // quarantine is not told of the crash.
+    it("is recorded as broken", async () => {
+      const pausing = await listenPausing();
+      const breaking = await listen(({ socket }, response) => {
+        response.writeHead(200, STREAM_HEADERS).flushHeaders();
+        void setTimeout(SETTLE_MS / 4).then(() => socket.resetAndDestroy());
+      });
+      const relayed = createHandlers([pausing.address, breaking]);
+      const { received } = await relay(relayed);
+      await setTimeout(SETTLE_MS);
+      relayed.counted[0]!.stall();
+      await setTimeout(SETTLE_MS);
+      pausing.end(SECOND_EVENT);
+      await received;
+      expect(relayed.broken).toEqual(["i-1"]);
+    });
+  });
+
   describe("a replacement after three instances that accept no connection", () => {
     // Guards against a refusal as "not run" while a replacement is answering: a
     // silent attempt counts as a fourth connection that failed.
