Keep groups whose model the configuration does not list

Cause: the check of a group compared the members that answer with a size that it did not know, so a version of the configuration without the model had the group dissolved with its requests.

Change: without a size, a group whose members answer counts as complete.

--- a/packages/relay/src/placement/group-checker.ts
+++ b/packages/relay/src/placement/group-checker.ts
@@ -169,8 +169,9 @@
     const present = reports.filter(({ engine }) =>
       isMemberOf(engine.membership, group.name, group.epoch)
     );
-    const isComplete = present.length === size;
-    if (isComplete) {
+    // Without the size in the configuration, nothing shows that it is not.
+    const isComplete = size === undefined || present.length === size;
+    if (present.length === size) {
       this.#lastCompleteAt.set(group.name, this.#clock.now());
     }
     const slowReports = reports.filter((report) => isSlowReport(report));
