Refuse unreadable bytes only after the answers to earlier requests

Cause: when Node's parser rejected bytes, or a head did not come within HeaderTimeoutMs, the public server wrote 400 or 408 at once and ended the connection. Behind a request that was not answered, the refusal cut its stream or took the place of its answer. The product's listener left it to Node, which destroys the connection. Change: ServerConnections refuses such bytes after the answers that the connection owes, for all listeners. A head that is complete by then is served. If the caller has ended its side within a request, this side is ended as Node does it, without a refusal.

--- a/packages/clients/src/server-connections.ts
+++ b/packages/clients/src/server-connections.ts
@@ -24,8 +24,20 @@
   bytesRead: number;
   /** When the last response was sent, or else the connection was accepted. */
   idleSince: number;
+  /** Whether a request that cannot be read waits for its refusal. */
+  isRefusing: boolean;
 }
 
+/** A failure of Node's HTTP parser. */
+type ParserFailure = Error & { readonly code?: string };
+
+/** Status lines for requests that Node's HTTP parser rejects, by error code. */
+const UNREADABLE_STATUSES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+/** The caller has ended its side, as Node's server then does with its own. */
+const ENDED_WITHIN_REQUEST = "HPE_INVALID_EOF_STATE";
 /** How long bytes may take from this process to a caller, or back. */
 const LINGER_MS = 3000;
 
@@ -34,20 +46,32 @@
   #server: Server;
   #connections = new Map<Socket, OpenConnection>();
   #limit: ConnectionLimit | undefined;
+  #onUnreadable: (failure: Error) => void;
   #isFinishing = false;
   /** Called when the last connection is closed. */
   #onEmpty: () => void = () => {};
 
-  /** Without a limit, it accepts as many connections as come. */
-  constructor(server: Server, limit?: ConnectionLimitOptions) {
+  /**
+   * Without a limit, it accepts as many connections as come. `onUnreadable` is
+   * called for requests that the HTTP parser rejects.
+   */
+  constructor(
+    server: Server,
+    limit?: ConnectionLimitOptions,
+    onUnreadable: (failure: Error) => void = () => {},
+  ) {
     this.#server = server;
     this.#limit = limit && new ConnectionLimit(limit);
+    this.#onUnreadable = onUnreadable;
     server.on("connection", (socket: Socket) => this.#add(socket));
     server.on("request", (request, response) => {
       if (!this.isLate(request)) {
         this.#addResponse(request.socket, response);
       }
     });
+    server.on("clientError", (failure, socket) => {
+      void this.#refuseUnreadable(failure, socket as Socket);
+    });
   }
 
   /** Number of open connections. */
@@ -124,6 +148,7 @@
       owed: new Set(),
       bytesRead: 0,
       idleSince: performance.now(),
+      isRefusing: false,
     };
     this.#connections.set(socket, connection);
     this.#limit?.admit(socket, () => describeState(socket, connection));
@@ -178,12 +203,58 @@
     socket.once("close", () => clearTimeout(timer));
   }
 
+  /**
+   * Refuses a request that cannot be read, or whose rest does not come, after
+   * the answers to earlier ones, and ends the connection.
+   */
+  async #refuseUnreadable(
+    failure: ParserFailure,
+    socket: Socket,
+  ): Promise<void> {
+    const { code = "" } = failure;
+    const connection = this.#connections.get(socket);
+    if (
+      connection === undefined || !socket.writable || code === "ECONNRESET"
+    ) {
+      socket.destroy();
+      return;
+    }
+    if (code === ENDED_WITHIN_REQUEST) {
+      connection.idleSince = performance.now();
+      this.#end(socket, connection);
+      return;
+    }
+    // The parser reports each further read of the connection, too.
+    if (connection.isRefusing) {
+      return;
+    }
+    connection.isRefusing = true;
+    const { owed } = connection;
+    const unread = [...owed].find(({ req }) => !req.complete);
+    await waitUntilAnswered(socket, [...owed]);
+    connection.isRefusing = false;
+    // After a time-out, the rest may have come, or the request was refused.
+    const isSettled = unread === undefined
+      ? owed.size > 0
+      : unread.req.complete || unread.headersSent;
+    if (!isSettled && socket.writable) {
+      this.#onUnreadable(failure);
+      const status = UNREADABLE_STATUSES[code] ?? "400 Bad Request";
+      connection.idleSince = performance.now();
+      this.#end(
+        socket,
+        connection,
+        `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+      );
+    }
+  }
+
   /** Ends this side; the caller closes the other one once it has all bytes. */
-  #end(socket: Socket, connection: OpenConnection): void {
+  #end(socket: Socket, connection: OpenConnection, lastBytes = ""): void {
     if (socket.writableEnded) {
       return;
     }
-    socket.end();
+    socket.end(lastBytes);
     const timer = setTimeout(
       () => socket.destroy(),
       computeLeftMs(connection),
@@ -230,6 +301,20 @@
   }
 }
 
+/** Waits until all complete requests are answered, or the connection closes. */
+async function waitUntilAnswered(
+  socket: Socket,
+  owed: readonly ServerResponse[],
+): Promise<void> {
+  const last = owed.filter(({ req }) => req.complete).at(-1);
+  if (last !== undefined) {
+    await new Promise<void>((resolve) => {
+      last.once("close", resolve);
+      socket.once("close", () => resolve());
+    });
+  }
+}
+
 function computeLeftMs({ idleSince }: OpenConnection): number {
   return Math.max(0, idleSince + LINGER_MS - performance.now());
 }
--- a/packages/clients/test/server-connections.test.ts
+++ b/packages/clients/test/server-connections.test.ts
@@ -6,6 +6,8 @@
 import { closeAfterLinger, ServerConnections } from "../src/index.ts";
 
 const LINGER_MS = 300;
+const SLOW_MS = 100;
+const GET_SLOW = "GET /slow HTTP/1.1\r\nhost: a.example\r\n\r\n";
 const GET = "GET / HTTP/1.1\r\nhost: a.example\r\n\r\n";
 const UNFINISHED = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nx";
 
@@ -18,6 +20,11 @@
       if (request.method === "POST") {
         closeAfterLinger(response, LINGER_MS);
       }
+      if (request.url === "/slow") {
+        response.write("begun");
+        setTimeout(() => response.end("whole"), SLOW_MS);
+        return;
+      }
       response.end("whole");
     });
     connections = new ServerConnections(server);
@@ -48,6 +55,31 @@
     });
   });
 
+  describe("a request that cannot be read", () => {
+    // Guards against an earlier answer that is cut, or goes on after a refusal.
+    it("is refused after the answers to earlier ones", async () => {
+      const socket = open();
+      let received = "";
+      socket.on("data", (text) => received += text);
+      socket.write(`${GET_SLOW}no request\r\n\r\n`);
+      await once(socket, "end");
+      expect(received).toMatch(/whole\r\n0\r\n\r\nHTTP\/1\.1 400 /);
+      socket.destroy();
+    });
+
+    // Guards against a refusal in the middle of an answer, as the caller has
+    // ended its side within a request.
+    it("is not refused if its caller has ended the connection", async () => {
+      const socket = open();
+      let received = "";
+      socket.on("data", (text) => received += text);
+      socket.end(`${GET_SLOW}GET / HT`);
+      await once(socket, "end");
+      expect(received.match(/^HTTP/gm)).toHaveLength(1);
+      socket.destroy();
+    });
+  });
+
   describe("finish", () => {
     it("answers a request that is on its way on a new connection", async () => {
       const socket = open();
--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -9,7 +9,6 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Duplex } from "node:stream";
 import {
   type AppliedLimits,
   closeAfterLinger,
@@ -46,11 +45,6 @@
 const MAX_QUEUED_CONNECTIONS = 1024;
 /** Requests that one connection may have in progress or waiting. */
 const MAX_REQUESTS_PER_CONNECTION = 32;
-/** Status lines for requests that Node's HTTP parser rejects, by error code. */
-const CLIENT_ERROR_STATUSES: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
-  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
-};
 
 /** Serves the HTTP requests of callers. */
 export class PublicServer implements Service {
@@ -105,6 +99,9 @@
       maxHeadBytes: headBytes,
       onClose: (address, open) =>
         this.#appliedLimits.record("connections", { address, open }),
+    }, (failure) => {
+      const error = describeError(failure);
+      this.#logger.info("request_unreadable", { error });
     });
     this.#server.on("request", (request, response) => {
       if (this.#connections.isLate(request)) {
@@ -113,9 +110,6 @@
         void this.#serve(request, response);
       }
     });
-    this.#server.on("clientError", (failure, socket) => {
-      this.#rejectMalformed(failure, socket);
-    });
   }
 
   async start(): Promise<void> {
@@ -299,17 +293,4 @@
     }
     writeRefusal(response, refusal);
   }
-
-  #rejectMalformed(failure: Error & { code?: string }, socket: Duplex): void {
-    const { code = "" } = failure;
-    if (!socket.writable || code === "ECONNRESET") {
-      socket.destroy();
-      return;
-    }
-    this.#logger.info("request_unreadable", { error: describeError(failure) });
-    const status = CLIENT_ERROR_STATUSES[code] ?? "400 Bad Request";
-    socket.end(
-      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-    );
-  }
 }
