Keep idle connections open for the time that was announced

Cause: a response announces the idle time in force when its request arrives, but Node times the connection by the setting at its end. After a configuration with a shorter IdleTimeoutMs, the connection of a response in flight was closed earlier than its Keep-Alive header says; a request that the caller sends in that moment is lost. Change: the timer of the connection is not shorter than the announced time.

--- a/packages/clients/src/server-connections.ts
+++ b/packages/clients/src/server-connections.ts
@@ -38,6 +38,8 @@
 };
 /** The caller has ended its side, as Node's server then does with its own. */
 const ENDED_WITHIN_REQUEST = "HPE_INVALID_EOF_STATE";
+/** For requests that arrive at the end of the time; Node adds as much. */
+const KEEP_ALIVE_SLACK_MS = 1000;
 /** How long bytes may take from this process to a caller, or back. */
 const LINGER_MS = 3000;
 
@@ -171,10 +173,14 @@
       return;
     }
     connection.owed.add(response);
+    const { keepAliveTimeout: announcedMs } = this.#server;
     response.once("close", () => {
       connection.owed.delete(response);
       connection.bytesRead = socket.bytesRead;
       connection.idleSince = performance.now();
+      if (connection.owed.size === 0) {
+        extendIdleTimeout(socket, announcedMs);
+      }
       if (this.#isFinishing) {
         this.#endIfIdle(socket, connection);
       }
@@ -301,6 +307,17 @@
   }
 }
 
+/**
+ * Keeps an idle connection open for the time that its last response announces,
+ * which the server's setting may have fallen below meanwhile.
+ */
+function extendIdleTimeout(socket: Socket, announcedMs: number): void {
+  const { timeout = 0 } = socket;
+  if (timeout > 0 && timeout < announcedMs) {
+    socket.setTimeout(announcedMs + KEEP_ALIVE_SLACK_MS);
+  }
+}
+
 /** Waits until all complete requests are answered, or the connection closes. */
 async function waitUntilAnswered(
   socket: Socket,
