Answer a request whose body does not come in time

Cause: RequestBody destroyed the connection at the deadline, so that the refusal 408 could not be sent. A caller whose own deadline is later than the time of the route saw a close that guarantees nothing. Change: the body is only given up; the request is refused as any other whose body has not been read, and its connection is closed after the linger. Result: the new test of caller-connections.test.ts failed before (no status) and passes now.

--- a/packages/clients/src/request-body.ts
+++ b/packages/clients/src/request-body.ts
@@ -67,10 +67,8 @@
     this.#releaseQueued?.();
     const cancel = this.#clock.schedule(
       deadlineAt - this.#clock.now(),
-      () => {
-        this.#fail(createUnread("the body did not arrive before the deadline"));
-        this.#incoming.destroy();
-      },
+      () =>
+        this.#fail(createUnread("the body did not arrive before the deadline")),
     );
     try {
       await this.#waitUntilSettled();
