Keep the connection open after the refusal of a complete request

So the connection was closed after each such refusal, and a request that had been read behind it got neither an answer nor a refusal, for instance beside a configuration that drops a route. Change: the refusal of an incomplete request waits until what has arrived with the head is parsed. Result: the new test of caller-connections.test.ts failed before (404 only) and passes now (404, 200).

--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -9,6 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { setImmediate } from "node:timers/promises";
 import {
   type AppliedLimits,
   closeAfterLinger,
@@ -192,7 +193,7 @@
       this.#checkClosing();
       await this.#respond(request);
     } catch (failure) {
-      this.#refuse(arriving, failure);
+      await this.#refuse(arriving, failure);
     } finally {
       this.#inFlight--;
       this.#unsent.follow(id, response);
@@ -264,7 +265,7 @@
     });
   }
 
-  #refuse(arriving: ArrivingRequest, failure: unknown): void {
+  async #refuse(arriving: ArrivingRequest, failure: unknown): Promise<void> {
     const { id, metadata, receivedAt, incoming, response } = arriving;
     const refusal = failure instanceof Refusal
       ? failure
@@ -288,6 +289,10 @@
       this.#logger.error("request_failed", { request: id, error: stack });
     }
     arriving.body?.discard();
+    if (!incoming.complete) {
+      // What has arrived with the head is parsed after this task.
+      await setImmediate();
+    }
     if (!incoming.complete) {
       closeAfterLinger(response, UNREAD_LINGER_MS);
     }
