--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -9,7 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Duplex } from "node:stream";
+import { setImmediate } from "node:timers/promises";
 import {
   type AppliedLimits,
   closeAfterLinger,
@@ -46,11 +46,6 @@
 const MAX_QUEUED_CONNECTIONS = 1024;
 /** Requests that one connection may have in progress or waiting. */
 const MAX_REQUESTS_PER_CONNECTION = 32;
-/** Status lines for requests that Node's HTTP parser rejects, by error code. */
-const CLIENT_ERROR_STATUSES: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
-  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
-};
 
 /** Serves the HTTP requests of callers. */
 export class PublicServer implements Service {
@@ -105,6 +100,9 @@
       maxHeadBytes: headBytes,
       onClose: (address, open) =>
         this.#appliedLimits.record("connections", { address, open }),
+    }, (failure) => {
+      const error = describeError(failure);
+      this.#logger.info("request_unreadable", { error });
     });
     this.#server.on("request", (request, response) => {
       if (this.#connections.isLate(request)) {
@@ -113,9 +111,6 @@
         void this.#serve(request, response);
       }
     });
-    this.#server.on("clientError", (failure, socket) => {
-      this.#rejectMalformed(failure, socket);
-    });
   }
 
   async start(): Promise<void> {
@@ -198,7 +193,7 @@
       this.#checkClosing();
       await this.#respond(request);
     } catch (failure) {
-      this.#refuse(arriving, failure);
+      await this.#refuse(arriving, failure);
     } finally {
       this.#inFlight--;
       this.#unsent.follow(id, response);
@@ -270,7 +265,7 @@
     });
   }
 
-  #refuse(arriving: ArrivingRequest, failure: unknown): void {
+  async #refuse(arriving: ArrivingRequest, failure: unknown): Promise<void> {
     const { id, metadata, receivedAt, incoming, response } = arriving;
     const refusal = failure instanceof Refusal
       ? failure
@@ -298,22 +293,13 @@
       this.#logger.error("request_failed", { request: id, error: stack });
     }
     arriving.body?.discard();
+    if (!incoming.complete) {
+      // What has arrived with the head is parsed after this task.
+      await setImmediate();
+    }
     if (!incoming.complete) {
       closeAfterLinger(response, UNREAD_LINGER_MS);
     }
     writeRefusal(response, refusal);
   }
-
-  #rejectMalformed(failure: Error & { code?: string }, socket: Duplex): void {
-    const { code = "" } = failure;
-    if (!socket.writable || code === "ECONNRESET") {
-      socket.destroy();
-      return;
-    }
-    this.#logger.info("request_unreadable", { error: describeError(failure) });
-    const status = CLIENT_ERROR_STATUSES[code] ?? "400 Bad Request";
-    socket.end(
-      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-    );
-  }
 }
