End the connection on which too many requests wait

Cause: since the refusal of a complete request keeps the connection open, the refusal of too many requests did so, too; it had closed it only as the request counted as incomplete. pipelined-requests.test.ts failed: 28 refusals in place of one and the end of the connection. Change: that refusal says `connection: close` itself. Result: that test passes again, unchanged.

--- a/packages/relay/src/serving/public-server.ts
+++ b/packages/relay/src/serving/public-server.ts
@@ -184,7 +184,7 @@
       .receive(id, metadata, receivedAt, incoming, response);
     try {
       if (response.socket === null) {
-        this.#checkWaiting(incoming);
+        this.#checkWaiting(arriving);
         await this.#waitForTurn(arriving);
       }
       this.#checkClosing();
@@ -217,8 +217,10 @@
     withdrawEviction();
   }
 
-  #checkWaiting({ socket }: IncomingMessage): void {
-    if (this.#connections.countOwed(socket) > MAX_REQUESTS_PER_CONNECTION) {
+  #checkWaiting({ incoming, response }: ArrivingRequest): void {
+    const owed = this.#connections.countOwed(incoming.socket);
+    if (owed > MAX_REQUESTS_PER_CONNECTION) {
+      response.setHeader("connection", "close");
       throw new Refusal(
         "overloaded",
         "not-run",
