Stand-ins: restore the fleet's store from an older copy

The store of the fleet had no era and could not lose what it had acknowledged.

It takes copies of its topics and members and comes back from them: offsets and the members' generation go back, open connections end, and a read from beyond the end gets 410. The fleet's operator and runners can write their records again, and a test can add keys, routes and plain runners.

--- a/stand-ins/src/fleet/fleet.ts
+++ b/stand-ins/src/fleet/fleet.ts
@@ -50,6 +50,9 @@
   #options: FleetOptions;
   #version = 0;
   #keys = [FLEET_KEY];
+  #addedRoutes: string[] = [];
+  /** What the operator last wrote by key; undefined if it deleted the key. */
+  #operatorRecords = new Map<string, object | undefined>();
   #address = "";
 
   constructor(options: FleetOptions) {
@@ -76,11 +79,18 @@
     }
     const plainServices = Math.max(PLAIN_SERVICES, this.dataCentres.length);
     for (let index = 0; index < plainServices; index++) {
-      await this.#add(this.records, RECORDS, loadMs, index, undefined);
+      await this.addRecordRunner();
     }
     this.publish();
   }
 
+  /** Starts one more runner of the plain service. */
+  async addRecordRunner(): Promise<FleetRunner> {
+    const { loadMs = 0 } = this.#options;
+    const index = this.records.length;
+    return await this.#add(this.records, RECORDS, loadMs, index, undefined);
+  }
+
   stop(): void {
     [...this.runners, ...this.records].forEach((runner) => runner.stop());
     this.store.stop();
@@ -97,6 +107,18 @@
     );
   }
 
+  /** Adds a key and publishes the change. */
+  accept(key: string): void {
+    this.#keys = [...this.#keys, key];
+    this.publish();
+  }
+
+  /** Adds a route of the plain service, `/NAME/`, and publishes the change. */
+  addRoute(name: string): void {
+    this.#addedRoutes.push(name);
+    this.publish();
+  }
+
   /** Takes a key away and publishes the change. */
   revoke(key: string): void {
     this.#keys = this.#keys.filter((other) => other !== key);
@@ -106,17 +128,26 @@
   /** Publishes a new version of the configuration. */
   publish(): void {
     this.#version += 3;
-    this.store.put(OPERATOR_TOPIC, "config", this.#createConfiguration());
+    this.#write("config", this.#createConfiguration());
   }
 
   /** Evacuates a data centre. */
   evacuate(dataCentre: string): void {
-    this.store.put(OPERATOR_TOPIC, `evacuate/${dataCentre}`, {});
+    this.#write(`evacuate/${dataCentre}`, {});
   }
 
   /** Ends the evacuation of a data centre. */
   endEvacuation(dataCentre: string): void {
-    this.store.put(OPERATOR_TOPIC, `evacuate/${dataCentre}`, undefined);
+    this.#write(`evacuate/${dataCentre}`, undefined);
+  }
+
+  /**
+   * Lets the operator and the runners write their records again, as they do
+   * when the store has come back from an older copy.
+   */
+  writeAgain(): void {
+    this.#operatorRecords.forEach((value, key) => this.#write(key, value));
+    [...this.runners, ...this.records].forEach((runner) => runner.writeAgain());
   }
 
   /** All upstreams of a data centre. */
@@ -125,13 +156,18 @@
       .filter((runner) => runner.dataCentre === dataCentre);
   }
 
+  #write(key: string, value: object | undefined): void {
+    this.#operatorRecords.set(key, value);
+    this.store.put(OPERATOR_TOPIC, key, value);
+  }
+
   async #add(
     list: FleetRunner[],
     service: string,
     loadMs: number,
     index: number,
     domain: string | undefined,
-  ): Promise<void> {
+  ): Promise<FleetRunner> {
     const { link } = this.#options;
     const runner: FleetRunner = new FleetRunner({
       store: this.store,
@@ -144,6 +180,7 @@
     });
     await runner.start();
     list.push(runner);
+    return runner;
   }
 
   /** Lets the lead of a group end it, unless the member is back by then. */
@@ -184,6 +221,9 @@
         route("chat", "/chat/", "stream", ENGINES),
         route("stamp", "/stamp/", "unsafe", RECORDS),
         route("look", "/look/", "safe", RECORDS),
+        ...this.#addedRoutes.map((name) =>
+          route(name, `/${name}/`, "safe", RECORDS)
+        ),
       ],
       Services: [
         { Name: ENGINES, ...start, Engine: this.#createEngine() },
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -147,6 +147,8 @@
   #options: RunnerOptions;
   #server: Server;
   #isStopped = false;
+  /** Whether the store lists the runner, if it has lost nothing. */
+  #isRegistered = false;
   #address = "";
   #link: DelayedLink | undefined;
   #born = Date.now();
@@ -204,10 +206,20 @@
   register(): void {
     this.#heartbeatCount++;
     if (!this.#isCutOff) {
+      this.#isRegistered = true;
       this.#options.store.put("keyed.servers", this.id, this.#createEntry());
     }
   }
 
+  /** Writes the entry or its removal again, after the store has lost it. */
+  writeAgain(): void {
+    if (!this.#isRegistered) {
+      this.unregister();
+    } else if (!this.#isStopped) {
+      this.register();
+    }
+  }
+
   /** Lets the store carry out a write of the present entry after some time. */
   registerLate(delayMs: number): void {
     const entry = this.#createEntry();
@@ -258,6 +270,7 @@
   }
 
   unregister(): void {
+    this.#isRegistered = false;
     this.#options.store.put("keyed.servers", this.id, undefined);
   }
 
--- a/stand-ins/src/fleet/seats.ts
+++ b/stand-ins/src/fleet/seats.ts
@@ -44,6 +44,17 @@
     return { generation: this.#generation, parts: [...member.held] };
   }
 
+  /** Copies the members; those of the copy count as heard from now. */
+  clone(now: number): Seats {
+    const seats = new Seats(this.#partCount);
+    seats.#generation = this.#generation;
+    for (const [name, member] of this.#members) {
+      const held = new Set(member.held);
+      seats.#members.set(name, { ...member, heardAt: now, held });
+    }
+    return seats;
+  }
+
   leave(name: string): void {
     if (this.#members.delete(name)) {
       this.#generation++;
@@ -68,7 +79,7 @@
         .every(({ held }) => !held.has(part));
       if (isMeant && isFree) {
         member.held.add(part);
-      } else if (!isMeant && member.seenGeneration === this.#generation) {
+      } else if (!isMeant && member.seenGeneration >= this.#generation) {
         member.held.delete(part);
       }
     }
--- a/stand-ins/src/fleet/store.ts
+++ b/stand-ins/src/fleet/store.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { AddressInfo } from "node:net";
 import { Seats } from "./seats.ts";
 import { encodeBatch, KeyedPartition } from "./topic-log.ts";
@@ -19,31 +24,32 @@
 /** How the store treats calls. */
 export type StoreMode = "well" | "busy" | "silent";
 
+/** The state of a store at one moment. */
+export interface StoreCopy {
+  readonly topics: ReadonlyMap<string, KeyedPartition>;
+  readonly seats: ReadonlyMap<string, Seats>;
+}
+
 const PART_COUNT = 12;
 const HOST = "127.0.0.1";
+const ERA_HEADER = "store-era";
 
 /** Serves topics and membership over HTTP. */
 export class FleetStore {
   /** How calls are treated; a test sets it. */
   mode: StoreMode = "well";
+  /** Reads of topics that were answered or wait, refused ones included. */
+  readCount = 0;
   #topics = new Map<string, KeyedPartition>();
   #seats = new Map<string, Seats>();
+  /** Rises with each restore from a copy. */
+  #era = 1;
   #server: Server;
 
   constructor() {
-    this.#server = createServer(async (request, response) => {
-      const body = await readAll(request);
-      const { status, body: reply } = await this.#answer(request, body);
-      if (status === 0) {
-        return;
-      }
-      const isBytes = Buffer.isBuffer(reply);
-      response.writeHead(status, {
-        "content-type": isBytes
-          ? "application/octet-stream"
-          : "application/json",
-      });
-      response.end(isBytes ? reply : JSON.stringify(reply));
+    this.#server = createServer((request, response) => {
+      // A restore may end a connection in the middle of a request.
+      this.#serve(request, response).catch(() => response.destroy());
     });
   }
 
@@ -65,12 +71,43 @@
     this.topic(topic).append(key, bytes);
   }
 
+  /** Copies the whole state. */
+  takeCopy(): StoreCopy {
+    return cloneState({ topics: this.#topics, seats: this.#seats });
+  }
+
+  /** Comes back from a copy; all that was written since is lost. */
+  restore(copy: StoreCopy): void {
+    const { topics, seats } = cloneState(copy);
+    this.#topics = new Map(topics);
+    this.#seats = new Map(seats);
+    this.#era++;
+    this.#server.closeAllConnections();
+  }
+
   topic(name: string): KeyedPartition {
     const topic = this.#topics.get(name) ?? new KeyedPartition();
     this.#topics.set(name, topic);
     return topic;
   }
 
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await readAll(request);
+    const { status, body: reply } = await this.#answer(request, body);
+    if (status === 0) {
+      return;
+    }
+    const isBytes = Buffer.isBuffer(reply);
+    response.writeHead(status, {
+      "content-type": isBytes ? "application/octet-stream" : "application/json",
+      [ERA_HEADER]: this.#era,
+    });
+    response.end(isBytes ? reply : JSON.stringify(reply));
+  }
+
   async #answer(request: IncomingMessage, body: Buffer): Promise<Reply> {
     if (this.mode === "silent") {
       return { status: 0, body: {} };
@@ -92,9 +129,10 @@
       return { status: 200, body: { Offset: offset, End: topic.end } };
     },
     "GET /zinniahill/log-read": async (query) => {
+      this.readCount++;
       const topic = this.topic(query.get("Topic") ?? "");
       const from = Number(query.get("From"));
-      if (from < topic.first) {
+      if (from < topic.first || from > topic.end) {
         return { status: 410, body: { First: topic.first } };
       }
       if (topic.end <= from) {
@@ -105,6 +143,7 @@
       return { status: 200, body: encodeBatch(topic, topic.listFrom(from)) };
     },
     "GET /zinniahill/log-newest": (query) => {
+      this.readCount++;
       const topic = this.topic(query.get("Topic") ?? "");
       const Items = topic.listNewest().map(({ key, value, offset }) => ({
         Key: key,
@@ -131,6 +170,18 @@
   };
 }
 
+function cloneState({ topics, seats }: StoreCopy): StoreCopy {
+  const now = performance.now();
+  return {
+    topics: new Map(
+      [...topics].map(([name, topic]) => [name, topic.clone()]),
+    ),
+    seats: new Map(
+      [...seats].map(([group, members]) => [group, members.clone(now)]),
+    ),
+  };
+}
+
 async function readAll(request: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) {
--- a/stand-ins/src/fleet/topic-log.ts
+++ b/stand-ins/src/fleet/topic-log.ts
@@ -59,6 +59,16 @@
     return offset;
   }
 
+  /** Copies all records and offsets. */
+  clone(): KeyedPartition {
+    const partition = new KeyedPartition();
+    partition.#records = [...this.#records];
+    partition.#newest = new Map(this.#newest);
+    partition.#first = this.#first;
+    partition.#end = this.#end;
+    return partition;
+  }
+
   /** Drops the history; the newest record of each key stays. */
   compact(): void {
     this.#records = [];
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -33,7 +33,7 @@
   type RawAnswer,
   type RunRecord,
 } from "./fleet/runner.ts";
-export { FleetStore, type StoreMode } from "./fleet/store.ts";
+export { FleetStore, type StoreCopy, type StoreMode } from "./fleet/store.ts";
 export { HostListStandIn } from "./host-list.ts";
 export {
   type AppendedEntry,
