Show the era of the store in logs and metrics

Cause: a store that is restored from a copy gives offsets out again, and its nodes order everything by offset. No log line or metric showed a restore: a configuration that was confirmed after it was never in force, without a line. Feeds log store_restored with the era, the one before and the offset; the gauges store_era and store_restores and the state show it. Result: check passes; the feeds' tests pass. No order changes yet.

--- a/packages/relay/src/adapter.ts
+++ b/packages/relay/src/adapter.ts
@@ -41,6 +41,8 @@
 
 /** Access to the feeds of the store. */
 export interface FeedStore {
+  /** Rises each time the store is restored from a copy. */
+  readonly era: number;
   /** Reads the latest record of each key. */
   readNewest(
     feed: FeedName,
--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -40,6 +40,8 @@
 interface FeedState {
   readonly table: RecordTable;
   readonly listeners: Set<FeedListener>;
+  /** The era of the store at the last successful read. */
+  era: number | undefined;
   isLoaded: boolean;
   /** Whether the store has returned the whole topic at least once. */
   hasBeenLoaded: boolean;
@@ -66,6 +68,7 @@
   #tasks: TaskGroup;
   #feeds: Record<FeedName, FeedState>;
   #pace: ReadPace;
+  #restores = 0;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -184,6 +187,11 @@
     return this.#feeds[feed].isReachable;
   }
 
+  /** Number of restores of the store that the feeds of this node have met. */
+  get restores(): number {
+    return this.#restores;
+  }
+
   /** Time since the last outage of the store; zero during an outage. */
   sinceOutageMs(feed: FeedName): number {
     const { failingSince, outageEndedAt } = this.#feeds[feed];
@@ -195,6 +203,7 @@
 
   dump(): unknown {
     return Object.fromEntries(FEEDS.map((feed) => [feed, {
+      era: this.#feeds[feed].era,
       next: this.#feeds[feed].table.next,
       keys: this.#feeds[feed].table.list().length,
       ageMs: Math.round(this.ageMs(feed)),
@@ -311,6 +320,7 @@
       state.isReachable = true;
       this.#logger.info("dependency_regained", { dependency: "store", feed });
     }
+    this.#recordEra(feed);
     const now = this.#clock.now();
     if (startedAt - (state.failingSince ?? startedAt) >= MIN_OUTAGE_MS) {
       state.outageEndedAt = now;
@@ -319,6 +329,23 @@
     state.upToDateAt = Math.max(state.upToDateAt, startedAt);
   }
 
+  /** Logs that the store was restored since the last read. */
+  #recordEra(feed: FeedName): void {
+    const state = this.#feeds[feed];
+    const { era } = this.#store;
+    const before = state.era;
+    state.era = era;
+    if (before !== undefined && era > before) {
+      this.#restores++;
+      this.#logger.warn("store_restored", {
+        feed,
+        era,
+        before,
+        next: state.table.next,
+      });
+    }
+  }
+
   #recordFailure(feed: FeedName, startedAt: number, error: string): void {
     const state = this.#feeds[feed];
     state.failingSince ??= startedAt;
@@ -338,6 +365,7 @@
   return {
     table,
     listeners: new Set(),
+    era: undefined,
     isLoaded: false,
     hasBeenLoaded: false,
     upToDateAt: -Infinity,
--- a/packages/relay/src/gauges.ts
+++ b/packages/relay/src/gauges.ts
@@ -12,6 +12,7 @@
 
   constructor(kernel: RelayKernel) {
     const feeds = kernel.find("feeds");
+    const topics = kernel.find("topics");
     const groups = kernel.find("groups");
     const mesh = kernel.find("mesh");
     const holder = kernel.find("holder");
@@ -32,6 +33,14 @@
         "Time since the list of instances was known to be complete",
         () => feeds.ageMs("instances"),
       ],
+      store_era: [
+        "Era of the store, which rises each time it is restored from a copy",
+        () => topics.era,
+      ],
+      store_restores: [
+        "Restores of the store that the feeds have met, each feed by itself",
+        () => feeds.restores,
+      ],
       groups_open: [
         "Groups that are open",
         () => groups.list().filter(({ state }) => state === "open").length,
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -26,6 +26,14 @@
 } from "./model/instance.ts";
 export { Order, OrderReply } from "./model/order.ts";
 export { KeyRecord, NodeEntry } from "./model/peer-message.ts";
+export {
+  createPosition,
+  createTerm,
+  eraOf,
+  generationIn,
+  offsetOf,
+  StoreEra,
+} from "./model/store-position.ts";
 export {
   type Batch,
   type ElectionStatus,
--- a/packages/relay/test/feeds/feeds.test.ts
+++ b/packages/relay/test/feeds/feeds.test.ts
@@ -29,6 +29,7 @@
 
 /** A store whose reads fail while `isUnavailable` is set. */
 class SwitchableStore implements FeedStore {
+  era = 0;
   isUnavailable = false;
   /** Announced nodes. */
   nodes = 0;
