--- a/packages/relay/src/adapter.ts
+++ b/packages/relay/src/adapter.ts
@@ -20,7 +20,7 @@
 export interface Fault {
   readonly verdict: Verdict;
   readonly message: string;
-  /** Whether records from the requested offset on are no longer stored. */
+  /** Whether records from the requested position on are no longer stored. */
   readonly isHistoryLost?: boolean;
   /** Whether nothing, or another process, listens at the called address. */
   readonly isGone?: boolean;
@@ -29,17 +29,17 @@
 /** The latest record of each key. */
 export interface Snapshot {
   readonly records: readonly KeyRecord[];
-  /** Offset from which newer records are read. */
+  /** Position from which newer records are read. */
   readonly next: number;
 }
 
-/** Consecutive records that begin at an offset. */
+/** Consecutive records that begin at a position. */
 export interface Batch {
   readonly records: readonly KeyRecord[];
   readonly next: number;
 }
 
-/** Access to the feeds of the store. */
+/** Access to the feeds of the store; see `model/store-position.ts`. */
 export interface FeedStore {
   /** Rises each time the store is restored from a copy. */
   readonly era: number;
@@ -48,10 +48,13 @@
     feed: FeedName,
     signal: AbortSignal,
   ): Promise<Result<Snapshot, Fault>>;
-  /** Waits up to `waitMs` for records that begin at an offset. */
+  /**
+   * Waits up to `waitMs` for records that begin at a position. The history is
+   * lost if the position is of an era before the last restore.
+   */
   readFrom(
     feed: FeedName,
-    offset: number,
+    position: number,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<Batch, Fault>>;
@@ -64,7 +67,7 @@
 
 /** Status of a member after it has renewed its membership. */
 export interface ElectionStatus {
-  /** Increases with each change of the members. */
+  /** Increases with each change of the members, also over a restore. */
   readonly generation: number;
   readonly isHolder: boolean;
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -27,12 +27,12 @@
 export { Order, OrderReply } from "./model/order.ts";
 export { KeyRecord, NodeEntry } from "./model/peer-message.ts";
 export {
+  createGeneration,
   createPosition,
-  createTerm,
   eraOf,
-  generationIn,
   offsetOf,
   StoreEra,
+  storeGenerationOf,
 } from "./model/store-position.ts";
 export {
   type Batch,
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -36,6 +36,7 @@
 /** The latest record of a key; a record without a value deletes the key. */
 export const KeyRecord = z.object({
   key: z.string(),
+  /** Position in the topic, which holds the era of the store. */
   offset: z.number(),
   value: z.string().optional(),
 });
@@ -131,7 +132,7 @@
     seeksPlacement: z.boolean().default(false),
     /** Share of a CPU core that is available to callers. */
     capacity: z.number().default(1),
-    /** Next unread offset of each shared feed. */
+    /** Next unread position of each shared feed. */
     offsets: z.record(SharedFeed, z.number()),
     /** Time since each shared feed was last known to be complete. */
     agesMs: z.record(SharedFeed, z.number()),
@@ -160,7 +161,7 @@
     /** Whether keys without a record are deleted. */
     isSnapshot: z.boolean().default(false),
   }),
-  /** Changes of the instances among the records between two offsets. */
+  /** Changes of the instances among the records between two positions. */
   z.object({
     kind: z.literal("news"),
     from: z.number(),
--- a/packages/relay/src/model/store-position.ts
+++ b/packages/relay/src/model/store-position.ts
@@ -30,18 +30,18 @@
 }
 
 /**
- * Returns a number that increases with each change of the members, also if the
- * store's generation goes back with a restore.
+ * Returns a generation of the members that increases with each change, also if
+ * the store's own generation goes back with a restore.
  */
-export function createTerm(era: number, generation: number): number {
+export function createGeneration(era: number, storeGeneration: number): number {
   return era * GENERATIONS_PER_ERA +
-    Math.min(generation, GENERATIONS_PER_ERA - 1);
+    Math.min(storeGeneration, GENERATIONS_PER_ERA - 1);
 }
 
-/** Returns the generation of a term; 0 if it is of another era. */
-export function generationIn(era: number, term: number): number {
-  return Math.floor(term / GENERATIONS_PER_ERA) === era
-    ? term % GENERATIONS_PER_ERA
+/** Returns the store's generation; 0 if it is one of another era. */
+export function storeGenerationOf(era: number, generation: number): number {
+  return Math.floor(generation / GENERATIONS_PER_ERA) === era
+    ? generation % GENERATIONS_PER_ERA
     : 0;
 }
 
