Adopt a configuration whose version was used before a restore

Cause: a configuration with the version in force is never adopted. A store that is restored from a copy has lost the last versions; if the operator numbers again from the copy, the number of a confirmed configuration is one that nodes already have in force with another content. Change: an equal version is adopted if the store was restored since and the content differs. Older versions are still never adopted. Lines of the configuration and of evacuations name era and offset.

--- a/packages/relay/src/routing/current-configuration.ts
+++ b/packages/relay/src/routing/current-configuration.ts
@@ -7,6 +7,7 @@
 import type { Feeds } from "../feeds/feeds.ts";
 import type { Configuration } from "../model/configuration.ts";
 import type { KeyRecord } from "../model/peer-message.ts";
+import { eraOf, offsetOf } from "../model/store-position.ts";
 import type { RecordDecoder } from "../adapter.ts";
 import { dropOldest } from "../drop-oldest.ts";
 import type { RelayKernel } from "../services.ts";
@@ -15,12 +16,23 @@
 /** Operators do not write as many keys by mistake. */
 const MAX_UNKNOWN_KEYS = 1000;
 
-/** Adopts each newer configuration, and never an older one. */
+/** The record of the configuration in force. */
+interface AdoptedRecord {
+  readonly value: string;
+  readonly position: number;
+}
+
+/**
+ * Adopts each newer configuration, and never an older one. One with the version
+ * in force is adopted only if the store was restored since and the content is
+ * another: operators then number again from what the copy held.
+ */
 export class CurrentConfiguration implements Service {
   #logger: Logger;
   #decoder: RecordDecoder;
   #feeds: Feeds;
   #routeTable: RouteTable | undefined;
+  #adopted: AdoptedRecord | undefined;
   /** Keys that have been logged as unknown. */
   #unknownKeys = new Set<string>();
   #listeners = new Set<(configuration: Configuration) => void>();
@@ -55,45 +67,66 @@
   }
 
   #apply(records: readonly KeyRecord[]): void {
-    for (const { key, value, offset } of records) {
+    for (const { key, value, offset: position } of records) {
       const content = this.#decoder.configurationKey(key);
+      const source = { era: eraOf(position), offset: offsetOf(position) };
       if (content === undefined) {
-        this.#logUnknownKey(key, offset);
+        this.#logUnknownKey(key, source);
       }
       if (content?.kind !== "configuration") {
         continue;
       }
       if (value === undefined) {
-        this.#logger.warn("configuration_deleted", { offset });
+        this.#logger.warn("configuration_deleted", source);
         continue;
       }
       this.#decoder.configuration(value).match({
-        Ok: (configuration) => this.#adopt(configuration, offset),
+        Ok: (configuration) =>
+          this.#applyVersion(configuration, { value, position }),
         Err: (error) => {
-          this.#logger.warn("configuration_unreadable", { offset, error });
+          this.#logger.warn("configuration_unreadable", { ...source, error });
         },
       });
     }
   }
 
-  #logUnknownKey(key: string, offset: number): void {
+  #logUnknownKey(key: string, source: { era: number; offset: number }): void {
     if (!this.#unknownKeys.has(key)) {
       this.#unknownKeys.add(key);
       dropOldest(this.#unknownKeys, MAX_UNKNOWN_KEYS);
-      this.#logger.warn("configuration_key_unknown", { key, offset });
+      this.#logger.warn("configuration_key_unknown", { key, ...source });
     }
   }
 
-  #adopt(configuration: Configuration, offset: number): void {
-    const previous = this.current?.version;
-    if (previous !== undefined && configuration.version <= previous) {
-      return;
+  #applyVersion(configuration: Configuration, record: AdoptedRecord): void {
+    const { version } = configuration;
+    const current = this.current?.version ?? -Infinity;
+    if (version > current) {
+      this.#adopt(configuration, record);
+    } else if (version === current && this.#isOfLaterEra(record)) {
+      if (record.value === this.#adopted?.value) {
+        this.#adopted = record;
+      } else {
+        this.#adopt(configuration, record);
+      }
     }
+  }
+
+  /** Whether the store was restored after the version in force was read. */
+  #isOfLaterEra({ position }: AdoptedRecord): boolean {
+    return this.#adopted !== undefined &&
+      eraOf(position) > eraOf(this.#adopted.position);
+  }
+
+  #adopt(configuration: Configuration, record: AdoptedRecord): void {
+    const previous = this.current?.version;
+    this.#adopted = record;
     this.#routeTable = new RouteTable(configuration);
     this.#logger.info("configuration_adopted", {
       version: configuration.version,
       before: previous,
-      offset,
+      era: eraOf(record.position),
+      offset: offsetOf(record.position),
       routes: configuration.routes.length,
     });
     this.#listeners.forEach((listener) => listener(configuration));
--- a/packages/relay/src/routing/evacuations.ts
+++ b/packages/relay/src/routing/evacuations.ts
@@ -18,6 +18,7 @@
 import type { Instances } from "../hosts/instances.ts";
 import type { Instance } from "../model/instance.ts";
 import type { KeyRecord } from "../model/peer-message.ts";
+import { eraOf, offsetOf } from "../model/store-position.ts";
 import type { RelayKernel } from "../services.ts";
 
 /** Called with a data centre whose evacuation has begun or ended. */
@@ -122,7 +123,8 @@
     }
   }
 
-  #change(dataCentre: string, isEvacuated: boolean, offset: number): void {
+  #change(dataCentre: string, isEvacuated: boolean, position: number): void {
+    const source = { era: eraOf(position), offset: offsetOf(position) };
     const now = this.#clock.now();
     const ageMs = this.#feeds.ageMs(FEED);
     const previous = this.#states.get(dataCentre);
@@ -139,7 +141,7 @@
       this.#evacuated.add(dataCentre);
       this.#logger.info("evacuation_began", {
         data_centre: dataCentre,
-        offset,
+        ...source,
         last_resort_ms: Math.max(0, Math.round(state.lastResortUntil - now)),
         feed_age_ms: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
       });
@@ -147,7 +149,7 @@
       this.#evacuated.delete(dataCentre);
       this.#logger.info("evacuation_ended", {
         data_centre: dataCentre,
-        offset,
+        ...source,
         lasted_ms: Math.round(now - state.beganAt),
       });
     }
