Keep for a time what a restored store has lost

What operators and runners had written in the lost seconds ended at once and came back two seconds later: evacuations ended or began again, runners that had left were listed, members of open groups were missing. A node that reads no store itself never learned what the restored store holds. Later records apply at once. Then the whole topic is read once more and believed, by supplied nodes too, at random times if there are many; a node without the store fetches whole feeds from a peer that has read them. Versions are lists of numbers, and the configuration has one, so that an old value of the copy replaces nothing. A deleted key does not return by the last version of its entry. No update of the holder spans a restore. Nodes announce themselves again.

--- a/packages/relay/src/feeds/entry-versions.ts
+++ b/packages/relay/src/feeds/entry-versions.ts
@@ -1,33 +1,47 @@
 /**
- * Versions of the entries that instances write.
+ * Versions of stored values that say themselves which of them is newer.
  *
- * The store may carry out a write long after it was sent, so a later offset
- * does not make an entry newer: its process and its renewal count do.
+ * The store may carry out a write long after it was sent, and one that was
+ * restored from a copy holds older values at later positions. So the position
+ * does not make such a value newer: what its writer has counted does.
  *
  * @module
  */
 import type { RecordDecoder } from "../adapter.ts";
 
-/** Position of an entry among all entries of its instance. */
-export interface EntryVersion {
-  readonly bornAt: number;
-  /** Number of entries that the process has written before. */
-  readonly renewalCount: number;
-}
+/** Numbers of which the first different one decides. */
+export type EntryVersion = readonly number[];
 
-/** Reads the version of a value; undefined if the value has none. */
+/** Reads the versions of the values of a topic. */
 export interface VersionReader {
+  /**
+   * Whether the topic may hold the values of a key in another order than that
+   * in which they were written.
+   */
+  readonly mayReorder: boolean;
+  /** Reads the version of a value; undefined if the value has none. */
   read(key: string, value: string): EntryVersion | undefined;
 }
 
+/** Reads the versions of topics whose values have none. */
+export const NO_VERSIONS: VersionReader = {
+  mayReorder: false,
+  read: () => undefined,
+};
+
 /** The content of an entry, without its renewal count. */
 interface EntryContent {
   readonly text: string;
   readonly bornAt: number;
 }
 
-/** Reads versions, and decodes an entry only if its content is new. */
-export class EntryVersions implements VersionReader {
+/**
+ * Reads the versions of instances: the start of the process, and the number of
+ * entries that it has written before. Decodes an entry only if its content is
+ * new.
+ */
+export class InstanceVersions implements VersionReader {
+  readonly mayReorder = true;
   #decoder: RecordDecoder;
   #contents = new Map<string, EntryContent>();
 
@@ -40,7 +54,7 @@
     const renewalCount = this.#decoder.readRenewalCount(value);
     return bornAt === undefined || !Number.isSafeInteger(renewalCount)
       ? undefined
-      : { bornAt, renewalCount };
+      : [bornAt, renewalCount];
   }
 
   #readStartTime(key: string, value: string): number | undefined {
@@ -59,7 +73,37 @@
   }
 }
 
+/** Reads the version of the configuration; evacuations have none. */
+export class ConfigurationVersions implements VersionReader {
+  /** Operators number the configurations, but write them one by one. */
+  readonly mayReorder = false;
+  #decoder: RecordDecoder;
+  /** The value that was read last, as peers send it again and again. */
+  #last: { value: string; version: EntryVersion | undefined } | undefined;
+
+  constructor(decoder: RecordDecoder) {
+    this.#decoder = decoder;
+  }
+
+  read(key: string, value: string): EntryVersion | undefined {
+    if (this.#decoder.configurationKey(key)?.kind !== "configuration") {
+      return undefined;
+    }
+    if (this.#last?.value !== value) {
+      const version = this.#decoder.configuration(value).match({
+        Ok: (configuration): EntryVersion | undefined => [
+          configuration.version,
+        ],
+        Err: () => undefined,
+      });
+      this.#last = { value, version };
+    }
+    return this.#last.version;
+  }
+}
+
 /** Positive if the first version is newer, 0 if they are equal. */
 export function compareVersions(a: EntryVersion, b: EntryVersion): number {
-  return a.bornAt - b.bornAt || a.renewalCount - b.renewalCount;
+  const index = a.findIndex((number, position) => number !== b[position]);
+  return index < 0 ? 0 : a[index]! - b[index]!;
 }
--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -10,11 +10,12 @@
   type Service,
   TaskGroup,
 } from "@zinniahill/kernel";
-import type { Result } from "true-myth";
+import { Result } from "true-myth";
 import type { KeyRecord } from "../model/peer-message.ts";
+import { eraOf, offsetOf } from "../model/store-position.ts";
 import type { Batch, FeedName, FeedStore } from "../adapter.ts";
 import type { RelayKernel } from "../services.ts";
-import { EntryVersions } from "./entry-versions.ts";
+import { ConfigurationVersions, InstanceVersions } from "./entry-versions.ts";
 import { ReadPace, type ReadSharing } from "./read-pace.ts";
 import { RecordTable } from "./record-table.ts";
 
@@ -35,13 +36,22 @@
  * at which engines renew their entries, so a shorter failure lets none expire.
  */
 const MIN_OUTAGE_MS = 1000;
+/**
+ * A store that was restored from a copy lacks what was written in the last
+ * seconds. Operators and engines write it again within about two seconds; until
+ * then, what this node knows counts more than what the store lacks.
+ */
+const RESTORE_GRACE_MS = 2500;
 
 /** The state of one feed. */
 interface FeedState {
   readonly table: RecordTable;
   readonly listeners: Set<FeedListener>;
-  /** The era of the store at the last successful read. */
-  era: number | undefined;
+  /**
+   * From when the store is believed after a restore, or after the start in a
+   * later era; undefined once the whole topic was read since.
+   */
+  confirmAt: number | undefined;
   isLoaded: boolean;
   /** Whether the store has returned the whole topic at least once. */
   hasBeenLoaded: boolean;
@@ -68,7 +78,10 @@
   #tasks: TaskGroup;
   #feeds: Record<FeedName, FeedState>;
   #pace: ReadPace;
+  /** The latest era that a feed has met. */
+  #era = 0;
   #restores = 0;
+  #restoreListeners = new Set<() => void>();
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -81,9 +94,11 @@
       () => this.#feeds.nodes.table.list().length,
     );
     this.#feeds = {
-      configuration: createState(new RecordTable()),
+      configuration: createState(
+        new RecordTable(new ConfigurationVersions(kernel.find("decoder"))),
+      ),
       instances: createState(
-        new RecordTable(new EntryVersions(kernel.find("decoder"))),
+        new RecordTable(new InstanceVersions(kernel.find("decoder"))),
       ),
       nodes: createState(new RecordTable()),
     };
@@ -114,9 +129,28 @@
     this.#pace.share(sharing);
   }
 
+  /** Calls a listener once for each restore of the store from now on. */
+  onRestore(listener: () => void): void {
+    this.#restoreListeners.add(listener);
+  }
+
   /** Whether a peer supplies the feed in place of the store. */
   isPaused(feed: FeedName): boolean {
-    return this.#feeds[feed].hasBeenLoaded && this.#pace.isSupplied(feed);
+    return this.#feeds[feed].hasBeenLoaded && this.#pace.isSupplied(feed) &&
+      !this.isConfirmationDue(feed);
+  }
+
+  /**
+   * Whether the feed may still hold what a restored store lacks, or lack what is
+   * written to it again.
+   */
+  isUnconfirmed(feed: FeedName): boolean {
+    return this.#feeds[feed].confirmAt !== undefined;
+  }
+
+  /** Whether the whole feed has to be read, as the grace is over. */
+  isConfirmationDue(feed: FeedName): boolean {
+    return this.#clock.now() >= (this.#feeds[feed].confirmAt ?? Infinity);
   }
 
   /** The delay between two reads that return records. */
@@ -138,19 +172,31 @@
     records: readonly KeyRecord[],
     next: number,
   ): void {
+    this.#meetEra(feed, next);
     if (next > this.#feeds[feed].table.next) {
       this.#feeds[feed].isLoaded = false;
     }
     this.#apply(feed, (table) => table.apply(records, next));
   }
 
-  /** Applies the whole feed as a peer knows it, deletions included. */
+  /**
+   * Applies the whole feed as a peer knows it, deletions included. `isConfirmed`
+   * if the peer has read it from the store after the grace of a restore.
+   */
   applySnapshotFromPeer(
     feed: FeedName,
     records: readonly KeyRecord[],
     next: number,
+    isConfirmed: boolean,
   ): void {
-    this.#apply(feed, (table) => table.applySnapshot(records, next));
+    this.#meetEra(feed, next);
+    this.#apply(
+      feed,
+      (table) => table.applySnapshot(records, next, !isConfirmed),
+    );
+    if (isConfirmed && eraOf(next) === this.#eraOf(feed)) {
+      this.#feeds[feed].confirmAt = undefined;
+    }
   }
 
   /** Applies a peer's update: all changes up to `next`, which it just read. */
@@ -162,6 +208,7 @@
     const state = this.#feeds[feed];
     state.updatedAt = this.#clock.now();
     state.upToDateAt = state.updatedAt;
+    this.#meetEra(feed, next);
     this.#apply(feed, (table) => table.apply(records, next));
   }
 
@@ -187,7 +234,7 @@
     return this.#feeds[feed].isReachable;
   }
 
-  /** Number of restores of the store that the feeds of this node have met. */
+  /** Number of restores of the store that this node has met. */
   get restores(): number {
     return this.#restores;
   }
@@ -203,8 +250,9 @@
 
   dump(): unknown {
     return Object.fromEntries(FEEDS.map((feed) => [feed, {
-      era: this.#feeds[feed].era,
-      next: this.#feeds[feed].table.next,
+      era: this.#eraOf(feed),
+      next: offsetOf(this.#feeds[feed].table.next),
+      isUnconfirmed: this.isUnconfirmed(feed),
       keys: this.#feeds[feed].table.list().length,
       ageMs: Math.round(this.ageMs(feed)),
       isReachable: this.#feeds[feed].isReachable,
@@ -253,7 +301,8 @@
     const isUpdatedByPeer = () =>
       !this.#pace.isAtFullRate &&
       this.#clock.now() - state.updatedAt < UPDATE_VALIDITY_MS &&
-      this.#clock.now() - startedAt < MAX_READ_DELAY_MS;
+      this.#clock.now() - startedAt < MAX_READ_DELAY_MS &&
+      !this.isConfirmationDue(feed);
     do {
       await this.#clock.sleep(this.batchDelayMs(feed), signal);
     } while (isUpdatedByPeer());
@@ -265,39 +314,102 @@
     signal: AbortSignal,
   ): Promise<Result<number, { message: string }>> {
     const state = this.#feeds[feed];
-    if (!state.isLoaded) {
+    if (!state.isLoaded || this.isConfirmationDue(feed)) {
       return this.#load(feed, signal);
     }
     const batch = await this.#store.readFrom(
       feed,
       state.table.next,
-      this.#pace.waitMs(feed),
+      this.#getWaitMs(feed),
       signal,
     );
     if (batch.isErr && batch.error.isHistoryLost) {
       state.isLoaded = false;
       this.#logger.warn("feed_history_lost", {
         feed,
-        offset: state.table.next,
+        era: this.#eraOf(feed),
+        offset: offsetOf(state.table.next),
       });
       return this.#load(feed, signal);
     }
     return batch.map((value) => this.#applyBatch(feed, value));
   }
 
+  /** The longest wait of a read, which ends when the grace does. */
+  #getWaitMs(feed: FeedName): number {
+    const { confirmAt } = this.#feeds[feed];
+    const waitMs = this.#pace.waitMs(feed);
+    return confirmAt === undefined
+      ? waitMs
+      : Math.min(waitMs, Math.ceil(confirmAt - this.#clock.now()));
+  }
+
   async #load(
     feed: FeedName,
     signal: AbortSignal,
   ): Promise<Result<number, { message: string }>> {
+    const state = this.#feeds[feed];
+    const startedAt = this.#clock.now();
     const snapshot = await this.#store.readNewest(feed, signal);
-    return snapshot.map(({ records, next }) => {
-      this.#apply(feed, (table) => table.applySnapshot(records, next));
-      this.#feeds[feed].isLoaded = true;
-      this.#feeds[feed].hasBeenLoaded = true;
-      return 0;
+    return snapshot.andThen(({ records, next }) => {
+      if (eraOf(next) < this.#eraOf(feed)) {
+        const message = "the snapshot was read before the store was restored";
+        return Result.err({ message });
+      }
+      this.#meetEra(feed, next);
+      const isConfirmed = startedAt >= (state.confirmAt ?? -Infinity);
+      this.#apply(
+        feed,
+        (table) => table.applySnapshot(records, next, !isConfirmed),
+      );
+      if (isConfirmed) {
+        state.confirmAt = undefined;
+      }
+      state.isLoaded = true;
+      state.hasBeenLoaded = true;
+      return Result.ok(0);
     });
   }
 
+  /** The latest era of which this node has read the feed. */
+  #eraOf(feed: FeedName): number {
+    return eraOf(this.#feeds[feed].table.next);
+  }
+
+  /**
+   * Begins the grace if the next records are of a later era. A node that starts
+   * in a later era does not know how long ago the store was restored.
+   */
+  #meetEra(feed: FeedName, next: number): void {
+    const state = this.#feeds[feed];
+    const before = state.table.next;
+    const era = eraOf(next);
+    if (era <= eraOf(before)) {
+      return;
+    }
+    const now = this.#clock.now();
+    state.confirmAt = now + RESTORE_GRACE_MS +
+      this.#pace.drawConfirmationDelayMs();
+    state.isLoaded = false;
+    if (!state.hasBeenLoaded && before === 0) {
+      this.#era = Math.max(this.#era, era);
+      return;
+    }
+    state.outageEndedAt = now;
+    this.#logger.warn("store_restored", {
+      feed,
+      era,
+      before: eraOf(before),
+      next: offsetOf(next),
+      next_before: offsetOf(before),
+    });
+    if (era > this.#era) {
+      this.#era = era;
+      this.#restores++;
+      this.#restoreListeners.forEach((listener) => listener());
+    }
+  }
+
   #applyBatch(feed: FeedName, { records, next }: Batch): number {
     this.#apply(feed, (table) => table.apply(records, next));
     return records.length;
@@ -320,7 +432,6 @@
       state.isReachable = true;
       this.#logger.info("dependency_regained", { dependency: "store", feed });
     }
-    this.#recordEra(feed);
     const now = this.#clock.now();
     if (startedAt - (state.failingSince ?? startedAt) >= MIN_OUTAGE_MS) {
       state.outageEndedAt = now;
@@ -329,23 +440,6 @@
     state.upToDateAt = Math.max(state.upToDateAt, startedAt);
   }
 
-  /** Logs that the store was restored since the last read. */
-  #recordEra(feed: FeedName): void {
-    const state = this.#feeds[feed];
-    const { era } = this.#store;
-    const before = state.era;
-    state.era = era;
-    if (before !== undefined && era > before) {
-      this.#restores++;
-      this.#logger.warn("store_restored", {
-        feed,
-        era,
-        before,
-        next: state.table.next,
-      });
-    }
-  }
-
   #recordFailure(feed: FeedName, startedAt: number, error: string): void {
     const state = this.#feeds[feed];
     state.failingSince ??= startedAt;
@@ -365,7 +459,7 @@
   return {
     table,
     listeners: new Set(),
-    era: undefined,
+    confirmAt: undefined,
     isLoaded: false,
     hasBeenLoaded: false,
     upToDateAt: -Infinity,
--- a/packages/relay/src/feeds/read-pace.ts
+++ b/packages/relay/src/feeds/read-pace.ts
@@ -49,6 +49,11 @@
 const MAX_RETRY_DELAY_MS = 700;
 /** A node whose reads fail receives records from its peers meanwhile. */
 const MAX_RETRY_DELAY_MS_PER_NODE = 45;
+/**
+ * After a restore, every node reads the whole topics once more. Limits all nodes
+ * together to about 200 such reads a second.
+ */
+const CONFIRMATION_DELAY_MS_PER_NODE = 15;
 /** The part of this node in the reads of the store. */
 export interface ReadSharing {
   /** Whether a peer supplies the feed, so that this node does not read it. */
@@ -121,6 +126,12 @@
     return delayMs * (1 + this.#random.fraction()) / 2;
   }
 
+  /** A random delay, so that nodes do not all read whole topics at once. */
+  drawConfirmationDelayMs(): number {
+    return CONFIRMATION_DELAY_MS_PER_NODE * this.#countExtraNodes() *
+      this.#random.fraction();
+  }
+
   /** Nodes above `FULL_RATE_NODES` that read the store. */
   #countExtraNodes(): number {
     const readers = this.#sharing.countReaders(this.#countAnnounced());
--- a/packages/relay/src/feeds/record-table.ts
+++ b/packages/relay/src/feeds/record-table.ts
@@ -4,9 +4,11 @@
  * @module
  */
 import type { KeyRecord } from "../model/peer-message.ts";
+import { eraOf } from "../model/store-position.ts";
 import {
   compareVersions,
   type EntryVersion,
+  NO_VERSIONS,
   type VersionReader,
 } from "./entry-versions.ts";
 
@@ -16,14 +18,12 @@
   readonly version: EntryVersion | undefined;
 }
 
-/** Reads the versions of topics whose values have none. */
-const NO_VERSIONS: VersionReader = { read: () => undefined };
-
 /**
  * Holds the newest record of each key, including deletions. Records may arrive
  * from the store and from peers in any order; an older one never replaces a
  * newer one. Values are ordered by their versions, also if the store holds them
- * in another order; everything else is ordered by its offset.
+ * in another order; everything else is ordered by its position. Positions of a
+ * store that was restored are later than all that it gave before.
  */
 export class RecordTable {
   #latest = new Map<string, Latest>();
@@ -34,7 +34,7 @@
     this.#versions = versions;
   }
 
-  /** The offset below which every record has been applied. */
+  /** The position below which every record has been applied. */
   get next(): number {
     return this.#next;
   }
@@ -44,9 +44,9 @@
     return this.#listRecords().filter(({ value }) => value !== undefined);
   }
 
-  /** The newest records from an offset on, including deletions. */
-  listFrom(offset: number): KeyRecord[] {
-    return this.#listRecords().filter((record) => record.offset >= offset);
+  /** The newest records from a position on, including deletions. */
+  listFrom(position: number): KeyRecord[] {
+    return this.#listRecords().filter(({ offset }) => offset >= position);
   }
 
   /**
@@ -63,16 +63,29 @@
   /**
    * Applies a snapshot whose reading began when the topic ended at `next`. A
    * key that it does not contain was deleted, unless its record is newer.
+   *
+   * A provisional snapshot is that of a store which was restored just before,
+   * and which lacks what was written in the last seconds. It adds keys and
+   * newer versions, but tells nothing of what is known from an earlier era.
    */
-  applySnapshot(records: readonly KeyRecord[], next: number): KeyRecord[] {
+  applySnapshot(
+    records: readonly KeyRecord[],
+    next: number,
+    isProvisional = false,
+  ): KeyRecord[] {
     const snapshotKeys = new Set(records.map(({ key }) => key));
     const deleted = this.list()
-      .filter(({ key, offset }) => !snapshotKeys.has(key) && offset < next)
+      .filter(({ key, offset }) =>
+        !snapshotKeys.has(key) && offset < next &&
+        !(isProvisional && eraOf(offset) < eraOf(next))
+      )
       .map(({ key }) => ({ key, offset: next - 1, value: undefined }));
     const isOutdated = next < this.#next;
-    const present = isOutdated
-      ? records.filter((record) => !this.#isDeletedMeanwhile(record))
-      : records;
+    const present = records.filter((record) => {
+      const isLate = isOutdated || eraOf(record.offset) < eraOf(this.#next);
+      return !(isLate && this.#isDeletedMeanwhile(record)) &&
+        !(isProvisional && this.#isKnownBefore(record));
+    });
     return this.#putAll([...present, ...deleted], next);
   }
 
@@ -85,13 +98,32 @@
   /**
    * Whether a record that arrives late, for example with a read that began
    * before a snapshot was applied, belongs to a key that was deleted before
-   * this table heard of it. Keys with versions may be stored in another order.
+   * this table heard of it. Topics that may be in another order do not tell.
    */
   #isDeletedMeanwhile({ key, offset }: KeyRecord): boolean {
-    return this.#versions === NO_VERSIONS && offset < this.#next &&
+    return !this.#versions.mayReorder && offset < this.#next &&
       !this.#latest.has(key);
   }
 
+  /**
+   * Whether a record of a copy tells nothing of a key that is known from an
+   * earlier era. Only a newer version does; a deleted key has to be written
+   * again, as its last version may never have reached this node.
+   */
+  #isKnownBefore({ key, offset, value }: KeyRecord): boolean {
+    const latest = this.#latest.get(key);
+    if (latest === undefined || eraOf(latest.record.offset) >= eraOf(offset)) {
+      return false;
+    }
+    const version = value === undefined
+      ? undefined
+      : this.#versions.read(key, value);
+    const isNewer = latest.record.value !== undefined &&
+      version !== undefined && latest.version !== undefined &&
+      compareVersions(version, latest.version) > 0;
+    return !isNewer;
+  }
+
   #listRecords(): KeyRecord[] {
     return [...this.#latest.values()].map(({ record }) => record);
   }
@@ -113,12 +145,14 @@
     }
     const order = compareVersions(version, latest.version);
     const isDeleted = latest.record.value === undefined;
-    // What was written before a deletion may still be read from a peer.
+    const isOfLaterEra = eraOf(record.offset) > eraOf(latest.record.offset);
+    // What was written before a deletion may still be read from a peer, and the
+    // copy from which a store was restored may still list it.
     const isNewer = order > 0 && (isLater || !isDeleted) ||
-      order === 0 && isLater;
+      order === 0 && isLater && !(isDeleted && isOfLaterEra);
     const newer = isNewer ? { record, version } : latest;
     const offset = Math.max(record.offset, latest.record.offset);
-    // Peers that have not read up to this offset get the newer record.
+    // Peers that have not read up to this position get the newer record.
     this.#latest.set(key, {
       version: newer.version,
       record: isDeleted && !isNewer
@@ -128,7 +162,7 @@
     return isNewer;
   }
 
-  /** Stores a record of which only the offset is known to be later. */
+  /** Stores a record of which only the position is known to be later. */
   #putLater(
     latest: Latest,
     record: KeyRecord,
--- a/packages/relay/src/gauges.ts
+++ b/packages/relay/src/gauges.ts
@@ -38,7 +38,7 @@
         () => topics.era,
       ],
       store_restores: [
-        "Restores of the store that the feeds have met, each feed by itself",
+        "Restores of the store that this node has met",
         () => feeds.restores,
       ],
       groups_open: [
--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -136,6 +136,11 @@
     offsets: z.record(SharedFeed, z.number()),
     /** Time since each shared feed was last known to be complete. */
     agesMs: z.record(SharedFeed, z.number()),
+    /**
+     * Shared feeds that the sender has not read from the store since the grace
+     * of a restore; absent if there are none.
+     */
+    unconfirmed: z.array(SharedFeed).optional(),
     outstanding: z.array(OutstandingCount),
     /** Work of the node's callers; absent if there is none. */
     demand: z.array(ModelDemand).optional(),
@@ -152,6 +157,8 @@
     kind: z.literal("fetch"),
     feed: SharedFeed,
     from: z.number(),
+    /** Whether the whole feed is requested, deletions included. */
+    isWhole: z.boolean().optional(),
   }),
   z.object({
     kind: z.literal("records"),
@@ -160,6 +167,8 @@
     next: z.number(),
     /** Whether keys without a record are deleted. */
     isSnapshot: z.boolean().default(false),
+    /** Whether the sender has read the feed since the grace of a restore. */
+    isConfirmed: z.boolean().default(true),
   }),
   /** Changes of the instances among the records between two positions. */
   z.object({
--- a/packages/relay/src/peers/feed-exchange.ts
+++ b/packages/relay/src/peers/feed-exchange.ts
@@ -6,6 +6,7 @@
 import type { Clock, Logger } from "@zinniahill/kernel";
 import type { Feeds } from "../feeds/feeds.ts";
 import { type MessageOf, SharedFeed } from "../model/peer-message.ts";
+import { eraOf, offsetOf } from "../model/store-position.ts";
 import type { RelayKernel } from "../services.ts";
 
 type Heartbeat = MessageOf<"beat">;
@@ -17,6 +18,8 @@
 const FETCH_DELAY_MS = 200;
 /** Minimum time between two fetches, as each peer sends the same records. */
 const MIN_FETCH_INTERVAL_MS = 100;
+/** Minimum time between two fetches of a whole feed after a restore. */
+const MIN_WHOLE_FETCH_INTERVAL_MS = 1000;
 
 /**
  * Feeds that are sent whole. A node that has read a snapshot does not know the
@@ -25,9 +28,9 @@
  */
 const SNAPSHOT_FEEDS: ReadonlySet<SharedFeed> = new Set(["configuration"]);
 
-/** An offset of a peer that this node has not reached yet. */
+/** A position of a peer that this node has not reached yet. */
 interface Lag {
-  readonly offset: number;
+  readonly position: number;
   readonly since: number;
 }
 
@@ -37,7 +40,7 @@
   readonly receivedAt: number;
 }
 
-/** Compares the offsets of this node and its peers, and transfers records. */
+/** Compares the positions of this node and its peers, and transfers records. */
 export class FeedExchange {
   #clock: Clock;
   #logger: Logger;
@@ -54,15 +57,22 @@
     this.#feeds = kernel.find("feeds");
   }
 
-  /** The offsets and ages of this node's feeds, for its heartbeats. */
-  describeProgress(): Pick<Heartbeat, "offsets" | "agesMs"> {
+  /** The positions and ages of this node's feeds, for its heartbeats. */
+  describeProgress(): Pick<Heartbeat, "offsets" | "agesMs" | "unconfirmed"> {
     const offsets = {} as Heartbeat["offsets"];
     const agesMs = {} as Heartbeat["agesMs"];
     for (const feed of SharedFeed.options) {
       offsets[feed] = this.#feeds.table(feed).next;
       agesMs[feed] = Math.min(this.#feeds.ageMs(feed), Number.MAX_SAFE_INTEGER);
     }
-    return { offsets, agesMs };
+    const unconfirmed = SharedFeed.options.filter((feed) =>
+      this.#feeds.isUnconfirmed(feed)
+    );
+    return {
+      offsets,
+      agesMs,
+      ...(unconfirmed.length === 0 ? {} : { unconfirmed }),
+    };
   }
 
   /** Creates fetches for a peer's records that the store has not returned. */
@@ -88,31 +98,36 @@
   }
 
   /** The reply to a peer's fetch. */
-  answerFetch({ feed, from }: MessageOf<"fetch">): MessageOf<"records"> {
+  answerFetch(
+    { feed, from, isWhole = false }: MessageOf<"fetch">,
+  ): MessageOf<"records"> {
     const table = this.#feeds.table(feed);
-    const isSnapshot = SNAPSHOT_FEEDS.has(feed);
+    const isSnapshot = isWhole || SNAPSHOT_FEEDS.has(feed);
     return {
       kind: "records",
       feed,
       records: isSnapshot ? table.list() : table.listFrom(from),
       next: table.next,
       isSnapshot,
+      isConfirmed: !this.#feeds.isUnconfirmed(feed),
     };
   }
 
   /** Applies the records that a peer sent. */
   applyRecords(
     peer: string,
-    { feed, records, next, isSnapshot }: MessageOf<"records">,
+    { feed, records, next, isSnapshot, isConfirmed }: MessageOf<"records">,
   ): void {
     this.#logger.info("feed_from_peer", {
       feed,
       peer,
-      from: this.#feeds.table(feed).next,
-      next,
+      from: offsetOf(this.#feeds.table(feed).next),
+      next: offsetOf(next),
+      era: eraOf(next),
+      is_confirmed: isConfirmed,
     });
     if (isSnapshot) {
-      this.#feeds.applySnapshotFromPeer(feed, records, next);
+      this.#feeds.applySnapshotFromPeer(feed, records, next, isConfirmed);
     } else {
       this.#feeds.applyFromPeer(feed, records, next);
     }
@@ -128,7 +143,7 @@
 
   #compareFeed(
     peer: string,
-    { offsets, agesMs }: Heartbeat,
+    { offsets, agesMs, unconfirmed }: Heartbeat,
     feed: SharedFeed,
   ): MessageOf<"fetch">[] {
     const key = createKey(peer, feed);
@@ -139,27 +154,49 @@
       if (peerNext === ownNext) {
         this.#feeds.markUpToDate(feed, agesMs[feed]);
       }
-      return [];
+      const canConfirm = eraOf(peerNext) === eraOf(ownNext) &&
+        !unconfirmed?.includes(feed);
+      return canConfirm ? this.#listConfirmingFetches(feed, ownNext) : [];
     }
     const now = this.#clock.now();
     const known = this.#lags.get(key);
-    // Reaching a known offset restarts the timing, as a peer that reads more
+    // Reaching a known position restarts the timing, as a peer that reads more
     // often is always slightly ahead.
-    const lag = known !== undefined && ownNext < known.offset
+    const lag = known !== undefined && ownNext < known.position
       ? known
-      : { offset: peerNext, since: now };
+      : { position: peerNext, since: now };
     const isLate = !this.#feeds.isReachable(feed) ||
       this.#feeds.isPaused(feed) ||
       now - lag.since >= FETCH_DELAY_MS + this.#feeds.batchDelayMs(feed);
     const fetchedAt = this.#fetchedAt.get(feed) ?? -Infinity;
     const isDue = isLate && now - fetchedAt >= MIN_FETCH_INTERVAL_MS;
-    this.#lags.set(key, isDue ? { offset: peerNext, since: now } : lag);
+    this.#lags.set(key, isDue ? { position: peerNext, since: now } : lag);
     if (!isDue) {
       return [];
     }
     this.#fetchedAt.set(feed, now);
     return [{ kind: "fetch", feed, from: ownNext }];
   }
+
+  /**
+   * Fetches a whole feed that has to be read again after a restore, if this node
+   * does not reach the store.
+   */
+  #listConfirmingFetches(
+    feed: SharedFeed,
+    from: number,
+  ): MessageOf<"fetch">[] {
+    const now = this.#clock.now();
+    const fetchedAt = this.#fetchedAt.get(feed) ?? -Infinity;
+    const isDue = this.#feeds.isConfirmationDue(feed) &&
+      !this.#feeds.isReachable(feed) &&
+      now - fetchedAt >= MIN_WHOLE_FETCH_INTERVAL_MS;
+    if (!isDue) {
+      return [];
+    }
+    this.#fetchedAt.set(feed, now);
+    return [{ kind: "fetch", feed, from, isWhole: true }];
+  }
 }
 
 function createKey(peer: string, feed: SharedFeed): string {
--- a/packages/relay/src/peers/instance-updates.ts
+++ b/packages/relay/src/peers/instance-updates.ts
@@ -12,11 +12,12 @@
 import type { Instances } from "../hosts/instances.ts";
 import type { KeyRecord, MessageOf } from "../model/peer-message.ts";
 import type { HolderElector } from "../placement/holder-elector.ts";
+import { eraOf } from "../model/store-position.ts";
 import type { RelayKernel } from "../services.ts";
 import type { Mesh } from "./mesh.ts";
 
 const FEED = "instances";
-/** How often the holder sends its offset to peers if nothing has changed. */
+/** How often the holder sends its position to peers if nothing has changed. */
 const IDLE_INTERVAL_MS = 400;
 
 /** Sends updates while this node holds placement, and applies the holder's. */
@@ -50,7 +51,7 @@
     }
     const now = this.#clock.now();
     const { next } = this.#feeds.table(FEED);
-    const from = this.#sentNext;
+    const from = this.#getStart(next);
     // An update can cover only what was read since this node became the sender.
     const isDue = from === undefined || records.length > 0 ||
       now - this.#sentAt >= IDLE_INTERVAL_MS;
@@ -64,6 +65,16 @@
     }
   }
 
+  /**
+   * The end of the last update, where the next one begins. None spans a restore
+   * of the store: peers have to read what it has lost.
+   */
+  #getStart(next: number): number | undefined {
+    return this.#sentNext !== undefined && eraOf(this.#sentNext) === eraOf(next)
+      ? this.#sentNext
+      : undefined;
+  }
+
   /**
    * Ignores an update after a gap: the store or a peer supplies the missing
    * records.
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -54,6 +54,11 @@
 /** Heartbeat intervals without a message after which a peer is lost. */
 const MAX_MISSED_HEARTBEATS = 6;
 const ANNOUNCE_RETRY_DELAY_MS = 500;
+/**
+ * After a restore of the store all nodes announce themselves again. Limits them
+ * together to about 100 writes a second.
+ */
+const ANNOUNCE_DELAY_MS_PER_NODE = 10;
 /**
  * A hub whose feed is older than this does not replace reads of the store. It
  * exceeds the age that a hub's feed reaches and the delay of its heartbeats,
@@ -136,6 +141,14 @@
         });
       }
     });
+    // The copy from which the store was restored may lack this node's entry.
+    feeds.onRestore(() =>
+      this.#tasks.run("announce_again", async (signal) => {
+        const maxDelayMs = ANNOUNCE_DELAY_MS_PER_NODE * this.countNodes();
+        await this.#clock.sleep(maxDelayMs * this.#random.fraction(), signal);
+        await this.#announce(signal);
+      })
+    );
     feeds.shareReads({
       isSupplied: (feed) => this.#isSupplied(feed),
       countReaders: (announced) =>
--- a/packages/relay/test/peers/feed-exchange.test.ts
+++ b/packages/relay/test/peers/feed-exchange.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from "vitest";
 import { RecordTable } from "../../src/feeds/record-table.ts";
 import type { KeyRecord, MessageOf } from "../../src/model/peer-message.ts";
+import { createPosition } from "../../src/model/store-position.ts";
 import { FeedExchange } from "../../src/peers/feed-exchange.ts";
 import type { RelayKernel, RelayServices } from "../../src/services.ts";
 
@@ -33,6 +34,10 @@
     batchDelayMs: () => feeds.delayMs,
     isReachable: () => feeds.isStoreReachable,
     isPaused: () => false,
+    isConfirmationDue: (feed: string) => feeds.dueFeeds.includes(feed),
+    isUnconfirmed: (feed: string) => feeds.unconfirmed.includes(feed),
+    dueFeeds: [] as string[],
+    unconfirmed: [] as string[],
     markUpToDate: (_feed: string, ageMs: number) => {
       feeds.currentAges.push(ageMs);
     },
@@ -145,4 +150,52 @@
       expect(records).toEqual([record]);
     });
   });
+
+  describe("after a restore of the store", () => {
+    const before = createPosition(0, 90);
+    const after = createPosition(1, 50);
+
+    // Guards against a node that takes a position of an earlier era for news, or
+    // that misses what was written in a whole era.
+    it.each([1, 2])("fetches from the peers of era %i only", async (era) => {
+      const { exchange, feeds, table } = await create();
+      table.apply([], before);
+      feeds.isStoreReachable = false;
+      const later = createHeartbeat(createPosition(era, 1));
+      expect(exchange.listFetches("n-2", later))
+        .toEqual([{ kind: "fetch", feed: "instances", from: before }]);
+      table.apply([], createPosition(era, 1));
+      expect(exchange.listFetches("n-3", createHeartbeat(before))).toEqual([]);
+    });
+
+    // Guards against a node without the store that keeps for ever what the store
+    // has lost and nobody has written again.
+    it("fetches whole feeds from a peer that is sure of them", async () => {
+      const { exchange, feeds, table, clock } = await create();
+      table.apply([], after);
+      feeds.isStoreReachable = false;
+      await clock.advance(2000);
+      const sure = createHeartbeat(after);
+      expect(exchange.listFetches("n-2", sure)).toEqual([]);
+      feeds.dueFeeds = ["instances"];
+      const unsure = { ...sure, unconfirmed: ["instances" as const] };
+      expect(exchange.listFetches("n-2", unsure)).toEqual([]);
+      expect(exchange.listFetches("n-2", createHeartbeat(before))).toEqual([]);
+      expect(exchange.listFetches("n-3", sure)).toEqual([
+        { kind: "fetch", feed: "instances", from: after, isWhole: true },
+      ]);
+      expect(exchange.listFetches("n-4", sure)).toEqual([]);
+    });
+
+    it("says in heartbeats and answers what it is not sure of", async () => {
+      const { exchange, feeds } = await create();
+      const fetch = { kind: "fetch", feed: "instances", from: 0 } as const;
+      expect(exchange.answerFetch({ ...fetch, isWhole: true }))
+        .toMatchObject({ isSnapshot: true, isConfirmed: true });
+      feeds.unconfirmed = ["instances"];
+      expect(exchange.describeProgress().unconfirmed).toEqual(["instances"]);
+      expect(exchange.answerFetch(fetch))
+        .toMatchObject({ isSnapshot: false, isConfirmed: false });
+    });
+  });
 });
--- a/packages/relay/test/peers/instance-updates.test.ts
+++ b/packages/relay/test/peers/instance-updates.test.ts
@@ -3,6 +3,7 @@
 import { RecordTable } from "../../src/feeds/record-table.ts";
 import type { UpdateListener } from "../../src/hosts/instances.ts";
 import type { KeyRecord, MessageOf } from "../../src/model/peer-message.ts";
+import { createPosition } from "../../src/model/store-position.ts";
 import { InstanceUpdates } from "../../src/peers/instance-updates.ts";
 import type { RelayKernel, RelayServices } from "../../src/services.ts";
 
@@ -105,6 +106,17 @@
       expect(env.sent.at(-1)).toMatchObject({ records: [], next: 30 });
     });
 
+    // Guards against nodes that take an update for all that a restore changed.
+    it("sends no update that spans a restore of the store", async () => {
+      const env = await create();
+      env.read([], 10);
+      const position = createPosition(1, 4);
+      env.read([createRecord("i-1", position)], position + 1);
+      expect(env.sent).toEqual([]);
+      env.read([createRecord("i-2", position + 1)], position + 2);
+      expect(env.sent).toMatchObject([{ from: position + 1 }]);
+    });
+
     it("leaves no gap between updates when it reads only renewals", async () => {
       const env = await create();
       env.read([], 10);
--- a/packages/relay/test/peers/mesh.test.ts
+++ b/packages/relay/test/peers/mesh.test.ts
@@ -28,6 +28,11 @@
   #entries: NodeEntry[] = [];
   #listeners = new Set<(records: readonly KeyRecord[]) => void>();
 
+  /** Names of the nodes, once for each time that they were announced. */
+  listNames(): string[] {
+    return this.#entries.map(({ name }) => name);
+  }
+
   add(entry: NodeEntry): void {
     this.#entries.push(entry);
     this.#listeners.forEach((listener) => listener([this.#encode(entry)]));
@@ -61,6 +66,7 @@
   readonly transports = new MemoryTransports(this.network);
   readonly nodes: Node[] = [];
   readonly announcements = new Announcements();
+  readonly restoreListeners: (() => void)[] = [];
   #messages = new Map<string, number>();
 
   constructor() {
@@ -93,6 +99,11 @@
       markUpToDate: () => {},
       isReachable: () => true,
       isPaused: () => false,
+      isUnconfirmed: () => false,
+      isConfirmationDue: () => false,
+      onRestore: (listener: () => void) => {
+        this.restoreListeners.push(listener);
+      },
       batchDelayMs: () => 0,
     };
     const logger = { error() {}, warn() {}, info() {}, debug() {} };
@@ -221,6 +232,19 @@
     });
   });
 
+  describe("after a restore of the store", () => {
+    // Guards against nodes that a later one never hears of, as the copy from
+    // which the store was restored lacks their entries.
+    it("announces each node once more", async () => {
+      const { nodes, announcements, restoreListeners, clock } = await start(4);
+      const names = nodes.map(({ name }) => name);
+      expect(announcements.listNames()).toEqual(names);
+      restoreListeners.forEach((listener) => listener());
+      await clock.advance(100);
+      expect(announcements.listNames().slice(4).sort()).toEqual(names);
+    });
+  });
+
   describe("of many nodes", () => {
     it("sends few messages a second from all but the hubs", async () => {
       const created = await start(NODES);
