Do not take a live node for its earlier process in a copy

Cause: a restored store, and peers that have read it, may list the entry of a node's earlier process. It replaced the entry of the process that runs, and messages that came through hubs were dropped as those of an unknown process until the node was announced again. Change: a process that a later one has replaced does not return while messages of the later one arrive.

--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -361,7 +361,8 @@
   }
 
   #addNode(entry: NodeEntry): void {
-    if (this.#directory.add(entry)) {
+    const isKnownAlive = this.#peers.isHeard(this.#directory.find(entry.name));
+    if (this.#directory.add(entry, isKnownAlive)) {
       this.#connector.planSoon();
     }
   }
--- a/packages/relay/src/peers/peer-table.ts
+++ b/packages/relay/src/peers/peer-table.ts
@@ -87,6 +87,12 @@
     }));
   }
 
+  /** Whether messages of this process have come lately. */
+  isHeard(entry: NodeEntry | undefined): boolean {
+    return entry !== undefined &&
+      this.#states.get(entry.name)?.entry.incarnation === entry.incarnation;
+  }
+
   findHeartbeat(name: string): Heartbeat | undefined {
     return this.#states.get(name)?.lastHeartbeat;
   }
