Let the stand-in of the log be restored from a copy

Change: LogModel has copy and restore. A restore drops what was appended after the copy, gives its offsets out again and raises an era number, which pages of the log carry (0 for a log that does not report it).

--- a/packages/schema/src/log.ts
+++ b/packages/schema/src/log.ts
@@ -26,6 +26,11 @@
   /** Offset of the next append. */
   next: Offset,
   entries: z.array(LogEntry),
+  /**
+   * Increases each time the log is restored from a copy, which gives offsets
+   * out again. 0 for a log that does not report it.
+   */
+  era: z.number().int().min(0).default(0),
 });
 /** Reply to a read. */
 export type LogPage = z.infer<typeof LogPage>;
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -37,6 +37,7 @@
 export { HostListStandIn } from "./host-list.ts";
 export {
   type AppendedEntry,
+  type LogCopy,
   type LogFaults,
   LogModel,
   type LogQuery,
--- a/stand-ins/src/log-model.ts
+++ b/stand-ins/src/log-model.ts
@@ -34,6 +34,12 @@
   readonly waitMs: number;
 }
 
+/** The entries of each stream at one time, from which a log is restored. */
+export type LogCopy = ReadonlyMap<
+  string,
+  { readonly next: number; readonly entries: readonly LogEntry[] }
+>;
+
 /** What became of an append. */
 export type AppendResult =
   | { readonly state: "appended"; readonly offset: number }
@@ -61,7 +67,7 @@
     return offset;
   }
 
-  read(from: number, max: number): LogPage {
+  read(from: number, max: number): Omit<LogPage, "era"> {
     const start = Math.max(0, from - this.first);
     return {
       first: this.first,
@@ -80,6 +86,7 @@
   /** Called after an append took effect. */
   onAppend: (entry: AppendedEntry) => void = () => {};
   #clock: Clock;
+  #era = 0;
   #streams = new Map<string, LogStream>();
 
   constructor(clock: Clock, retention: LogRetention = DEFAULT_RETENTION) {
@@ -123,7 +130,10 @@
     if (!this.faults.isDown && stream.next <= from && waitMs > 0) {
       await this.#waitForAppend(stream, waitMs);
     }
-    return this.faults.isDown ? undefined : stream.read(from, max);
+    if (this.faults.isDown) {
+      return undefined;
+    }
+    return { ...stream.read(from, max), era: this.#era };
   }
 
   /** Returns what is retained of a stream. */
@@ -137,6 +147,29 @@
     target.entries = target.entries.filter(({ offset }) => offset >= below);
   }
 
+  /** Copies what is retained of all streams. */
+  copy(): LogCopy {
+    return new Map(
+      [...this.#streams].map((
+        [name, { next, entries }],
+      ) => [name, { next, entries: [...entries] }]),
+    );
+  }
+
+  /**
+   * Replaces all streams by a copy and begins an era. What was appended after
+   * the copy is lost, and its offsets are given out again. Waiting reads end.
+   */
+  restore(copy: LogCopy): void {
+    this.#era++;
+    for (const [name, stream] of this.#streams) {
+      const { next, entries } = copy.get(name) ?? { next: 1, entries: [] };
+      stream.next = next;
+      stream.entries = [...entries];
+      stream.appended.notify();
+    }
+  }
+
   #stream(name: string): LogStream {
     let stream = this.#streams.get(name);
     if (stream === undefined) {
