--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -36,6 +36,7 @@
 /** The latest record of a key; a record without a value deletes the key. */
 export const KeyRecord = z.object({
   key: z.string(),
+  /** Position in the topic, which holds the era of the store. */
   offset: z.number(),
   value: z.string().optional(),
 });
@@ -131,10 +132,15 @@
     seeksPlacement: z.boolean().default(false),
     /** Share of a CPU core that is available to callers. */
     capacity: z.number().default(1),
-    /** Next unread offset of each shared feed. */
+    /** Next unread position of each shared feed. */
     offsets: z.record(SharedFeed, z.number()),
     /** Time since each shared feed was last known to be complete. */
     agesMs: z.record(SharedFeed, z.number()),
+    /**
+     * Shared feeds that the sender has not read from the store since the grace
+     * of a restore; absent if there are none.
+     */
+    unconfirmed: z.array(SharedFeed).optional(),
     outstanding: z.array(OutstandingCount),
     /** Work of the node's callers; absent if there is none. */
     demand: z.array(ModelDemand).optional(),
@@ -151,6 +157,8 @@
     kind: z.literal("fetch"),
     feed: SharedFeed,
     from: z.number(),
+    /** Whether the whole feed is requested, deletions included. */
+    isWhole: z.boolean().optional(),
   }),
   z.object({
     kind: z.literal("records"),
@@ -159,8 +167,10 @@
     next: z.number(),
     /** Whether keys without a record are deleted. */
     isSnapshot: z.boolean().default(false),
+    /** Whether the sender has read the feed since the grace of a restore. */
+    isConfirmed: z.boolean().default(true),
   }),
-  /** Changes of the instances among the records between two offsets. */
+  /** Changes of the instances among the records between two positions. */
   z.object({
     kind: z.literal("news"),
     from: z.number(),
