Confirm a busy topic that a node without the store gets from peers

Cause: a node that does not reach the store fetched the whole feed after the grace of a restore only from a peer that was not ahead, and only if it had fetched nothing of the feed for a second. Instances renew their entries all the time, so a peer is ahead in nearly every heartbeat and each one leads to a fetch of the latest records: the whole feed was never fetched. The node kept what the store had lost for as long as it did not reach the store. Change: a peer that is ahead in the same era is asked for the whole feed too, and the interval of these fetches is measured by itself. Result: the new test (20 heartbeats of a peer that is always ahead) got no whole fetch before, and gets one to three now; the 14 tests of the exchange pass.

--- a/packages/relay/src/peers/feed-exchange.ts
+++ b/packages/relay/src/peers/feed-exchange.ts
@@ -50,6 +50,8 @@
   #reports = new Map<string, Report>();
   /** When records of a feed were last requested from a peer. */
   #fetchedAt = new Map<SharedFeed, number>();
+  /** When a whole feed was last requested after a restore. */
+  #wholeFetchedAt = new Map<SharedFeed, number>();
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
@@ -149,14 +151,20 @@
     const key = createKey(peer, feed);
     const ownNext = this.#feeds.table(feed).next;
     const peerNext = offsets[feed];
+    const canConfirm = eraOf(peerNext) === eraOf(ownNext) &&
+      !unconfirmed?.includes(feed);
+    // A peer is nearly always ahead in a topic whose records come often.
+    const wholeFetches = canConfirm
+      ? this.#listConfirmingFetches(feed, ownNext)
+      : [];
     if (peerNext <= ownNext) {
       this.#lags.delete(key);
       if (peerNext === ownNext) {
         this.#feeds.markUpToDate(feed, agesMs[feed]);
       }
-      const canConfirm = eraOf(peerNext) === eraOf(ownNext) &&
-        !unconfirmed?.includes(feed);
-      return canConfirm ? this.#listConfirmingFetches(feed, ownNext) : [];
+    }
+    if (peerNext <= ownNext || wholeFetches.length > 0) {
+      return wholeFetches;
     }
     const now = this.#clock.now();
     const known = this.#lags.get(key);
@@ -187,14 +195,14 @@
     from: number,
   ): MessageOf<"fetch">[] {
     const now = this.#clock.now();
-    const fetchedAt = this.#fetchedAt.get(feed) ?? -Infinity;
+    const fetchedAt = this.#wholeFetchedAt.get(feed) ?? -Infinity;
     const isDue = this.#feeds.isConfirmationDue(feed) &&
       !this.#feeds.isReachable(feed) &&
       now - fetchedAt >= MIN_WHOLE_FETCH_INTERVAL_MS;
     if (!isDue) {
       return [];
     }
-    this.#fetchedAt.set(feed, now);
+    this.#wholeFetchedAt.set(feed, now);
     return [{ kind: "fetch", feed, from, isWhole: true }];
   }
 }
--- a/packages/relay/test/peers/feed-exchange.test.ts
+++ b/packages/relay/test/peers/feed-exchange.test.ts
@@ -187,6 +187,24 @@
       expect(exchange.listFetches("n-4", sure)).toEqual([]);
     });
 
+    // Guards against a node without the store that never confirms a topic whose
+    // records arrive faster than heartbeats, as its peers are always ahead.
+    it("fetches a whole feed although the peer is ahead and records come often", async () => {
+      const { exchange, feeds, table, clock } = await create();
+      table.apply([], after);
+      feeds.isStoreReachable = false;
+      feeds.dueFeeds = ["instances"];
+      const fetches = [];
+      for (let next = after + 1; next <= after + 20; next++) {
+        await clock.advance(150);
+        fetches.push(...exchange.listFetches("n-2", createHeartbeat(next)));
+        table.apply([], next);
+      }
+      const whole = fetches.filter(({ isWhole }) => isWhole === true);
+      expect(whole.length).toBeGreaterThanOrEqual(1);
+      expect(whole.length).toBeLessThanOrEqual(3);
+    });
+
     it("says in heartbeats and answers what it is not sure of", async () => {
       const { exchange, feeds } = await create();
       const fetch = { kind: "fetch", feed: "instances", from: 0 } as const;
