Keep a runner that has left from returning with the copy after the grace

Cause: nodes other than the holder of placement do not hear of every renewal of an entry. If a runner left in the seconds that a restored store lost, the copy may list it with a renewal that such a node has never seen. That counted as a newer version of a deleted key, so once the grace was over the node sent requests to the runner again. The grace is 2.5 s; the store drops the entry of a silent runner only after three heartbeat intervals, 3.6 s at 1.2 s each. Change: a table keeps the position at which it met the latest era. An entry that was deleted in an earlier era returns only with a record from there on, which a live runner writes with its next renewal.

--- a/packages/relay/src/feeds/record-table.ts
+++ b/packages/relay/src/feeds/record-table.ts
@@ -28,6 +28,11 @@
 export class RecordTable {
   #latest = new Map<string, Latest>();
   #next = 0;
+  /**
+   * The end of the topic when this table met the latest era. Records before it
+   * may be those of the copy, whatever was deleted since.
+   */
+  #eraStart = 0;
   #versions: VersionReader;
 
   constructor(versions: VersionReader = NO_VERSIONS) {
@@ -90,6 +95,9 @@
   }
 
   #putAll(records: readonly KeyRecord[], next: number): KeyRecord[] {
+    if (eraOf(next) > eraOf(this.#next)) {
+      this.#eraStart = next;
+    }
     const changed = records.filter((record) => this.#put(record));
     this.#next = Math.max(this.#next, next);
     return changed;
@@ -146,10 +154,13 @@
     const order = compareVersions(version, latest.version);
     const isDeleted = latest.record.value === undefined;
     const isOfLaterEra = eraOf(record.offset) > eraOf(latest.record.offset);
-    // What was written before a deletion may still be read from a peer, and the
-    // copy from which a store was restored may still list it.
-    const isNewer = order > 0 && (isLater || !isDeleted) ||
-      order === 0 && isLater && !(isDeleted && isOfLaterEra);
+    // The copy from which a store was restored may still list a deleted key,
+    // also with a version that never reached this node.
+    const isOfCopy = isDeleted && isOfLaterEra &&
+      (order === 0 || record.offset < this.#eraStart);
+    // What was written before a deletion may still be read from a peer.
+    const isNewer = !isOfCopy &&
+      (order > 0 && (isLater || !isDeleted) || order === 0 && isLater);
     const newer = isNewer ? { record, version } : latest;
     const offset = Math.max(record.offset, latest.record.offset);
     // Peers that have not read up to this position get the newer record.
--- a/packages/relay/test/feeds/record-table.test.ts
+++ b/packages/relay/test/feeds/record-table.test.ts
@@ -227,6 +227,10 @@
       const copy = [at(1, 40, "a", value)];
       table.applySnapshot(copy, createPosition(1, 50), true);
       expect(table.list()).toEqual([]);
+      // The store takes seconds to drop the entry of a silent runner, which may
+      // be longer than the grace.
+      table.applySnapshot(copy, createPosition(1, 51));
+      expect(table.list()).toEqual([]);
       table.apply([at(1, 51, "a", "[1,5]")], createPosition(1, 52));
       expect(table.list()).toEqual([]);
       table.apply([at(1, 52, "a", "[1,10]")], createPosition(1, 53));
