Report a restore that happens before all topics were read

Cause: a feed that is read for the first time in a later era raised the era that all feeds share, without a report, as the node may have started in that era. A feed that had been read before then met the same era and reported nothing. A node that had just started did not announce itself again, though the store had lost its announcement. Change: only a feed that meets a restore raises the shared era.

--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -78,7 +78,7 @@
   #tasks: TaskGroup;
   #feeds: Record<FeedName, FeedState>;
   #pace: ReadPace;
-  /** The latest era that a feed has met. */
+  /** The era of the last restore that a feed has met. */
   #era = 0;
   #restores = 0;
   #restoreListeners = new Set<() => void>();
@@ -392,7 +392,6 @@
       this.#pace.drawConfirmationDelayMs();
     state.isLoaded = false;
     if (!state.hasBeenLoaded && before === 0) {
-      this.#era = Math.max(this.#era, era);
       return;
     }
     state.outageEndedAt = now;
--- a/packages/relay/test/feeds/restored-store.test.ts
+++ b/packages/relay/test/feeds/restored-store.test.ts
@@ -21,6 +21,8 @@
 class RestorableStore implements FeedStore {
   era = 0;
   isUnavailable = false;
+  /** A topic whose reads fail. */
+  unavailableFeed: FeedName | undefined;
   snapshotReads = 0;
   #clock: ManualClock;
   #log: KeyRecord[] = [];
@@ -50,7 +52,9 @@
     const records = [...newest.values()]
       .filter(({ value }) => value !== undefined);
     const next = createPosition(this.era, log.length);
-    return Promise.resolve(this.#answer({ records, next }));
+    return Promise.resolve(
+      this.#answer({ records, next }, feed === this.unavailableFeed),
+    );
   }
 
   async readFrom(feed: FeedName, position: number) {
@@ -79,9 +83,10 @@
 
   afterEach(() => stop());
 
-  async function start(era: number) {
+  async function start(era: number, unavailableFeed?: FeedName) {
     const clock = new ManualClock();
     const store = new RestorableStore(clock);
+    store.unavailableFeed = unavailableFeed;
     store.write("old", "1");
     store.write("ended", "1");
     Array.from({ length: era }, () => store.restore(2));
@@ -189,6 +194,21 @@
     expect(feeds.sinceOutageMs("instances")).toBeLessThanOrEqual(1000);
   });
 
+  // Guards against a node whose lost announcement is not written again, as one
+  // of its topics was first read after the restore.
+  it("report a restore that happens before all topics were read", async () => {
+    const { clock, store, feeds } = await start(0, "instances");
+    let reported = 0;
+    feeds.onRestore(() => reported++);
+    store.restore(2);
+    store.unavailableFeed = FEED;
+    await clock.advance(1000);
+    expect(feeds.isReachable("instances")).toBe(true);
+    store.unavailableFeed = undefined;
+    await clock.advance(1000);
+    expect(reported).toBe(1);
+  });
+
   // A node that starts may read the copy before the lost records are back.
   it("are read twice by a node that starts in a later era", async () => {
     const { clock, feeds, countRestores } = await start(1);
