Pause between reads whose offset the store never has

Besides, the holder of placement waited to confirm a feed after a restore like any other of many nodes.

--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -53,6 +53,8 @@
    */
   confirmAt: number | undefined;
   isLoaded: boolean;
+  /** Reads in a row whose offset the store did not have. */
+  historyLosses: number;
   /** Whether the store has returned the whole topic at least once. */
   hasBeenLoaded: boolean;
   /** The time up to which all records are known to have been read. */
@@ -324,6 +326,13 @@
       signal,
     );
     if (batch.isErr && batch.error.isHistoryLost) {
+      if (state.historyLosses > 0) {
+        // Without a pause, a store that never has the offset would be read in a
+        // loop.
+        const pauseMs = this.#pace.drawRetryDelayMs(state.historyLosses);
+        await this.#clock.sleep(pauseMs, signal);
+      }
+      state.historyLosses++;
       state.isLoaded = false;
       this.#logger.warn("feed_history_lost", {
         feed,
@@ -332,7 +341,10 @@
       });
       return this.#load(feed, signal);
     }
-    return batch.map((value) => this.#applyBatch(feed, value));
+    return batch.map((value) => {
+      state.historyLosses = 0;
+      return this.#applyBatch(feed, value);
+    });
   }
 
   /** The longest wait of a read, which ends when the grace does. */
@@ -460,6 +472,7 @@
     listeners: new Set(),
     confirmAt: undefined,
     isLoaded: false,
+    historyLosses: 0,
     hasBeenLoaded: false,
     upToDateAt: -Infinity,
     isReachable: false,
--- a/packages/relay/src/feeds/read-pace.ts
+++ b/packages/relay/src/feeds/read-pace.ts
@@ -128,8 +128,10 @@
 
   /** A random delay, so that nodes do not all read whole topics at once. */
   drawConfirmationDelayMs(): number {
-    return CONFIRMATION_DELAY_MS_PER_NODE * this.#countExtraNodes() *
-      this.#random.fraction();
+    return this.isAtFullRate
+      ? 0
+      : CONFIRMATION_DELAY_MS_PER_NODE * this.#countExtraNodes() *
+        this.#random.fraction();
   }
 
   /** Nodes above `FULL_RATE_NODES` that read the store. */
--- a/packages/relay/test/feeds/restored-store.test.ts
+++ b/packages/relay/test/feeds/restored-store.test.ts
@@ -15,12 +15,15 @@
 
 const FEED = "configuration";
 const POLL_MS = 100;
+const REPLY_MS = 2;
 const GRACE_MS = 2500;
 
 /** A store of one topic that can be restored from what it held before. */
 class RestorableStore implements FeedStore {
   era = 0;
   isUnavailable = false;
+  /** Whether no offset is found, whatever the snapshot says. */
+  hasNoOffsets = false;
   /** A topic whose reads fail. */
   unavailableFeed: FeedName | undefined;
   snapshotReads = 0;
@@ -58,6 +61,10 @@
   }
 
   async readFrom(feed: FeedName, position: number) {
+    if (this.hasNoOffsets) {
+      await this.#clock.sleep(REPLY_MS);
+      return this.#answer({ records: [], next: position }, true);
+    }
     await this.#clock.sleep(POLL_MS);
     const log = feed === FEED ? this.#log : [];
     const records = log.slice(offsetOf(position));
@@ -247,4 +254,12 @@
     await clock.advance(5000);
     expect([store.snapshotReads, listKeys()]).toEqual([1, ["old", "ended"]]);
   });
+
+  // Guards against 500 reads a second of every node.
+  it("are read with pauses if the store never has the offset", async () => {
+    const { clock, store } = await startBefore();
+    store.hasNoOffsets = true;
+    await clock.advance(2000);
+    expect(store.snapshotReads).toBeLessThan(20);
+  });
 });
