--- a/packages/relay/src/model/store-position.ts
+++ b/packages/relay/src/model/store-position.ts
@@ -8,27 +8,16 @@
  * @module
  */
 
-/** More offsets than a topic gets; leaves 2^13 eras that are exact. */
-const OFFSETS_PER_ERA = 2 ** 40;
+export {
+  createPosition,
+  findEra as eraOf,
+  findOffset as offsetOf,
+} from "@zinniahill/policy";
+
 /** More changes of the members than an era has. */
 const GENERATIONS_PER_ERA = 2 ** 20;
 const MAX_ERA = 2 ** 13 - 1;
 
-/** Returns the position of an offset of an era. */
-export function createPosition(era: number, offset: number): number {
-  return era * OFFSETS_PER_ERA + offset;
-}
-
-/** Returns the era of a position. */
-export function eraOf(position: number): number {
-  return Math.floor(position / OFFSETS_PER_ERA);
-}
-
-/** Returns the offset of a position. */
-export function offsetOf(position: number): number {
-  return position % OFFSETS_PER_ERA;
-}
-
 /**
  * Returns a generation of the members that increases with each change, also if
  * the store's own generation goes back with a restore.
