Keep what the store lists when an unsure peer has read no more

Cause: a peer in the grace of a restore keeps the end of an evacuation that the store has lost. Its whole feed deleted the evacuation at a node that had read it from the restored store. The deletion got a position after that of the store's record, so the node ignored the evacuation after the grace, while its peers followed it. Result: the node takes newer versions from such a peer and keeps the rest; the new test fails without the change. Deletions that it missed follow with the whole read after the grace.

--- a/packages/relay/src/feeds/record-table.ts
+++ b/packages/relay/src/feeds/record-table.ts
@@ -66,7 +66,9 @@
    *
    * A provisional snapshot is that of a store which was restored just before,
    * and which lacks what was written in the last seconds. It adds keys and
-   * newer versions, but tells nothing of what is known from an earlier era.
+   * newer versions, but tells nothing of what is known from an earlier era. A
+   * peer that has read no more than this node deletes nothing by it either: what
+   * it knows to have ended before the restore, the store may list again.
    */
   applySnapshot(
     records: readonly KeyRecord[],
@@ -74,7 +76,8 @@
     isProvisional = false,
   ): KeyRecord[] {
     const snapshotKeys = new Set(records.map(({ key }) => key));
-    const deleted = this.list()
+    const isComplete = !isProvisional || next > this.#next;
+    const deleted = !isComplete ? [] : this.list()
       .filter(({ key, offset }) =>
         !snapshotKeys.has(key) && offset < next &&
         !(isProvisional && eraOf(offset) < eraOf(next))
--- a/packages/relay/test/feeds/record-table.test.ts
+++ b/packages/relay/test/feeds/record-table.test.ts
@@ -208,6 +208,17 @@
       expect(table.list()).toEqual([]);
     });
 
+    // Guards against an evacuation that the store lists and this node drops, as
+    // a peer in its grace has seen an end that is lost.
+    it("loses nothing to a peer in its grace that has read no more", () => {
+      const table = new RecordTable(versions);
+      const next = createPosition(1, 50);
+      const copy = [at(1, 40, "a", "[1,7]"), at(1, 41, "evacuation", "{}")];
+      table.applySnapshot(copy, next, true);
+      table.applySnapshot([at(0, 80, "a", "[1,9]")], next, true);
+      expect(readValues(table)).toEqual({ a: "[1,9]", evacuation: "{}" });
+    });
+
     it("orders values with versions by them, also across eras", () => {
       const table = createTable(versions, at(0, 80, "a", "[1,9]"));
       const copy = [at(1, 40, "a", "[1,7]")];
