Take the newer configuration of peers after a restore

Cause: a node that starts after the store came back from a copy reads an older configuration from it. Its position equals that of its peers, so it fetched nothing and served by the older version; a revoked key was accepted. Change: heartbeats carry the newest known version of the configuration, one number. A node with an older one that has read as far fetches the whole feed, at once in the grace, otherwise after the usual delay, and the same version once a second at most.

--- a/packages/relay/src/model/peer-message.ts
+++ b/packages/relay/src/model/peer-message.ts
@@ -136,6 +136,8 @@
     offsets: z.record(SharedFeed, z.number()),
     /** Time since each shared feed was last known to be complete. */
     agesMs: z.record(SharedFeed, z.number()),
+    /** Newest version of the configuration that the sender knows, if any. */
+    version: z.number().optional(),
     /**
      * Shared feeds that the sender has not read from the store since the grace
      * of a restore; absent if there are none.
--- a/packages/relay/src/peers/feed-exchange.ts
+++ b/packages/relay/src/peers/feed-exchange.ts
@@ -7,6 +7,7 @@
 import type { Feeds } from "../feeds/feeds.ts";
 import { type MessageOf, SharedFeed } from "../model/peer-message.ts";
 import { eraOf, offsetOf } from "../model/store-position.ts";
+import type { CurrentConfiguration } from "../routing/current-configuration.ts";
 import type { RelayKernel } from "../services.ts";
 
 type Heartbeat = MessageOf<"beat">;
@@ -34,6 +35,12 @@
   readonly since: number;
 }
 
+/** The version of the configuration that was last requested from a peer. */
+interface VersionRequest {
+  readonly version: number;
+  readonly sentAt: number;
+}
+
 /** The ages of a peer's feeds, by its last heartbeat. */
 interface Report {
   readonly agesMs: Heartbeat["agesMs"];
@@ -45,20 +52,28 @@
   #clock: Clock;
   #logger: Logger;
   #feeds: Feeds;
+  #configuration: CurrentConfiguration;
   /** How far this node is behind a peer, by peer and feed. */
   #lags = new Map<string, Lag>();
   #reports = new Map<string, Report>();
   /** When records of a feed were last requested from a peer. */
   #fetchedAt = new Map<SharedFeed, number>();
+  /** Since when a peer has reported a newer configuration without a lag. */
+  #outdatedSince = new Map<string, number>();
+  #versionRequest: VersionRequest | undefined;
 
   constructor(kernel: RelayKernel) {
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#feeds = kernel.find("feeds");
+    this.#configuration = kernel.find("configuration");
   }
 
   /** The positions and ages of this node's feeds, for its heartbeats. */
-  describeProgress(): Pick<Heartbeat, "offsets" | "agesMs" | "unconfirmed"> {
+  describeProgress(): Pick<
+    Heartbeat,
+    "offsets" | "agesMs" | "version" | "unconfirmed"
+  > {
     const offsets = {} as Heartbeat["offsets"];
     const agesMs = {} as Heartbeat["agesMs"];
     for (const feed of SharedFeed.options) {
@@ -68,9 +83,11 @@
     const unconfirmed = SharedFeed.options.filter((feed) =>
       this.#feeds.isUnconfirmed(feed)
     );
+    const version = this.#configuration.newestVersion;
     return {
       offsets,
       agesMs,
+      ...(version === undefined ? {} : { version }),
       ...(unconfirmed.length === 0 ? {} : { unconfirmed }),
     };
   }
@@ -81,9 +98,12 @@
       agesMs: heartbeat.agesMs,
       receivedAt: this.#clock.now(),
     });
-    return SharedFeed.options.flatMap((feed) =>
-      this.#compareFeed(peer, heartbeat, feed)
-    );
+    return [
+      ...SharedFeed.options.flatMap((feed) =>
+        this.#compareFeed(peer, heartbeat, feed)
+      ),
+      ...this.#compareVersion(peer, heartbeat),
+    ];
   }
 
   /**
@@ -136,6 +156,7 @@
   /** Removes a peer whose connection has ended. */
   remove(peer: string): void {
     this.#reports.delete(peer);
+    this.#outdatedSince.delete(peer);
     SharedFeed.options.forEach((feed) =>
       this.#lags.delete(createKey(peer, feed))
     );
@@ -178,6 +199,45 @@
     return [{ kind: "fetch", feed, from: ownNext }];
   }
 
+  /**
+   * Fetches the configuration feed from a peer that knows a newer version,
+   * although this node has read as far. The store may have been restored from a
+   * copy that holds an older version, which is all that a node reads that has
+   * started since.
+   */
+  #compareVersion(
+    peer: string,
+    { offsets, version = -Infinity }: Heartbeat,
+  ): MessageOf<"fetch">[] {
+    const feed = "configuration";
+    const from = this.#feeds.table(feed).next;
+    const known = this.#configuration.newestVersion ?? -Infinity;
+    if (version <= known || offsets[feed] > from) {
+      this.#outdatedSince.delete(peer);
+      return [];
+    }
+    const now = this.#clock.now();
+    const since = this.#outdatedSince.get(peer) ?? now;
+    this.#outdatedSince.set(peer, since);
+    const isLate = this.#feeds.isUnconfirmed(feed) ||
+      now - since >= FETCH_DELAY_MS + this.#feeds.batchDelayMs(feed);
+    if (!isLate || !this.#canRequest(version, now)) {
+      return [];
+    }
+    this.#fetchedAt.set(feed, now);
+    this.#versionRequest = { version, sentAt: now };
+    return [{ kind: "fetch", feed, from, isWhole: true }];
+  }
+
+  /** Whether a version may be requested; the same one only after a while. */
+  #canRequest(version: number, now: number): boolean {
+    const last = this.#versionRequest;
+    const fetchedAt = this.#fetchedAt.get("configuration") ?? -Infinity;
+    return now - fetchedAt >= MIN_FETCH_INTERVAL_MS &&
+      (last === undefined || version > last.version ||
+        now - last.sentAt >= MIN_WHOLE_FETCH_INTERVAL_MS);
+  }
+
   /**
    * Fetches a whole feed that has to be read again after a restore, if this node
    * does not reach the store.
--- a/packages/relay/src/peers/mesh.ts
+++ b/packages/relay/src/peers/mesh.ts
@@ -241,6 +241,18 @@
     return this.#directory.count;
   }
 
+  /** Whether a heartbeat of every other known node has come. */
+  get hasHeardAll(): boolean {
+    return this.#peers.listHeartbeats().length + 1 >= this.countNodes();
+  }
+
+  /** The newest version of the configuration that other nodes report. */
+  get reportedVersion(): number {
+    const versions = this.#peers.listHeartbeats()
+      .map(({ version = -Infinity }) => version);
+    return Math.max(-Infinity, ...versions);
+  }
+
   /** Names of all known nodes but those that say that they serve nobody. */
   listServingNames(): string[] {
     return this.#directory.listAll().map(({ name }) => name)
--- a/packages/relay/src/peers/peer-table.ts
+++ b/packages/relay/src/peers/peer-table.ts
@@ -93,6 +93,13 @@
       this.#states.get(entry.name)?.entry.incarnation === entry.incarnation;
   }
 
+  /** The last heartbeats, without nodes of which none has come yet. */
+  listHeartbeats(): Heartbeat[] {
+    return [...this.#states.values()].flatMap(({ lastHeartbeat }) =>
+      lastHeartbeat === undefined ? [] : [lastHeartbeat]
+    );
+  }
+
   findHeartbeat(name: string): Heartbeat | undefined {
     return this.#states.get(name)?.lastHeartbeat;
   }
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -164,6 +164,7 @@
         "topics",
         "decoder",
         "feeds",
+        "configuration",
         "lifecycle",
         "intake",
       ],
@@ -311,7 +312,7 @@
     )
     .provide(
       "readiness",
-      [...CORE_SERVICES, "lifecycle", "configuration", "feeds"],
+      [...CORE_SERVICES, "lifecycle", "configuration", "feeds", "mesh"],
       (services) => new Readiness(services),
     )
     .provide(
--- a/packages/relay/src/routing/current-configuration.ts
+++ b/packages/relay/src/routing/current-configuration.ts
@@ -16,8 +16,12 @@
 /** Operators do not write as many keys by mistake. */
 const MAX_UNKNOWN_KEYS = 1000;
 
-/** The record of the configuration in force. */
-interface AdoptedRecord {
+/** A store of this era or an earlier one has not been restored yet. */
+const FIRST_ERA = 1;
+
+/** The record of a configuration. */
+interface VersionRecord {
+  readonly configuration: Configuration;
   readonly value: string;
   readonly position: number;
 }
@@ -26,6 +30,9 @@
  * Adopts each newer configuration, and never an older one. One with the version
  * in force is adopted only if the store was restored since and the content is
  * another: operators then number again from what the copy held.
+ *
+ * The first one that a restored store returns may be older than that of the
+ * peers, so it waits for `admitFirst`.
  */
 export class CurrentConfiguration implements Service {
   #clock: Clock;
@@ -34,7 +41,8 @@
   #feeds: Feeds;
   #routeTable: RouteTable | undefined;
   #adoptedAt: number | undefined;
-  #adopted: AdoptedRecord | undefined;
+  #newest: VersionRecord | undefined;
+  #isFirstAdmitted = false;
   /** Keys that have been logged as unknown. */
   #unknownKeys = new Set<string>();
   #listeners = new Set<(configuration: Configuration) => void>();
@@ -63,6 +71,19 @@
       : Math.round(this.#clock.now() - this.#adoptedAt);
   }
 
+  /** The newest version that this node knows, in force or not. */
+  get newestVersion(): number | undefined {
+    return this.#newest?.configuration.version;
+  }
+
+  /** Puts the first configuration in force, once there is one. */
+  admitFirst(): void {
+    this.#isFirstAdmitted = true;
+    if (this.#routeTable === undefined && this.#newest !== undefined) {
+      this.#adopt(this.#newest);
+    }
+  }
+
   /** Calls a listener after each change. */
   onChange(listener: (configuration: Configuration) => void): void {
     this.#listeners.add(listener);
@@ -92,7 +113,7 @@
       }
       this.#decoder.configuration(value).match({
         Ok: (configuration) =>
-          this.#applyVersion(configuration, { value, position }),
+          this.#applyVersion({ configuration, value, position }),
         Err: (error) => {
           this.#logger.warn("configuration_unreadable", { ...source, error });
         },
@@ -108,36 +129,39 @@
     }
   }
 
-  #applyVersion(configuration: Configuration, record: AdoptedRecord): void {
-    const { version } = configuration;
-    const current = this.current?.version ?? -Infinity;
-    if (version > current) {
-      this.#adopt(configuration, record);
-    } else if (version === current && this.#isOfLaterEra(record)) {
-      if (record.value === this.#adopted?.value) {
-        this.#adopted = record;
-      } else {
-        this.#adopt(configuration, record);
-      }
+  #applyVersion(record: VersionRecord): void {
+    const { version } = record.configuration;
+    const newest = this.newestVersion ?? -Infinity;
+    if (version < newest || version === newest && !this.#isOfLaterEra(record)) {
+      return;
+    }
+    const isKnown = version === newest && record.value === this.#newest?.value;
+    this.#newest = record;
+    if (!isKnown && !this.#awaitsAdmission(record)) {
+      this.#adopt(record);
     }
   }
 
-  /** Whether the store was restored after the version in force was read. */
-  #isOfLaterEra({ position }: AdoptedRecord): boolean {
-    return this.#adopted !== undefined &&
-      eraOf(position) > eraOf(this.#adopted.position);
+  /** Whether the store was restored after the newest version was read. */
+  #isOfLaterEra({ position }: VersionRecord): boolean {
+    return this.#newest !== undefined &&
+      eraOf(position) > eraOf(this.#newest.position);
+  }
+
+  #awaitsAdmission({ position }: VersionRecord): boolean {
+    return this.#routeTable === undefined && !this.#isFirstAdmitted &&
+      eraOf(position) > FIRST_ERA;
   }
 
-  #adopt(configuration: Configuration, record: AdoptedRecord): void {
+  #adopt({ configuration, position }: VersionRecord): void {
     const previous = this.current?.version;
-    this.#adopted = record;
     this.#routeTable = new RouteTable(configuration);
     this.#adoptedAt = this.#clock.now();
     this.#logger.info("configuration_adopted", {
       version: configuration.version,
       before: previous,
-      era: eraOf(record.position),
-      offset: offsetOf(record.position),
+      era: eraOf(position),
+      offset: offsetOf(position),
       routes: configuration.routes.length,
     });
     this.#listeners.forEach((listener) => listener(configuration));
--- a/packages/relay/test/peers/feed-exchange.test.ts
+++ b/packages/relay/test/peers/feed-exchange.test.ts
@@ -43,14 +43,17 @@
     },
   };
   const table = new RecordTable();
+  const configuration = { newestVersion: undefined as number | undefined };
   const silentLogger = { error() {}, warn() {}, info() {}, debug() {} };
   const kernel: RelayKernel = new Kernel<RelayServices>();
   kernel
     .provide("clock", [], () => clock)
     .provide("logger", [], () => silentLogger)
+    .provide("configuration", [], () => configuration as never)
     .provide("feeds", [], () => feeds as never);
   await kernel.start();
-  return { clock, feeds, table, exchange: new FeedExchange(kernel) };
+  const exchange = new FeedExchange(kernel);
+  return { clock, feeds, table, configuration, exchange };
 }
 
 describe("FeedExchange", () => {
@@ -197,5 +200,31 @@
       expect(exchange.answerFetch(fetch))
         .toMatchObject({ isSnapshot: false, isConfirmed: false });
     });
+
+    describe("a peer with a newer version of the configuration", () => {
+      const feed = "configuration";
+      const fetch = { kind: "fetch", feed, from: 0, isWhole: true };
+
+      // Guards against a node that keeps serving by the version of the copy, and
+      // against whole feeds that are sent in each heartbeat interval.
+      it("gets one fetch for it at once in the grace, or after the usual delay", async () => {
+        const { clock, feeds, configuration, exchange } = await create();
+        configuration.newestVersion = 7;
+        expect(exchange.describeProgress().version).toBe(7);
+        const compare = async (peer: string, version: number, ms: number) => {
+          await clock.advance(ms);
+          const heartbeat = { ...createHeartbeat(0), version };
+          return exchange.listFetches(peer, heartbeat);
+        };
+        expect(await compare("n-2", 7, 0)).toEqual([]);
+        expect(await compare("n-2", 8, 0)).toEqual([]);
+        expect(await compare("n-2", 8, 250)).toEqual([fetch]);
+        feeds.unconfirmed = [feed];
+        expect(await compare("n-3", 9, 150)).toEqual([fetch]);
+        expect(await compare("n-4", 10, 0)).toEqual([]);
+        expect(await compare("n-2", 9, 900)).toEqual([]);
+        expect(await compare("n-2", 9, 150)).toEqual([fetch]);
+      });
+    });
   });
 });
--- a/packages/relay/test/peers/mesh.test.ts
+++ b/packages/relay/test/peers/mesh.test.ts
@@ -133,6 +133,7 @@
           ({ node: (value: string) => Result.ok(JSON.parse(value)) }) as never,
       )
       .provide("feeds", [], () => feeds as never)
+      .provide("configuration", [], () => ({}) as never)
       .provide("lifecycle", [], () => new Lifecycle())
       .provide("intake", [], () => ({ capacity: 1 }) as never)
       .provide(
