Split the sending of attempts from the decisions on them

Change: AttemptSender makes single attempts and tells other services what they show of upstreams; Attempts chooses, retries and replaces.

--- a/packages/relay/src/serving/event-forwarder.ts
+++ b/packages/relay/src/serving/event-forwarder.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from "@zinniahill/kernel";
 import type { Quarantine } from "../routing/quarantine.ts";
-import type { OpenAttempt } from "./attempts.ts";
+import type { OpenAttempt } from "./attempt-sender.ts";
 import { EventStream } from "./event-stream.ts";
 import type { RelayedRequest } from "./relayed-request.ts";
 import { waitForDrain, writeStreamHead } from "./response-writer.ts";
--- a/packages/relay/src/serving/replacement.ts
+++ b/packages/relay/src/serving/replacement.ts
@@ -9,7 +9,7 @@
  */
 import { describeError } from "@zinniahill/kernel";
 import { Result } from "true-myth";
-import type { OpenAttempt } from "./attempts.ts";
+import type { OpenAttempt } from "./attempt-sender.ts";
 import type { AttemptFault } from "./exchange.ts";
 
 /** The result of an attempt. */
