Move the state of a feed into a module of its own

Cause: feeds.ts had grown to 483 lines with the eras of the store.

Change: feed-state.ts holds the state that a node keeps of one feed.

--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -16,12 +16,14 @@
 import type { Batch, FeedName, FeedStore } from "../adapter.ts";
 import type { RelayKernel } from "../services.ts";
 import { ConfigurationVersions, InstanceVersions } from "./entry-versions.ts";
+import {
+  createState,
+  type FeedListener,
+  type FeedState,
+} from "./feed-state.ts";
 import { ReadPace, type ReadSharing } from "./read-pace.ts";
 import { RecordTable } from "./record-table.ts";
 
-/** Called with the records that changed a feed. */
-export type FeedListener = (records: readonly KeyRecord[]) => void;
-
 const FEEDS: readonly FeedName[] = ["configuration", "instances", "nodes"];
 /** Interval of the checks of a paused feed; peers send heartbeats as often. */
 const PAUSE_CHECK_MS = 300;
@@ -43,34 +45,6 @@
  */
 const RESTORE_GRACE_MS = 2500;
 
-/** The state of one feed. */
-interface FeedState {
-  readonly table: RecordTable;
-  readonly listeners: Set<FeedListener>;
-  /**
-   * From when the store is believed after a restore, or after the start in a
-   * later era; undefined once the whole topic was read since.
-   */
-  confirmAt: number | undefined;
-  isLoaded: boolean;
-  /** Reads in a row whose offset the store did not have. */
-  historyLosses: number;
-  /** Whether the store has returned the whole topic at least once. */
-  hasBeenLoaded: boolean;
-  /** The time up to which all records are known to have been read. */
-  upToDateAt: number;
-  isReachable: boolean;
-  /**
-   * When the first failed read since the last successful one began; undefined
-   * after a success.
-   */
-  failingSince: number | undefined;
-  /** When the node that reads most often last sent an update. */
-  updatedAt: number;
-  /** When the last outage of the store ended. */
-  outageEndedAt: number;
-}
-
 /** Keeps the newest records of each topic. */
 export class Feeds implements Service {
   #clock: Clock;
@@ -465,19 +439,3 @@
     }
   }
 }
-
-function createState(table: RecordTable): FeedState {
-  return {
-    table,
-    listeners: new Set(),
-    confirmAt: undefined,
-    isLoaded: false,
-    historyLosses: 0,
-    hasBeenLoaded: false,
-    upToDateAt: -Infinity,
-    isReachable: false,
-    failingSince: -Infinity,
-    updatedAt: -Infinity,
-    outageEndedAt: Infinity,
-  };
-}
--- a/packages/relay/test/routing/current-configuration.test.ts
+++ b/packages/relay/test/routing/current-configuration.test.ts
@@ -1,7 +1,7 @@
 import { Kernel, ManualClock } from "@zinniahill/kernel";
 import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
-import type { FeedListener } from "../../src/feeds/feeds.ts";
+import type { FeedListener } from "../../src/feeds/feed-state.ts";
 import { createPosition } from "../../src/index.ts";
 import { CurrentConfiguration } from "../../src/routing/current-configuration.ts";
 import type { RelayKernel, RelayServices } from "../../src/services.ts";
--- a/packages/relay/test/routing/evacuations.test.ts
+++ b/packages/relay/test/routing/evacuations.test.ts
@@ -2,7 +2,7 @@
 import { Refusal } from "@zinniahill/schema";
 import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
-import type { FeedListener } from "../../src/feeds/feeds.ts";
+import type { FeedListener } from "../../src/feeds/feed-state.ts";
 import type { Group } from "../../src/hosts/groups.ts";
 import type { Instance } from "../../src/index.ts";
 import { CurrentConfiguration } from "../../src/routing/current-configuration.ts";
