Add a case of nodes that start on late heartbeats

Cause: a node that starts can't order entries, and the holder joins hosts by the list alone. Change: a script in which heartbeats of new members are done late while all nodes are killed and start again.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")"
+exec node case.mjs
