Order the cases by gravity

Cause: the cases were numbered as they were found. Change: they are renumbered, wrong answers and double runs first.

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,6 +1,5 @@
 /**
- * Case 7: an entry of another writer under the id of a head hides its group, whose members join
- * other groups.
+ * Case 7: an unsafe request runs twice if its route bears `Resumable`.
  *
  * @module
  */
@@ -24,101 +23,82 @@
 } from "../harness-2.mjs";
 
 const NODES = 4;
-const OPEN_GROUPS = 4;
 const START_LIMIT_MS = 20_000;
-const HEARTBEAT_MS = 1200;
-const WATCH_MS = 9000;
-const CALL_INTERVAL_MS = 100;
-/** A service that the manifest does not name. */
-const OTHER_SERVICE = "engines-shadow";
+/** `answer_lost`: half of the runners lose 3 in 10 of their answers. */
+const LOST_SHARE = 0.3;
+const LOST_MS = 5500;
+const CALL_INTERVAL_MS = 30;
 
 const record = new Record(fileURLToPath(new URL(".", import.meta.url)));
 const fleet = new Fleet({
-  domains: 2,
-  runnersPerDomain: 8,
+  domains: 1,
+  runnersPerDomain: 4,
   modelHosts: 3,
   loadMs: 300,
 });
-const violations = [];
 
-/** Judges each join when a runner accepts it: TWO, as it is written. */
-function watchJoins() {
-  const memberships = new Map();
-  const find = (id) => fleet.runners.find((runner) => runner.id === id);
-  for (const runner of fleet.runners) {
-    const push = runner.orders.push.bind(runner.orders);
-    runner.orders.push = (order) => {
-      const { Op, group, Members } = order;
-      record.note(`order ${Op} ${group ?? ""} accepted by ${runner.id}`);
-      const own = memberships.get(runner.id);
-      if (Op === "join") {
-        if (
-          own !== undefined && own.group !== group && own.head !== runner.id
-        ) {
-          const { membership } = find(own.head);
-          const isServing = membership?.Name === own.group &&
-            ["open", "closing"].includes(membership.State);
-          if (isServing) {
-            violations.push(runner.id);
-            record.note(
-              `TWO: ${runner.id} has taken the join of ${group} while the ` +
-                `head ${own.head} of its group ${own.group} is ` +
-                membership.State,
-            );
-          }
-        }
-        memberships.set(runner.id, { group, head: Members[0] });
-      } else if (Op === "leave" && own?.group === group) {
-        memberships.delete(runner.id);
-      }
-      return push(order);
-    };
-  }
+/** The next version of the manifest, in which the unsafe route has changed. */
+function changeManifest() {
+  const newest = fleet.store.topic("keyed.op").listNewest()
+    .find(({ key }) => key === "config");
+  const manifest = JSON.parse(newest.value.toString());
+  manifest.Version += 1;
+  manifest.Routes = manifest.Routes.map((route) =>
+    route.Kind === "unsafe"
+      ? { ...route, MaxAttempts: 2, Resumable: true }
+      : route
+  );
+  fleet.store.put("keyed.op", "config", manifest);
+  record.note(`manifest ${JSON.stringify(manifest.Routes)}`);
 }
 
-/** An entry of another writer under the id of a head, until its next one. */
-async function disturb() {
-  const [lead] = fleet.listLeads();
-  const newest = fleet.store.topic("keyed.servers").listNewest()
-    .find(({ key }) => key === lead.id);
-  const real = JSON.parse(newest.value.toString());
-  const entry = { ...real, Service: OTHER_SERVICE, SeqNo: real.SeqNo + 1 };
-  record.note(`entry of another writer: ${lead.id} ${JSON.stringify(entry)}`);
-  fleet.store.put("keyed.servers", lead.id, entry);
-  await sleep(HEARTBEAT_MS);
+/** Requests that ran more than once. */
+function listRepeated() {
+  const counts = new Map();
+  for (const { runs } of fleet.records) {
+    for (const { attempt } of runs) {
+      counts.set(attempt, (counts.get(attempt) ?? 0) + 1);
+    }
+  }
+  return [...counts].filter(([, count]) => count > 1);
 }
 
 async function play(nodes) {
-  watchJoins();
   nodes.forEach((node) => node.start());
-  const isServing = () => fleet.listLeads().length === OPEN_GROUPS;
-  if (!await waitFor(isServing, START_LIMIT_MS)) {
-    record.note("the groups were not formed");
+  const areReady = async () =>
+    (await Promise.all(nodes.map((node) => node.isReady()))).every(Boolean);
+  if (!await waitFor(areReady, START_LIMIT_MS)) {
+    record.note("the nodes were not ready");
     return NOT_RUN;
   }
-  const runners = [...fleet.runners, ...fleet.records];
-  const beat = setInterval(
-    () => runners.forEach((runner) => runner.register()),
-    HEARTBEAT_MS,
-  );
-  const callers = new Callers(record, nodes, ["chat", "stamp", "look"]);
+  changeManifest();
+  // The bound for a manifest is 2 s.
+  await sleep(2500);
+  const callers = new Callers(record, nodes, ["stamp"]);
   callers.start(CALL_INTERVAL_MS);
-  await sleep(3000);
+  await sleep(1000);
   if (hasTrouble) {
-    await disturb();
+    const [runner] = fleet.records;
+    record.note(`${runner.id} loses answers`);
+    Object.defineProperty(runner, "losesAnswers", {
+      configurable: true,
+      get: () => Math.random() < LOST_SHARE,
+    });
+    await sleep(LOST_MS);
+    record.note(`${runner.id} loses no more answers`);
+    Object.defineProperty(runner, "losesAnswers", { value: false });
   } else {
-    await sleep(HEARTBEAT_MS);
+    await sleep(LOST_MS);
   }
-  await sleep(WATCH_MS);
-  clearInterval(beat);
+  await sleep(1000);
   await callers.stop();
   noteRuns(record, fleet);
-  const whole = callers.answers.filter(({ isWhole, status }) =>
-    isWhole && status === 200
+  const repeated = listRepeated();
+  repeated.forEach(([attempt, count]) =>
+    record.note(`TWICE: ${attempt} ran ${count} times`)
   );
-  record.note(`${whole.length} of ${callers.answers.length} calls served`);
-  record.note(`${violations.length} joins broke TWO`);
-  return violations.length > 0 ? BROKEN : HELD;
+  record.note(`${repeated.length} of ${callers.answers.length} ran twice`);
+  return repeated.length > 0 ? BROKEN : HELD;
 }
 
 const folder = createFolder();
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,5 +1,6 @@
 /**
- * Case 8: an unsafe request runs twice if its route bears `Resumable`.
+ * Case 8: entries of another writer hide open groups, whose members then join
+ * other groups.
  *
  * @module
  */
@@ -23,82 +24,131 @@
 } from "../harness-2.mjs";
 
 const NODES = 4;
+const OPEN_GROUPS = 4;
 const START_LIMIT_MS = 20_000;
-/** `answer_lost`: half of the runners lose 3 in 10 of their answers. */
-const LOST_SHARE = 0.3;
-const LOST_MS = 5500;
-const CALL_INTERVAL_MS = 30;
+/** `platform_down` of the site: "busy lapse", for 4.5 s. */
+const OUTAGE_MS = 4500;
+/** Three heartbeats of 1.2 s without a write. */
+const LAPSE_MS = 3600;
+/** Entries are back within two seconds of the store's return. */
+const FIRST_BACK_MS = 100;
+const BACK_SPREAD_MS = 1800;
+const WATCH_MS = 9000;
+const CALL_INTERVAL_MS = 100;
+/** A service that the manifest does not name. */
+const OTHER_SERVICE = "engines-shadow";
 
 const record = new Record(fileURLToPath(new URL(".", import.meta.url)));
 const fleet = new Fleet({
-  domains: 1,
-  runnersPerDomain: 4,
+  domains: 2,
+  runnersPerDomain: 8,
   modelHosts: 3,
   loadMs: 300,
 });
+const violations = [];
 
-/** The next version of the manifest, in which the unsafe route has changed. */
-function changeManifest() {
-  const newest = fleet.store.topic("keyed.op").listNewest()
-    .find(({ key }) => key === "config");
-  const manifest = JSON.parse(newest.value.toString());
-  manifest.Version += 1;
-  manifest.Routes = manifest.Routes.map((route) =>
-    route.Kind === "unsafe"
-      ? { ...route, MaxAttempts: 2, Resumable: true }
-      : route
+/** Judges each join when a runner accepts it: TWO, as it is written. */
+function watchJoins() {
+  const memberships = new Map();
+  const find = (id) => fleet.runners.find((runner) => runner.id === id);
+  for (const runner of fleet.runners) {
+    const push = runner.orders.push.bind(runner.orders);
+    runner.orders.push = (order) => {
+      const { Op, group, Members } = order;
+      record.note(`order ${Op} ${group ?? ""} accepted by ${runner.id}`);
+      const own = memberships.get(runner.id);
+      if (Op === "join") {
+        if (
+          own !== undefined && own.group !== group && own.head !== runner.id
+        ) {
+          const { membership } = find(own.head);
+          const isServing = membership?.Name === own.group &&
+            ["open", "closing"].includes(membership.State);
+          if (isServing) {
+            violations.push(runner.id);
+            record.note(
+              `TWO: ${runner.id} has taken the join of ${group} while the ` +
+                `head ${own.head} of its group ${own.group} is ` +
+                membership.State,
+            );
+          }
+        }
+        memberships.set(runner.id, { group, head: Members[0] });
+      } else if (Op === "leave" && own?.group === group) {
+        memberships.delete(runner.id);
+      }
+      return push(order);
+    };
+  }
+}
+
+/** The entries of another writer: those of the heads, but for the service. */
+function copyEntries() {
+  const newest = new Map(
+    fleet.store.topic("keyed.servers").listNewest()
+      .map(({ key, value }) => [key, JSON.parse(value.toString())]),
   );
-  fleet.store.put("keyed.op", "config", manifest);
-  record.note(`manifest ${JSON.stringify(manifest.Routes)}`);
+  return fleet.listLeads().map(({ id }) => ({
+    key: `other-${id}`,
+    entry: { ...newest.get(id), Service: OTHER_SERVICE },
+  }));
 }
 
-/** Requests that ran more than once. */
-function listRepeated() {
-  const counts = new Map();
-  for (const { runs } of fleet.records) {
-    for (const { attempt } of runs) {
-      counts.set(attempt, (counts.get(attempt) ?? 0) + 1);
-    }
+async function disturb() {
+  const copies = copyEntries();
+  const write = () =>
+    copies.forEach(({ key, entry }) =>
+      fleet.store.put("keyed.servers", key, entry)
+    );
+  write();
+  copies.forEach(({ key, entry }) =>
+    record.note(`entry of another writer: ${key} ${JSON.stringify(entry)}`)
+  );
+  await sleep(1500);
+  const runners = [...fleet.runners, ...fleet.records];
+  record.note("the store is down (503)");
+  fleet.store.mode = "busy";
+  await sleep(LAPSE_MS);
+  record.note("the entries have lapsed");
+  runners.forEach((runner) => runner.unregister());
+  copies.forEach(({ key }) => fleet.store.put("keyed.servers", key, undefined));
+  await sleep(OUTAGE_MS - LAPSE_MS);
+  record.note("the store is back");
+  fleet.store.mode = "well";
+  write();
+  for (const runner of runners) {
+    setTimeout(
+      () => runner.register(),
+      FIRST_BACK_MS + Math.random() * BACK_SPREAD_MS,
+    );
   }
-  return [...counts].filter(([, count]) => count > 1);
 }
 
 async function play(nodes) {
+  watchJoins();
   nodes.forEach((node) => node.start());
-  const areReady = async () =>
-    (await Promise.all(nodes.map((node) => node.isReady()))).every(Boolean);
-  if (!await waitFor(areReady, START_LIMIT_MS)) {
-    record.note("the nodes were not ready");
+  const isServing = () => fleet.listLeads().length === OPEN_GROUPS;
+  if (!await waitFor(isServing, START_LIMIT_MS)) {
+    record.note("the groups were not formed");
     return NOT_RUN;
   }
-  changeManifest();
-  // The bound for a manifest is 2 s.
-  await sleep(2500);
-  const callers = new Callers(record, nodes, ["stamp"]);
+  const callers = new Callers(record, nodes, ["chat", "stamp", "look"]);
   callers.start(CALL_INTERVAL_MS);
-  await sleep(1000);
+  await sleep(3000);
   if (hasTrouble) {
-    const [runner] = fleet.records;
-    record.note(`${runner.id} loses answers`);
-    Object.defineProperty(runner, "losesAnswers", {
-      configurable: true,
-      get: () => Math.random() < LOST_SHARE,
-    });
-    await sleep(LOST_MS);
-    record.note(`${runner.id} loses no more answers`);
-    Object.defineProperty(runner, "losesAnswers", { value: false });
+    await disturb();
   } else {
-    await sleep(LOST_MS);
+    await sleep(1500 + OUTAGE_MS);
   }
-  await sleep(1000);
+  await sleep(WATCH_MS);
   await callers.stop();
   noteRuns(record, fleet);
-  const repeated = listRepeated();
-  repeated.forEach(([attempt, count]) =>
-    record.note(`TWICE: ${attempt} ran ${count} times`)
+  const whole = callers.answers.filter(({ isWhole, status }) =>
+    isWhole && status === 200
   );
-  record.note(`${repeated.length} of ${callers.answers.length} ran twice`);
-  return repeated.length > 0 ? BROKEN : HELD;
+  record.note(`${whole.length} of ${callers.answers.length} calls served`);
+  record.note(`${violations.length} joins broke TWO`);
+  return violations.length > 0 ? BROKEN : HELD;
 }
 
 const folder = createFolder();
