End the processes of a review case with it

Cause: a case that was ended from outside left its nodes running. Change: the harness ends what it has started, and a case after 115 s.

--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -27,6 +27,8 @@
 import { request } from "undici";
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..");
+/** A case ends by then, whatever happens. */
+const TIME_LIMIT_MS = 115_000;
 const POLL_MS = 20;
 const DEADLINE_MS = 2500;
 const PATIENCE_MS = 500;
@@ -41,6 +43,21 @@
 /** Whether the case is run with its disruption. */
 export const hasTrouble = process.env.TROUBLE !== "0";
 
+/** Processes that a case has started; none outlives it. */
+const children = new Set();
+process.on("exit", () => children.forEach((child) => child.kill("SIGKILL")));
+for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) {
+  process.on(signal, () => process.exit(NOT_RUN));
+}
+setTimeout(() => process.exit(NOT_RUN), TIME_LIMIT_MS).unref();
+
+/** Ends a process with the case at the latest. */
+export function own(child) {
+  children.add(child);
+  child.on("exit", () => children.delete(child));
+  return child;
+}
+
 /** The command of the deploy file's only role. */
 function readCommand() {
   const text = readFileSync(join(ROOT, "deploy/system.toml"), "utf8");
@@ -115,11 +132,11 @@
   start() {
     const [program, ...args] = readCommand();
     const log = createWriteStream(this.#log, { flags: "a" });
-    const child = spawn(program, args, {
+    const child = own(spawn(program, args, {
       cwd: ROOT,
       stdio: ["ignore", "pipe", "pipe"],
       env: { PATH: process.env.PATH, ZINNIAHILL_SETTINGS: this.#file },
-    });
+    }));
     child.stdout.pipe(log);
     child.stderr.pipe(log);
     this.exited = new Promise((resolve) =>
