Ask a host for its group before it is ordered to join one

Cause: the first attempt of a join bore no condition. Its epoch keeps older orders from overtaking it, but does not ask whether a group uses the host, and the host was chosen by the list alone. On related paths the list decided as well: a lead that is listed without its group counted as gone, members that are listed elsewhere counted as missing (their open lead was ordered to leave), and a member could be ordered to stage another model.

Change: OrderSender requests a report before a join or a stage order and makes its order count the condition. ReplaceableGroups knows which groups have ended by what their leads say; mayReplaceMembership in packages/policy is the rule. UnlistedLeads asks a listed lead instead of trusting its entry; GroupChecker asks the hosts of the domain before it counts members as missing. OrderCounts adds accepted orders to a report, which is 0.2 s old.

Ruled out: late orders of the holder before (the orders have the newest fencing number).

Tests replaced: "counts a lead as gone that is listed without the group" held the wrong rule; four tests of what the lead says take its place. In spare-warmer.test.ts the earlier group has ended now, and the fenced join is overtaken after the report, as the report would show it before.

--- a/packages/policy/src/group-plan/index.ts
+++ b/packages/policy/src/group-plan/index.ts
@@ -14,5 +14,9 @@
   type PlannedEngine,
   type PlannedModel,
 } from "./group-plan-input.ts";
+export {
+  mayReplaceMembership,
+  type ReportedGroup,
+} from "./membership-replacement.ts";
 export { type Staging, type Warming } from "./spare-staging.ts";
 export { awaitsUnlistedMember } from "./unlisted-member.ts";
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -73,9 +73,11 @@
   type FreeHost,
   type GroupPlan,
   type GroupPlanInput,
+  mayReplaceMembership,
   type PastConversion,
   type PlannedEngine,
   type PlannedModel,
+  type ReportedGroup,
   type Staging,
   type Warming,
 } from "./group-plan/index.ts";
--- a/packages/relay/src/placement/controller.ts
+++ b/packages/relay/src/placement/controller.ts
@@ -35,10 +35,12 @@
 import { HostHealth } from "./host-health.ts";
 import { LoadedModels } from "./loaded-models.ts";
 import { OccupyingGroups } from "./occupying-groups.ts";
+import { OccupiedHosts } from "./occupied-hosts.ts";
 import { OrderSender } from "./order-sender.ts";
 import { PlacementTasks } from "./placement-tasks.ts";
 import { PlanInputs } from "./plan-inputs.ts";
 import { ReleasedHosts } from "./released-hosts.ts";
+import { ReplaceableGroups } from "./replaceable-groups.ts";
 import { SpareWarmer } from "./spare-warmer.ts";
 import { UnlistedLeads } from "./unlisted-leads.ts";
 import { WeightLoadLimiter } from "./weight-load-limiter.ts";
@@ -76,6 +78,8 @@
   #spareWarmer: SpareWarmer;
   #evacuatedHosts: EvacuatedHosts;
   #releasedHosts: ReleasedHosts;
+  #occupiedHosts: OccupiedHosts;
+  #replaceableGroups: ReplaceableGroups;
   #groupChecker: GroupChecker;
   #groupRepairer: GroupRepairer;
   #conversions: Conversions;
@@ -94,14 +98,30 @@
     this.#elector = kernel.find("holder");
     this.#processExaminer = kernel.find("processExaminer");
     const demand = kernel.find("demand");
-    const orderSender = new OrderSender(kernel);
-    this.#unlistedLeads = new UnlistedLeads(kernel, orderSender);
+    const replaceableGroups = new ReplaceableGroups(kernel);
+    const occupiedHosts = new OccupiedHosts(kernel);
+    const orderSender = new OrderSender(kernel, {
+      replaceableGroups,
+      occupiedHosts,
+    });
+    this.#replaceableGroups = replaceableGroups;
+    this.#occupiedHosts = occupiedHosts;
+    this.#unlistedLeads = new UnlistedLeads(
+      kernel,
+      orderSender,
+      replaceableGroups,
+    );
     this.#health = new HostHealth(kernel, orderSender);
     this.#loadLimiter = new WeightLoadLimiter(
       this.#clock,
       () => demand.hasReceivedRequest,
     );
-    this.#groupFormer = new GroupFormer(kernel, orderSender, this.#loadLimiter);
+    this.#groupFormer = new GroupFormer(
+      kernel,
+      orderSender,
+      this.#loadLimiter,
+      replaceableGroups,
+    );
     this.#weightStager = new WeightStager(
       kernel,
       orderSender,
@@ -114,12 +134,16 @@
     this.#evacuatedHosts = evacuatedHosts;
     const health = this.#health;
     const former = this.#groupFormer;
-    const dissolver = new GroupDissolver(kernel, orderSender);
+    const dissolver = new GroupDissolver(
+      kernel,
+      orderSender,
+      replaceableGroups,
+    );
     const tasks = new PlacementTasks(kernel, evacuatedHosts, health);
     this.#tasks = tasks;
     const occupying = new OccupyingGroups(kernel, {
       tasks,
-      former,
+      replaceableGroups,
       unlistedLeads: this.#unlistedLeads,
       evacuatedHosts,
       warmer,
@@ -131,11 +155,14 @@
       this.#weightStager,
       this.#releasedHosts,
       new LoadedModels(kernel),
+      occupiedHosts,
     );
     this.#groupChecker = new GroupChecker(kernel, {
       health,
       dissolver,
       unlistedLeads: this.#unlistedLeads,
+      replaceableGroups,
+      occupiedHosts,
       isBusy: (group) =>
         tasks.isBusy(group) || evacuatedHosts.includesGroup(group),
       runTask: (group, work) => tasks.runGroup(group, "check", work),
@@ -238,6 +265,8 @@
       loads: this.#loadLimiter.runningCount,
       unlistedLeads: this.#unlistedLeads.dump(),
       releasedHosts: this.#releasedHosts.dump(),
+      occupiedHosts: this.#occupiedHosts.dump(),
+      replaceableGroups: this.#replaceableGroups.dump(),
       pendingChecks: this.#groupChecker.dump(),
     };
   }
--- a/packages/relay/src/placement/free-hosts.ts
+++ b/packages/relay/src/placement/free-hosts.ts
@@ -11,6 +11,7 @@
 import type { EvacuatedHosts } from "./evacuated-hosts.ts";
 import type { HostHealth } from "./host-health.ts";
 import type { LoadedModels } from "./loaded-models.ts";
+import type { OccupiedHosts } from "./occupied-hosts.ts";
 import type { ReleasedHosts } from "./released-hosts.ts";
 import type { WeightStager } from "./weight-stager.ts";
 
@@ -22,6 +23,7 @@
   #weightStager: WeightStager;
   #releasedHosts: ReleasedHosts;
   #loadedModels: LoadedModels;
+  #occupiedHosts: OccupiedHosts;
 
   constructor(
     kernel: RelayKernel,
@@ -30,6 +32,7 @@
     weightStager: WeightStager,
     releasedHosts: ReleasedHosts,
     loadedModels: LoadedModels,
+    occupiedHosts: OccupiedHosts,
   ) {
     this.#instances = kernel.find("instances");
     this.#evacuated = evacuated;
@@ -37,6 +40,7 @@
     this.#weightStager = weightStager;
     this.#releasedHosts = releasedHosts;
     this.#loadedModels = loadedModels;
+    this.#occupiedHosts = occupiedHosts;
   }
 
   /**
@@ -56,6 +60,7 @@
         instance.engine !== undefined && !occupiedHosts.has(instance.id) &&
         !busyHosts.has(instance.id) && !this.#health.isMissing(instance) &&
         !this.#releasedHosts.isHeldBack(instance.id) &&
+        !this.#occupiedHosts.includes(instance) &&
         !this.#evacuated.includesHost(instance.id)
       )
       .map((instance) => this.describe(instance));
--- a/packages/relay/src/placement/group-checker.ts
+++ b/packages/relay/src/placement/group-checker.ts
@@ -11,6 +11,8 @@
 import type { CurrentConfiguration } from "../routing/current-configuration.ts";
 import type { Mesh } from "../peers/mesh.ts";
 import type { RelayKernel } from "../services.ts";
+import type { OccupiedHosts } from "./occupied-hosts.ts";
+import type { ReplaceableGroups } from "./replaceable-groups.ts";
 import type { UnlistedLeads } from "./unlisted-leads.ts";
 import { getFabricDomain } from "./free-hosts.ts";
 import type { GroupDissolver } from "./group-dissolver.ts";
@@ -72,6 +74,8 @@
   readonly health: HostHealth;
   readonly dissolver: GroupDissolver;
   readonly unlistedLeads: UnlistedLeads;
+  readonly replaceableGroups: ReplaceableGroups;
+  readonly occupiedHosts: OccupiedHosts;
   /** Whether a task on the group is in progress, or none may begin. */
   isBusy(group: Group): boolean;
   /** Runs a task on a group, which is busy until the task ends. */
@@ -113,7 +117,7 @@
       return;
     }
     const group = this.#groups.find(name, epoch);
-    if (group === undefined || this.#context.unlistedLeads.hasLeft(group)) {
+    if (group === undefined || this.#context.replaceableGroups.hasLeft(group)) {
       return;
     }
     if (this.#context.isBusy(group) || !this.#isDue(name, cause)) {
@@ -253,16 +257,21 @@
       [...group.members, ...departed]
         .map((member) => this.#context.health.probe(member, signal)),
     );
+    const unknown = (size ?? 0) - group.members.length - departed.length;
+    const outdated = unknown > 0
+      ? await this.#findOutdatedMembers(group, signal)
+      : 0;
     const reports = probes.flatMap((probe) => probe.isOk ? [probe.value] : []);
     const silent = probes.filter((probe) =>
       probe.isErr && probe.error === "silent"
     );
-    const present = reports.filter(({ engine }) =>
-      isMemberOf(engine.membership, group.name, group.epoch)
-    );
+    const present = outdated +
+      reports.filter(({ engine }) =>
+        isMemberOf(engine.membership, group.name, group.epoch)
+      ).length;
     // Without the size in the configuration, nothing shows that it is not.
-    const isComplete = size === undefined || present.length === size;
-    if (present.length === size) {
+    const isComplete = size === undefined || present === size;
+    if (present === size) {
       this.#lastCompleteAt.set(group.name, this.#clock.now());
     }
     const slowReports = reports.filter((report) => isSlowReport(report));
@@ -271,10 +280,11 @@
     this.#logger.info("group_checked", {
       group: group.name,
       epoch: group.epoch,
-      present: present.length,
+      present,
       silent: silent.length,
       listed: group.members.length,
       departed: departed.length,
+      outdated,
       expected: size,
       slow: slowReports.length,
       can_replace_slow: canReplaceSlow,
@@ -282,8 +292,8 @@
     return {
       isComplete,
       // A member that has ended or left will not come back.
-      isSilent: size !== undefined && present.length < size &&
-        present.length + silent.length >= size,
+      isSilent: size !== undefined && present < size &&
+        present + silent.length >= size,
       hasLeadEnded: group.members.some((member, index) => {
         const probe = probes[index]!;
         return member === group.lead && probe.isErr && probe.error === "ended";
@@ -292,6 +302,32 @@
     };
   }
 
+  /**
+   * Counts members whose entries are older than the group, as a node that has
+   * just started may read them. Requests the reports of the hosts of the fabric
+   * domain that no later group is listed for.
+   */
+  async #findOutdatedMembers(
+    { name, epoch, service, lead }: Group,
+    signal: AbortSignal,
+  ): Promise<number> {
+    const candidates = this.#instances.listAvailable(service).filter((host) =>
+      host.engine !== undefined &&
+      getFabricDomain(host) === getFabricDomain(lead) &&
+      (host.engine.membership?.epoch ?? -Infinity) < epoch
+    );
+    const reports = await Promise.all(candidates.map(async (host) => {
+      const report = await this.#context.health.probe(host, signal);
+      const { membership } = report.unwrapOr(undefined)?.engine ?? {};
+      if (membership === undefined || !isMemberOf(membership, name, epoch)) {
+        return false;
+      }
+      this.#context.occupiedHosts.record(host, membership);
+      return true;
+    }));
+    return reports.filter(Boolean).length;
+  }
+
   /** Finds the hosts that the group's model needs; undefined if unknown. */
   #findGroupSize({ service, model }: Group): number | undefined {
     const { engine } = this.#configuration.current?.services
--- a/packages/relay/src/placement/group-dissolver.ts
+++ b/packages/relay/src/placement/group-dissolver.ts
@@ -8,6 +8,7 @@
 import type { Instances } from "../hosts/instances.ts";
 import type { RelayKernel } from "../services.ts";
 import { isMemberOf, type OrderSender } from "./order-sender.ts";
+import type { ReplaceableGroups } from "./replaceable-groups.ts";
 
 const POLL_INTERVAL_MS = 40;
 /** Time for a group to finish its requests. */
@@ -22,13 +23,19 @@
   #instances: Instances;
   #groups: Groups;
   #orderSender: OrderSender;
+  #replaceableGroups: ReplaceableGroups;
 
-  constructor(kernel: RelayKernel, orderSender: OrderSender) {
+  constructor(
+    kernel: RelayKernel,
+    orderSender: OrderSender,
+    replaceableGroups: ReplaceableGroups,
+  ) {
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#instances = kernel.find("instances");
     this.#groups = kernel.find("groups");
     this.#orderSender = orderSender;
+    this.#replaceableGroups = replaceableGroups;
   }
 
   /** Lets a group finish its requests, then dissolves it. */
@@ -79,6 +86,7 @@
       ({ engine }) => !isMemberOf(engine.membership, name, epoch),
       signal,
     );
+    this.#replaceableGroups.recordLeft(group);
     this.#logger.info("group_dissolved", {
       group: name,
       epoch,
--- a/packages/relay/src/placement/group-former.ts
+++ b/packages/relay/src/placement/group-former.ts
@@ -11,9 +11,13 @@
 import type { EngineProfile, ModelProfile } from "../model/configuration.ts";
 import type { Instance, Membership } from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
-import type { HolderElector } from "./holder-elector.ts";
+import {
+  isMemberOf,
+  type OrderSender,
+  PlacementError,
+} from "./order-sender.ts";
+import type { ReplaceableGroups } from "./replaceable-groups.ts";
 import type { WeightLoadLimiter } from "./weight-load-limiter.ts";
-import { isMemberOf, OrderSender, PlacementError } from "./order-sender.ts";
 
 /** A group that is being formed. */
 export interface FormingGroup {
@@ -40,37 +44,25 @@
 
 /** Forms the planned groups. */
 export class GroupFormer {
-  /**
-   * Groups that this node began to form but has not ordered to open, with its
-   * fencing number at the start of the formation.
-   */
-  #unopened = new Map<string, number>();
-  #elector: HolderElector;
   #clock: Clock;
   #logger: Logger;
   #instances: Instances;
   #orderSender: OrderSender;
   #loadLimiter: WeightLoadLimiter;
+  #replaceableGroups: ReplaceableGroups;
 
   constructor(
     kernel: RelayKernel,
     orderSender: OrderSender,
     loadLimiter: WeightLoadLimiter,
+    replaceableGroups: ReplaceableGroups,
   ) {
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#instances = kernel.find("instances");
     this.#orderSender = orderSender;
     this.#loadLimiter = loadLimiter;
-    this.#elector = kernel.find("holder");
-  }
-
-  /**
-   * Whether no node has ordered the group to open. If placement has moved since
-   * the formation began, another node may have done so, so the result is false.
-   */
-  isUnopened(name: string): boolean {
-    return this.#unopened.get(name) === this.#elector.fence;
+    this.#replaceableGroups = replaceableGroups;
   }
 
   /** Orders all members to join, then opens the group. */
@@ -95,7 +87,7 @@
       load_priority: Number(group.loadPriority.toFixed(LOGGED_DIGITS)),
       demand_share: Number(demandShare.toFixed(LOGGED_DIGITS)),
     });
-    this.#unopened.set(group.name, this.#elector.fence);
+    this.#replaceableGroups.recordFormation(group.name);
     const members = group.members.map((id) => this.#findMember(id));
     const joinAbort = new AbortController();
     const joinSignal = AbortSignal.any([signal, joinAbort.signal]);
@@ -138,7 +130,7 @@
     const lead = group.members[0]!;
     const isOpen = (membership: Membership | undefined) =>
       isMemberOf(membership, name, epoch) && membership?.state === "open";
-    this.#unopened.delete(name);
+    this.#replaceableGroups.recordOpening(name);
     await this.#orderSender.send(
       lead,
       { kind: "open", group: name, epoch },
--- a/packages/relay/src/placement/group-repairer.ts
+++ b/packages/relay/src/placement/group-repairer.ts
@@ -43,8 +43,15 @@
   }
 
   repair(service: EngineService): void {
-    const { tasks, health, dissolver, occupying, evacuatedHosts, warmer } =
-      this.#context;
+    const {
+      tasks,
+      health,
+      dissolver,
+      checker,
+      occupying,
+      evacuatedHosts,
+      warmer,
+    } = this.#context;
     for (const group of this.#groups.list()) {
       if (
         group.service !== service.name || tasks.isBusy(group) ||
@@ -64,6 +71,9 @@
         group.members.every(({ isDraining }) => !isDraining)
       ) {
         this.#resumeFormation(service, group);
+      } else if (!isComplete && size > 0 && group.state !== "broken") {
+        // The entries may be older than the group, which may be open by now.
+        checker.request(group.name, group.epoch, "unlisted");
       } else {
         tasks.runGroup(
           group,
--- a/packages/relay/src/placement/occupying-groups.ts
+++ b/packages/relay/src/placement/occupying-groups.ts
@@ -6,15 +6,15 @@
 import type { Group, Groups } from "../hosts/groups.ts";
 import type { RelayKernel } from "../services.ts";
 import type { EvacuatedHosts } from "./evacuated-hosts.ts";
-import type { GroupFormer } from "./group-former.ts";
 import type { PlacementTasks } from "./placement-tasks.ts";
+import type { ReplaceableGroups } from "./replaceable-groups.ts";
 import type { SpareWarmer } from "./spare-warmer.ts";
 import type { UnlistedLeads } from "./unlisted-leads.ts";
 
 /** What tells whether a group still occupies its hosts. */
 export interface OccupationSources {
   readonly tasks: PlacementTasks;
-  readonly former: GroupFormer;
+  readonly replaceableGroups: ReplaceableGroups;
   readonly unlistedLeads: UnlistedLeads;
   readonly evacuatedHosts: EvacuatedHosts;
   readonly warmer: SpareWarmer;
@@ -38,9 +38,10 @@
 
   /** Whether the formation failed before the lead was ordered to open. */
   hasFailedFormation({ name, state }: Group): boolean {
-    const { tasks, former } = this.#sources;
+    const { tasks, replaceableGroups } = this.#sources;
     const isServing = state === "open" || state === "closing";
-    return !isServing && !tasks.forming.has(name) && former.isUnopened(name);
+    return !isServing && !tasks.forming.has(name) &&
+      replaceableGroups.isUnopened(name);
   }
 
   /**
@@ -51,7 +52,8 @@
    * of its lead.
    */
   #occupiesHosts(group: Group): boolean {
-    const { tasks, unlistedLeads, evacuatedHosts, warmer } = this.#sources;
+    const { tasks, replaceableGroups, unlistedLeads, evacuatedHosts, warmer } =
+      this.#sources;
     if (
       this.hasFailedFormation(group) || warmer.isWarmingGroup(group.name)
     ) {
@@ -61,7 +63,7 @@
       return true;
     }
     if (group.lead !== undefined) {
-      return !unlistedLeads.hasLeft(group);
+      return !replaceableGroups.hasLeft(group);
     }
     const leadStatus = unlistedLeads.getStatus(group);
     if (leadStatus === "unknown") {
--- a/packages/relay/src/placement/order-sender.ts
+++ b/packages/relay/src/placement/order-sender.ts
@@ -12,6 +12,9 @@
 import type { RelayMetrics } from "../relay-metrics.ts";
 import type { RelayKernel } from "../services.ts";
 import type { HolderElector } from "./holder-elector.ts";
+import type { OccupiedHosts } from "./occupied-hosts.ts";
+import { OrderCounts } from "./order-counts.ts";
+import type { ReplaceableGroups } from "./replaceable-groups.ts";
 
 /** A group cannot be formed or dissolved, or weights cannot be staged. */
 export class PlacementError extends Error {
@@ -28,6 +31,35 @@
 const REPLY_TIMEOUT_MS = 200;
 const MAX_ATTEMPTS = 3;
 const RETRY_DELAY_MS = 50;
+/** Age of the values in a report, in the users' deployments. */
+const REPORT_LAG_MS = 200;
+
+type MembershipCheck = (
+  reported: Membership,
+  listed: Membership | undefined,
+  replaceableGroups: ReplaceableGroups,
+) => boolean;
+
+/**
+ * Whether a member of a group may carry out an order that was planned by the
+ * list, by the kind of order. Orders of other kinds name the group themselves.
+ */
+const MEMBERSHIP_CHECKS: Readonly<
+  Record<Order["kind"], MembershipCheck | undefined>
+> = {
+  join: (reported, _listed, groups) => groups.includes(reported),
+  stage: (reported, listed) =>
+    isMemberOf(listed, reported.group, reported.epoch),
+  open: undefined,
+  close: undefined,
+  leave: undefined,
+};
+
+/** What tells whether a host may be ordered into another group. */
+export interface MembershipSources {
+  readonly replaceableGroups: ReplaceableGroups;
+  readonly occupiedHosts: OccupiedHosts;
+}
 
 /** Sends orders while this node holds placement. */
 export class OrderSender {
@@ -37,8 +69,11 @@
   #elector: HolderElector;
   #instances: Instances;
   #metrics: RelayMetrics;
+  #memberships: MembershipSources;
+  #orderCounts = new OrderCounts();
 
-  constructor(kernel: RelayKernel) {
+  constructor(kernel: RelayKernel, memberships: MembershipSources) {
+    this.#memberships = memberships;
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#engines = kernel.find("engines");
@@ -78,8 +113,11 @@
    * Sends an order until the engine accepts it or `isDone` holds for its
    * report. An order without a reply may be carried out later. So a report is
    * requested before each retry, and the engine accepts a retry only if it has
-   * carried out no order in between. The first attempt needs no such condition:
-   * its epoch is newer than all others.
+   * carried out no order in between.
+   *
+   * An order for a host that the list shows as free bears this condition from
+   * the first attempt on: the list may be outdated, and the report says whether
+   * the host belongs to a group.
    */
   async send(
     id: string,
@@ -87,41 +125,79 @@
     isDone: (report: EngineReport) => boolean,
     signal: AbortSignal,
   ): Promise<void> {
+    const isMembershipChecked = MEMBERSHIP_CHECKS[order.kind] !== undefined;
     let orderCount: number | undefined;
+    if (isMembershipChecked) {
+      const report = await this.#requireReport(id, signal);
+      orderCount = this.#checkMembership(id, order, report);
+    }
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
       const reply = await this.#sendOnce(id, order, orderCount, signal);
       if (reply === "accepted" || reply === "done") {
         return;
       }
-      const report = reply === "fenced" && order.kind !== "join"
-        ? undefined
-        : await this.requestReport(this.#findInstance(id), signal);
       if (reply === "fenced") {
-        this.#throwFenced(id, order, report?.unwrapOr(undefined));
-      }
-      if (report === undefined || report.isErr) {
-        throw new PlacementError(`${id} did not answer`);
+        await this.#throwFenced(id, order, signal);
       }
-      if (isDone(report.value)) {
+      const isOutdated = reply === "conflict" && isMembershipChecked;
+      await this.#clock.sleep(
+        isOutdated ? REPORT_LAG_MS : RETRY_DELAY_MS,
+        signal,
+      );
+      const report = await this.#requireReport(id, signal);
+      if (isDone(report)) {
         return;
       }
-      orderCount = report.value.orderCount;
-      await this.#clock.sleep(RETRY_DELAY_MS, signal);
+      orderCount = this.#checkMembership(id, order, report);
     }
     throw new PlacementError(
       `${id} did not carry out the order: ${order.kind}`,
     );
   }
 
+  async #requireReport(
+    id: string,
+    signal: AbortSignal,
+  ): Promise<EngineReport> {
+    const report = await this.requestReport(this.#findInstance(id), signal);
+    if (report.isErr) {
+      throw new PlacementError(`${id} did not answer`);
+    }
+    return report.value;
+  }
+
+  /**
+   * Returns the order count of a host; throws if it belongs to a group in which
+   * it may not carry out the order.
+   */
+  #checkMembership(id: string, order: Order, report: EngineReport): number {
+    const { replaceableGroups, occupiedHosts } = this.#memberships;
+    const instance = this.#findInstance(id);
+    const listed = instance.engine?.membership;
+    const { membership } = report.engine;
+    const check = MEMBERSHIP_CHECKS[order.kind];
+    if (
+      membership !== undefined &&
+      check?.(membership, listed, replaceableGroups) === false
+    ) {
+      occupiedHosts.record(instance, membership);
+      throw new PlacementError(`${id} is a member of ${membership.group}`);
+    }
+    return this.#orderCounts.recordReport(instance, report);
+  }
+
   /** A join is refused as well if a later one has overtaken it. */
-  #throwFenced(
+  async #throwFenced(
     id: string,
     order: Order,
-    report: EngineReport | undefined,
-  ): never {
-    const epoch = report?.engine.membership?.epoch ?? -Infinity;
-    if (order.kind === "join" && epoch > order.epoch) {
-      throw new PlacementError(`${id} has joined a later group`);
+    signal: AbortSignal,
+  ): Promise<never> {
+    if (order.kind === "join") {
+      const report = await this.requestReport(this.#findInstance(id), signal);
+      const membership = report.unwrapOr(undefined)?.engine.membership;
+      if (membership !== undefined && membership.epoch > order.epoch) {
+        throw new PlacementError(`${id} has joined a later group`);
+      }
     }
     this.#elector.stepDown();
     throw new PlacementError(`${id} has seen a later fencing number`);
@@ -145,8 +221,9 @@
       throw new PlacementError("this node no longer holds placement");
     }
     const { fence } = this.#elector;
+    const instance = this.#findInstance(id);
     const reply = await this.#engines.sendOrder(
-      this.#findInstance(id),
+      instance,
       order,
       { fence, orderCount },
       REPLY_TIMEOUT_MS,
@@ -155,6 +232,14 @@
     signal.throwIfAborted();
     const outcome = reply.isOk ? reply.value : "no-reply";
     this.#metrics.recordOrder(order.kind, outcome);
+    // An engine that has left a group answers that the order is done.
+    if (
+      outcome === "accepted" || outcome === "done" && order.kind === "leave"
+    ) {
+      this.#orderCounts.recordAccepted(instance);
+    } else if (outcome === "conflict") {
+      this.#orderCounts.recordConflict(instance);
+    }
     this.#logger.info("order_given", {
       instance: id,
       order: order.kind,
--- a/packages/relay/src/placement/spare-warmer.ts
+++ b/packages/relay/src/placement/spare-warmer.ts
@@ -22,11 +22,7 @@
   type Membership,
 } from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
-import {
-  isMemberOf,
-  type OrderSender,
-  PlacementError,
-} from "./order-sender.ts";
+import { isMemberOf, type OrderSender } from "./order-sender.ts";
 
 const JOIN_TIMEOUT_MS = 3000;
 /** Orders are priced, and a spare that fails once mostly fails again. */
@@ -81,7 +77,6 @@
     this.#groups.set(key, group);
     this.#failedUntil.delete(key);
     try {
-      await this.#verifyFree(spare, signal);
       await this.#orderSender.send(
         id,
         { kind: "join", group, epoch, model: model.name, members: [id] },
@@ -118,25 +113,6 @@
     }
   }
 
-  /**
-   * A holder that has just taken over may not have read yet that the spare has
-   * joined a group, which may be open.
-   */
-  async #verifyFree(spare: Instance, signal: AbortSignal): Promise<void> {
-    const report = await this.#orderSender.requestReport(spare, signal);
-    if (report.isErr) {
-      throw new PlacementError(`${spare.id} did not answer`);
-    }
-    const { membership } = report.value.engine;
-    const listed = this.#findMembership(spare.id);
-    if (
-      membership !== undefined &&
-      !isMemberOf(listed, membership.group, membership.epoch)
-    ) {
-      throw new PlacementError(`${spare.id} has joined ${membership.group}`);
-    }
-  }
-
   /** Whether the spare is ready, in a later group or gone. */
   #hasLoaded(id: string, group: string, epoch: number): boolean {
     const instance = this.#instances.find(id);
--- a/packages/relay/src/placement/unlisted-leads.ts
+++ b/packages/relay/src/placement/unlisted-leads.ts
@@ -10,14 +10,21 @@
  */
 import { type Clock, describeError, type Logger } from "@zinniahill/kernel";
 import { dropOldest } from "../drop-oldest.ts";
+import type { EngineControl } from "../adapter.ts";
 import type { Feeds } from "../feeds/feeds.ts";
-import { createGroupKey, type Group, parseGroupLead } from "../hosts/groups.ts";
+import {
+  createGroupKey,
+  type Group,
+  type InstanceEndpoint,
+  parseGroupLead,
+} from "../hosts/groups.ts";
 import type { Instances } from "../hosts/instances.ts";
 import type { Instance } from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
 import type { HolderElector } from "./holder-elector.ts";
 import type { LeadRelease } from "./lead-release.ts";
 import { isMemberOf, type OrderSender } from "./order-sender.ts";
+import type { ReplaceableGroups } from "./replaceable-groups.ts";
 
 /** Time after which entries that expired in a store outage are listed again. */
 export const RELISTING_MS = 2500;
@@ -25,8 +32,12 @@
 const ABSENCE_CONFIRMATION_MS = 1000;
 /** Some nodes have not confirmed the end of a process; they are asked again. */
 const ENDED_RETRY_MS = 200;
-/** Of more groups whose lead has left, the oldest are forgotten. */
-const MAX_LEFT_GROUPS = 4096;
+/** A host that is up answers within a few milliseconds. */
+const REPLY_TIMEOUT_MS = 200;
+/** A lead whose entry does not name the group is asked again after this time. */
+const LISTED_RETRY_MS = 400;
+/** More than the groups of any deployment in a day. */
+const MAX_GROUPS = 4096;
 
 /**
  * Status of an unlisted lead: `gone`; `may-return` to the list; or `unknown`,
@@ -41,50 +52,58 @@
   #stallMs: number;
   #feeds: Feeds;
   #instances: Instances;
+  #engines: EngineControl;
   #elector: HolderElector;
   #leadRelease: LeadRelease;
   #orderSender: OrderSender;
-  /** Groups whose lead has said that it is not in them, or has ended. */
-  #leftGroups = new Set<string>();
+  #replaceableGroups: ReplaceableGroups;
+  /** When a lead whose entry does not name the group is asked again. */
+  #askAt = new Map<string, number>();
   /** Since when no node has been known to reach the lead, by group. */
   #unreachableSince = new Map<string, number>();
 
-  constructor(kernel: RelayKernel, orderSender: OrderSender) {
+  constructor(
+    kernel: RelayKernel,
+    orderSender: OrderSender,
+    replaceableGroups: ReplaceableGroups,
+  ) {
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#stallMs = kernel.find("settings").limits.stallMs;
     this.#feeds = kernel.find("feeds");
     this.#instances = kernel.find("instances");
+    this.#engines = kernel.find("engines");
     this.#elector = kernel.find("holder");
     this.#leadRelease = kernel.find("leadRelease");
     this.#orderSender = orderSender;
+    this.#replaceableGroups = replaceableGroups;
     this.#instances.onInstance((instance) => this.#forget(instance));
   }
 
-  /** Whether the lead of a group has left it or has ended. */
-  hasLeft({ name, epoch }: Pick<Group, "name" | "epoch">): boolean {
-    return this.#leftGroups.has(createGroupKey(name, epoch));
-  }
-
-  /** Returns the status of the lead of a group without a listed lead. */
+  /**
+   * Returns the status of the lead of a group without a listed lead. An entry
+   * that does not name the group is no proof: it may be older than the group.
+   */
   getStatus({ name, epoch }: Group): LeadStatus {
-    if (this.hasLeft({ name, epoch })) {
+    const lead = parseGroupLead(name);
+    if (
+      lead === undefined || this.#replaceableGroups.hasLeft({ name, epoch })
+    ) {
       return "gone";
     }
-    if (this.#feeds.sinceOutageMs("instances") < RELISTING_MS) {
-      return "may-return";
-    }
-    const lead = parseGroupLead(name);
-    // A lead that is listed without the group has left it.
-    const isGone = lead === undefined ||
-      this.#instances.find(lead.id) !== undefined;
-    return isGone ? "gone" : "unknown";
+    const isListed = this.#instances.find(lead.id) !== undefined;
+    const askAt = this.#askAt.get(createGroupKey(name, epoch)) ?? -Infinity;
+    return !isListed && this.#feeds.sinceOutageMs("instances") < RELISTING_MS ||
+        isListed && this.#clock.now() < askAt
+      ? "may-return"
+      : "unknown";
   }
 
   /**
-   * Orders the lead to leave, as it may still serve and only be disconnected
-   * from the store. If no node reaches it, the members are ordered to leave in
-   * its place.
+   * Asks a listed lead whether it is in the group. Orders one that is not
+   * listed to leave, as it may still serve and only be disconnected from the
+   * store. If no node reaches it, the members are ordered to leave in its
+   * place.
    */
   async release(group: Group, signal: AbortSignal): Promise<void> {
     const { name, epoch } = group;
@@ -92,11 +111,17 @@
     if (lead === undefined) {
       return;
     }
+    if (
+      this.#instances.find(lead.id) !== undefined &&
+      !await this.#hasListedLeadEnded(group, lead, signal)
+    ) {
+      return;
+    }
     const outcome = await this.#leadRelease
       .release(lead, name, epoch, this.#elector.fence, signal);
     const key = createGroupKey(name, epoch);
     if (outcome === "left") {
-      this.#recordLeft(key);
+      this.#replaceableGroups.recordLeft(group);
     }
     // The lead may have been listed again while it was tried.
     const isListed = this.#instances.find(lead.id) !== undefined;
@@ -131,7 +156,7 @@
       const outcome = await this.#leadRelease
         .release(lead, name, epoch, this.#elector.fence, signal);
       if (outcome === "left") {
-        this.#recordLeft(createGroupKey(name, epoch));
+        this.#replaceableGroups.recordLeft(group);
       }
       if (outcome === "left" || outcome === "present") {
         return;
@@ -142,14 +167,43 @@
 
   dump(): unknown {
     return {
-      left: [...this.#leftGroups],
       unreachable: [...this.#unreachableSince.keys()],
     };
   }
 
-  #recordLeft(key: string): void {
-    this.#leftGroups.add(key);
-    dropOldest(this.#leftGroups, MAX_LEFT_GROUPS);
+  /**
+   * Asks a lead whose entry does not name the group, and returns whether its
+   * process has ended. The lead is not ordered to leave: the group may be sound.
+   */
+  async #hasListedLeadEnded(
+    group: Group,
+    lead: InstanceEndpoint,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { name, epoch } = group;
+    const report = await this.#engines
+      .requestReport(lead, REPLY_TIMEOUT_MS, signal);
+    signal.throwIfAborted();
+    const { membership } = report.unwrapOr(undefined)?.engine ?? {};
+    const isMember = isMemberOf(membership, name, epoch);
+    if (report.isOk && !isMember) {
+      this.#replaceableGroups.recordLeft(group);
+    } else {
+      this.#askAt.set(
+        createGroupKey(name, epoch),
+        this.#clock.now() + LISTED_RETRY_MS,
+      );
+      dropOldest(this.#askAt, MAX_GROUPS);
+    }
+    this.#logger.info("listed_lead_asked", {
+      group: name,
+      epoch,
+      lead: lead.id,
+      is_member: isMember,
+      state: membership?.state,
+      error: report.isErr ? report.error.message : undefined,
+    });
+    return report.isErr && report.error.isGone === true;
   }
 
   /** Orders a member to leave; one that does not answer is tried again later. */
@@ -183,9 +237,9 @@
   #forget({ engine }: Instance): void {
     const membership = engine?.membership;
     if (membership?.rank === 0) {
-      const key = createGroupKey(membership.group, membership.epoch);
-      this.#leftGroups.delete(key);
-      this.#unreachableSince.delete(key);
+      const { group: name, epoch } = membership;
+      this.#replaceableGroups.forgetLeft({ name, epoch });
+      this.#unreachableSince.delete(createGroupKey(name, epoch));
     }
   }
 }
--- a/packages/relay/test/placement/group-checker.test.ts
+++ b/packages/relay/test/placement/group-checker.test.ts
@@ -2,6 +2,7 @@
 import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
 import type { Group } from "../../src/hosts/groups.ts";
+import type { Instance } from "../../src/index.ts";
 import {
   type CheckCause,
   GroupChecker,
@@ -38,9 +39,16 @@
   probe: Prober = () => PRESENT,
   countOutstanding: () => number = () => 0,
   group: Group = GROUP,
+  available: readonly Instance[] = [],
 ) {
   const clock = new ManualClock();
-  const counts = { checks: 0, dissolved: 0, released: 0, suspicions: 0 };
+  const counts = {
+    checks: 0,
+    dissolved: 0,
+    released: 0,
+    suspicions: 0,
+    occupied: [] as string[],
+  };
   let lastEventAt = -Infinity;
   const silentLogger = { error() {}, warn() {}, info() {}, debug() {} };
   const engine = {
@@ -55,7 +63,12 @@
       [],
       () => ({ current: { services: [{ name: "engines", engine }] } }) as never,
     )
-    .provide("instances", [], () => ({ listDeparted: () => [] }) as never)
+    .provide(
+      "instances",
+      [],
+      () =>
+        ({ listDeparted: () => [], listAvailable: () => available }) as never,
+    )
     .provide(
       "groups",
       [],
@@ -86,8 +99,11 @@
         return Promise.resolve();
       },
     } as never,
+    replaceableGroups: { hasLeft: () => counts.released > 0 } as never,
+    occupiedHosts: {
+      record: ({ id }: Instance) => counts.occupied.push(id),
+    } as never,
     unlistedLeads: {
-      hasLeft: () => counts.released > 0,
       releaseEnded: () => {
         counts.released++;
         return Promise.resolve();
@@ -128,6 +144,45 @@
     });
   });
 
+  // Guards against a sound group that a new holder ended, as late heartbeats
+  // listed its members without it.
+  describe("a group of which the list shows only the lead", () => {
+    const createHost = (id: string, epoch?: number) =>
+      ({
+        id,
+        engine: {
+          fabricDomain: "",
+          membership: epoch === undefined ? undefined : { epoch },
+        },
+      }) as unknown as Instance;
+
+    it("stays if a host that is listed as free says that it is a member", async () => {
+      const { clock, checker, counts } = await create(
+        2,
+        () => PRESENT,
+        undefined,
+        GROUP,
+        [createHost("i-2")],
+      );
+      checker.request(GROUP.name, GROUP.epoch, "unlisted");
+      await clock.advance(100);
+      expect(counts).toMatchObject({ dissolved: 0, occupied: ["i-2"] });
+    });
+
+    it("is dissolved if the host has joined a later group", async () => {
+      const { clock, checker, counts } = await create(
+        2,
+        () => PRESENT,
+        undefined,
+        GROUP,
+        [createHost("i-2", GROUP.epoch + 1)],
+      );
+      checker.request(GROUP.name, GROUP.epoch, "unlisted");
+      await clock.advance(100);
+      expect(counts).toMatchObject({ dissolved: 1, occupied: [] });
+    });
+  });
+
   describe("a group with a silent member", () => {
     const silent: Probe = Result.err("silent");
 
--- a/packages/relay/test/placement/group-former.test.ts
+++ b/packages/relay/test/placement/group-former.test.ts
@@ -8,6 +8,7 @@
   GroupFormer,
 } from "../../src/placement/group-former.ts";
 import type { OrderSender } from "../../src/placement/order-sender.ts";
+import { ReplaceableGroups } from "../../src/placement/replaceable-groups.ts";
 import type { RelayKernel, RelayServices } from "../../src/services.ts";
 
 const NEVER_ABORTED = new AbortController().signal;
@@ -80,6 +81,7 @@
       requestReport: () => Promise.resolve(fixture.report),
     } as never,
     { acquire: () => Promise.resolve(() => {}) } as never,
+    new ReplaceableGroups(kernel),
   );
   const fixture = {
     clock,
--- a/packages/relay/test/placement/spare-warmer.test.ts
+++ b/packages/relay/test/placement/spare-warmer.test.ts
@@ -3,7 +3,9 @@
 import { describe, expect, it } from "vitest";
 import type { Instance, Membership } from "../../src/model/instance.ts";
 import type { Order, OrderReply } from "../../src/model/order.ts";
+import { OccupiedHosts } from "../../src/placement/occupied-hosts.ts";
 import { OrderSender } from "../../src/placement/order-sender.ts";
+import { ReplaceableGroups } from "../../src/placement/replaceable-groups.ts";
 import { SpareWarmer } from "../../src/placement/spare-warmer.ts";
 import type { RelayKernel, RelayServices } from "../../src/services.ts";
 
@@ -16,6 +18,8 @@
   rank: 3,
   state: "ready",
 };
+/** The group whose lead has left, while the spare still states it. */
+const EARLIER_GROUP = { name: EARLIER.group, epoch: EARLIER.epoch };
 
 function createSpare(membership?: Membership): Instance {
   return {
@@ -72,7 +76,7 @@
     .provide(
       "instances",
       [],
-      () => ({ changed, find: () => state.spare }) as never,
+      () => ({ changed, find: () => state.spare, onInstance() {} }) as never,
     )
     .provide("metrics", [], () => ({ recordOrder() {} }) as never)
     .provide(
@@ -87,12 +91,17 @@
     )
     .provide("engines", [], () => engines as never);
   await kernel.start();
-  const warmer = new SpareWarmer(kernel, new OrderSender(kernel));
+  const replaceableGroups = new ReplaceableGroups(kernel);
+  const occupiedHosts = new OccupiedHosts(kernel);
+  const warmer = new SpareWarmer(
+    kernel,
+    new OrderSender(kernel, { replaceableGroups, occupiedHosts }),
+  );
   const list = (membership: Membership | undefined) => {
     state.spare = createSpare(membership);
     changed.notify();
   };
-  return { clock, warmer, state, list };
+  return { clock, warmer, state, list, replaceableGroups };
 }
 
 describe("SpareWarmer", () => {
@@ -109,8 +118,11 @@
       let reported: Membership | undefined;
       const { clock, warmer, state } = await create(
         (_order, attempt) => {
+          if (attempt === 1) {
+            return undefined;
+          }
           reported = later;
-          return attempt === 1 ? undefined : "fenced";
+          return "fenced";
         },
         () => reported,
         undefined,
@@ -141,11 +153,12 @@
     // Guards against a group that the holder forgets, and takes for one that
     // has lost its members.
     it("is in the warmer's group until it has loaded", async () => {
-      const { clock, warmer, state, list } = await create(
+      const { clock, warmer, state, list, replaceableGroups } = await create(
         () => "accepted",
         () => EARLIER,
         EARLIER,
       );
+      replaceableGroups.recordLeft(EARLIER_GROUP);
       void warmer.warm(state.spare, MODEL, EPOCH, NEVER_ABORTED);
       await clock.advance(10);
       const { group } = state.orders[0] as { group: string };
@@ -158,11 +171,12 @@
     });
 
     it("is not ordered to join with every plan", async () => {
-      const { clock, warmer, state } = await create(
+      const { clock, warmer, state, replaceableGroups } = await create(
         () => "accepted",
         () => EARLIER,
         EARLIER,
       );
+      replaceableGroups.recordLeft(EARLIER_GROUP);
       for (let plan = 0; plan < 10; plan++) {
         if (warmer.canWarm(state.spare)) {
           const epoch = EPOCH + plan;
--- a/packages/relay/test/placement/unlisted-leads.test.ts
+++ b/packages/relay/test/placement/unlisted-leads.test.ts
@@ -1,10 +1,13 @@
 import { Kernel, ManualClock } from "@zinniahill/kernel";
+import { Result } from "true-myth";
 import { describe, expect, it } from "vitest";
 import { createGroupName, type Group } from "../../src/hosts/groups.ts";
 import type { InstanceListener } from "../../src/hosts/instances.ts";
-import type { Instance } from "../../src/index.ts";
+import type { EngineControl, Instance } from "../../src/index.ts";
+import type { Membership } from "../../src/model/instance.ts";
 import type { LeadPresence } from "../../src/placement/lead-release.ts";
 import { ReleasedHosts } from "../../src/placement/released-hosts.ts";
+import { ReplaceableGroups } from "../../src/placement/replaceable-groups.ts";
 import { UnlistedLeads } from "../../src/placement/unlisted-leads.ts";
 import type { RelayKernel, RelayServices } from "../../src/services.ts";
 
@@ -12,6 +15,12 @@
 const LEAD = { id: "i-1", address: "10.0.0.1:80" };
 const STALL_MS = 5000;
 const GROUP_NAME = createGroupName("large", 7, LEAD);
+type LeadReport = Awaited<ReturnType<EngineControl["requestReport"]>>;
+
+function createReport(membership: Membership | undefined): LeadReport {
+  return Result.ok({ engine: { membership } }) as unknown as LeadReport;
+}
+
 const SILENT_LOGGER = { error() {}, warn() {}, info() {}, debug() {} };
 
 /** Creates a member of the group, or an instance without a group. */
@@ -62,6 +71,9 @@
     clock,
     sinceOutageMs: 60_000,
     outcome: "absent" as LeadPresence,
+    /** What the lead says of itself. */
+    report: Result.err({ message: "timeout" }) as LeadReport,
+    reports: 0,
     releases: 0,
     isHolder: true,
     /** Members that were ordered to leave. */
@@ -101,6 +113,17 @@
           },
         }) as never,
     )
+    .provide(
+      "engines",
+      [],
+      () =>
+        ({
+          requestReport: () => {
+            fixture.reports++;
+            return Promise.resolve(fixture.report);
+          },
+        }) as never,
+    )
     .provide(
       "leadRelease",
       [],
@@ -121,9 +144,10 @@
         : Promise.resolve();
     },
   };
-  const leads = new UnlistedLeads(kernel, orderSender as never);
+  const groups = new ReplaceableGroups(kernel);
+  const leads = new UnlistedLeads(kernel, orderSender as never, groups);
   const releasedHosts = new ReleasedHosts(kernel);
-  return { fixture, leads, releasedHosts };
+  return { fixture, groups, leads, releasedHosts };
 }
 
 describe("UnlistedLeads", () => {
@@ -138,11 +162,58 @@
       const { leads } = await createUnlistedLeads();
       expect(leads.getStatus(GROUP)).toBe("unknown");
     });
+  });
 
-    it("counts a lead as gone that is listed without the group", async () => {
-      const { fixture, leads } = await createUnlistedLeads();
-      fixture.list(createInstance(LEAD.id, undefined));
+  // Guards against TWO and against sound groups that were ended: the entry may be
+  // older than the group, as a late heartbeat that a node reads when it starts.
+  describe("a lead that is listed without the group", () => {
+    async function ask(report: LeadReport) {
+      const created = await createUnlistedLeads();
+      created.fixture.list(createInstance(LEAD.id, undefined));
+      created.fixture.report = report;
+      expect(created.leads.getStatus(GROUP)).toBe("unknown");
+      await created.leads.release(GROUP, NEVER_ABORTED);
+      return created;
+    }
+
+    it("is gone once it says so itself", async () => {
+      const { fixture, leads } = await ask(createReport(undefined));
       expect(leads.getStatus(GROUP)).toBe("gone");
+      expect(fixture.releases).toBe(0);
+    });
+
+    it("is not gone if it says that it is a member, and is not ordered to leave", async () => {
+      const { membership } = createInstance(LEAD.id, 0).engine!;
+      const { fixture, leads } = await ask(createReport(membership));
+      expect(leads.getStatus(GROUP)).toBe("may-return");
+      await fixture.clock.advance(1000);
+      expect(leads.getStatus(GROUP)).toBe("unknown");
+      await leads.release(GROUP, NEVER_ABORTED);
+      expect(fixture).toMatchObject({ reports: 2, releases: 0, released: [] });
+    });
+
+    it("is not gone while it does not answer", async () => {
+      const { fixture, leads } = await ask(Result.err({
+        verdict: "may-have-run",
+        message: "timeout",
+      }));
+      expect(leads.getStatus(GROUP)).toBe("may-return");
+      expect(fixture.releases).toBe(0);
+    });
+
+    it("is released by all nodes if its process has ended", async () => {
+      const created = await createUnlistedLeads();
+      const { fixture, leads } = created;
+      fixture.list(createInstance(LEAD.id, undefined, 2));
+      fixture.report = Result.err({
+        verdict: "may-have-run",
+        message: "ECONNREFUSED",
+        isGone: true,
+      });
+      fixture.outcome = "left";
+      await leads.release(GROUP, NEVER_ABORTED);
+      expect(leads.getStatus(GROUP)).toBe("gone");
+      expect(fixture.releases).toBe(1);
     });
   });
 
@@ -262,8 +333,8 @@
     }
 
     it("has left once all nodes have found its end", async () => {
-      const { leads } = await releaseEnded("left");
-      expect(leads.hasLeft(group)).toBe(true);
+      const { groups } = await releaseEnded("left");
+      expect(groups.hasLeft(group)).toBe(true);
     });
 
     // Guards against SHORT: once an outage of the store had ended, the hosts of
@@ -278,18 +349,18 @@
     // Guards against members that join another group while their lead is open
     // and only this node is cut off from it.
     it("has not left if another node reaches it", async () => {
-      const { fixture, leads } = await releaseEnded("present");
+      const { fixture, groups } = await releaseEnded("present");
       await fixture.clock.advance(1000);
-      expect(leads.hasLeft(group)).toBe(false);
+      expect(groups.hasLeft(group)).toBe(false);
       expect(fixture.releases).toBe(1);
     });
 
     it("is released again until all nodes agree", async () => {
-      const { fixture, leads } = await releaseEnded("unknown");
-      expect(leads.hasLeft(group)).toBe(false);
+      const { fixture, groups } = await releaseEnded("unknown");
+      expect(groups.hasLeft(group)).toBe(false);
       fixture.outcome = "left";
       await fixture.clock.advance(1000);
-      expect(leads.hasLeft(group)).toBe(true);
+      expect(groups.hasLeft(group)).toBe(true);
     });
 
     // Guards against orders of a node that no longer holds placement, under the
