Derive in one place what may run again

Cause: three places (fault-refusal, request-handlers, attempt-sender) each said "idempotent or resumable", and the decoder took the mark for routes of every kind.

Change: deriveRepetition in packages/policy derives one field of a route, repetition, from its kind and the mark, where the route is decoded; the three places ask mayRunAgain. A field without a meaning on its route (Resumable or GapTargetMs without a stream, Service beside Backends) is ignored with one warning for each version.

Ruled out: a lost answer taken for "not run" (the log names the verdict may-have-run). packages/node states its rule once and resumes no streams.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -100,6 +100,11 @@
   type RateBound,
   type RateDivision,
 } from "./rate-division.ts";
+export {
+  deriveRepetition,
+  mayRunAgain,
+  type Repetition,
+} from "./repetition.ts";
 export {
   listReplicas,
   listSurplusGroups,
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -10,6 +10,7 @@
   Configuration,
   Destination,
   EngineProfile,
+  IgnoredField,
   ModelProfile,
   RequestKind,
   Route,
--- a/packages/relay/src/model/configuration.ts
+++ b/packages/relay/src/model/configuration.ts
@@ -36,8 +36,8 @@
   maxAttempts: z.number(),
   /** Whether requests need no API key. */
   isAnonymous: z.boolean(),
-  /** Whether a stream may resume at another instance after its last event. */
-  isResumable: z.boolean(),
+  /** Whether a request that may have run is sent to another instance. */
+  repetition: z.enum(["repeat", "resume", "never"]),
   destinations: z.array(Destination),
 });
 /** Handling of the requests for one host and path prefix. */
@@ -134,6 +134,17 @@
 /** Size and time limits on the requests of callers. */
 export type CallerLimits = z.infer<typeof CallerLimits>;
 
+/** A field that a configuration states where it has no meaning. */
+export const IgnoredField = z.object({
+  /** Name of the route. */
+  route: z.string(),
+  /** Name of the field, as the operator spells it. */
+  field: z.string(),
+  reason: z.string(),
+});
+/** A field that a configuration states where it has no meaning. */
+export type IgnoredField = z.infer<typeof IgnoredField>;
+
 /** One version of the operators' configuration. */
 export const Configuration = z.object({
   version: z.number(),
@@ -142,6 +153,8 @@
   /** Absent if requests need no API key. */
   accounts: z.array(Account).optional(),
   limits: CallerLimits,
+  /** Fields without a meaning on their routes, which nodes ignore. */
+  ignoredFields: z.array(IgnoredField).optional(),
 });
 /** One version of the operators' configuration. */
 export type Configuration = z.infer<typeof Configuration>;
--- a/packages/relay/src/routing/current-configuration.ts
+++ b/packages/relay/src/routing/current-configuration.ts
@@ -16,6 +16,9 @@
 /** Operators do not write as many keys by mistake. */
 const MAX_UNKNOWN_KEYS = 1000;
 
+/** Of more ignored fields in one version, only the count is logged. */
+const MAX_LOGGED_FIELDS = 8;
+
 /** A store of this era or an earlier one has not been restored yet. */
 const FIRST_ERA = 1;
 
@@ -153,6 +156,18 @@
       eraOf(position) > FIRST_ERA;
   }
 
+  #logIgnoredFields({ version, ignoredFields = [] }: Configuration): void {
+    if (ignoredFields.length > 0) {
+      this.#logger.warn("configuration_fields_ignored", {
+        version,
+        count: ignoredFields.length,
+        fields: ignoredFields.slice(0, MAX_LOGGED_FIELDS)
+          .map(({ route, field, reason }) => `${route}.${field}: ${reason}`)
+          .join("; "),
+      });
+    }
+  }
+
   #adopt({ configuration, position }: VersionRecord): void {
     const previous = this.current?.version;
     this.#routeTable = new RouteTable(configuration);
@@ -164,6 +179,7 @@
       offset: offsetOf(position),
       routes: configuration.routes.length,
     });
+    this.#logIgnoredFields(configuration);
     this.#listeners.forEach((listener) => listener(configuration));
   }
 }
--- a/packages/relay/src/serving/attempt-sender.ts
+++ b/packages/relay/src/serving/attempt-sender.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock } from "@zinniahill/kernel";
+import { mayRunAgain } from "@zinniahill/policy";
 import { Result } from "true-myth";
 import type { HeaderCodec, ResponseMetadata } from "../adapter.ts";
 import type { Instance } from "../model/instance.ts";
@@ -123,7 +124,7 @@
       outstandingRequest.end();
       exchange.close(reason);
     };
-    if (request.route.isResumable) {
+    if (request.route.repetition === "resume") {
       outstandingRequest.onStall(() =>
         onStall(() => exchange.close(GROUP_STALLED))
       );
@@ -217,7 +218,7 @@
     { route, memory }: RelayedRequest,
     instance: Instance,
   ): Exchange {
-    if (route.kind !== "idempotent" && !route.isResumable) {
+    if (!mayRunAgain(route.repetition)) {
       return new Exchange(instance.address, undefined, undefined, memory);
     }
     return new Exchange(
--- a/packages/relay/src/serving/fault-refusal.ts
+++ b/packages/relay/src/serving/fault-refusal.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { mayRunAgain } from "@zinniahill/policy";
 import { Refusal, type Verdict } from "@zinniahill/schema";
 import type { RelayedRequest } from "./relayed-request.ts";
 
@@ -11,7 +12,7 @@
 
 /** Whether a request may safely be sent to another instance. */
 export function isRetryable({ route, mayHaveRun }: RelayedRequest): boolean {
-  return !mayHaveRun || route.kind === "idempotent" || route.isResumable;
+  return !mayHaveRun || mayRunAgain(route.repetition);
 }
 
 /** Returns the verdict on a request over all its attempts. */
--- a/packages/relay/src/serving/request-handlers.ts
+++ b/packages/relay/src/serving/request-handlers.ts
@@ -11,7 +11,7 @@
 import type { RelayKernel } from "../services.ts";
 import { ATTEMPT_ENDED, type OpenAttempt } from "./attempt-sender.ts";
 import type { Attempts } from "./attempts.ts";
-import { createFaultRefusal } from "./fault-refusal.ts";
+import { createFaultRefusal, isRetryable } from "./fault-refusal.ts";
 import type { ProcessExaminer } from "../routing/process-examiner.ts";
 import type { Quarantine } from "../routing/quarantine.ts";
 import { EventForwarder } from "./event-forwarder.ts";
@@ -256,9 +256,7 @@
     if (request.callerSignal.aborted || this.#attempts.hasExpired(request)) {
       return new Refusal("deadline", "may-have-run", message);
     }
-    const { kind, isResumable } = request.route;
-    const isSafe = kind === "idempotent" || isResumable;
-    return isSafe && this.#attempts.tryWithdrawRetry(request)
+    return isRetryable(request) && this.#attempts.tryWithdrawRetry(request)
       ? undefined
       : createFaultRefusal(request, message);
   }
--- a/packages/relay/test/routing/route-table.test.ts
+++ b/packages/relay/test/routing/route-table.test.ts
@@ -15,7 +15,7 @@
     rank: 0,
     maxAttempts: 2,
     isAnonymous: false,
-    isResumable: false,
+    repetition: "repeat",
     destinations: [
       { service: "old", weight: 90 },
       { service: "new", weight: 10 },
--- a/packages/relay/test/serving/replacement.test.ts
+++ b/packages/relay/test/serving/replacement.test.ts
@@ -169,7 +169,7 @@
       body: Buffer.alloc(0),
       route: {
         kind: "stream",
-        isResumable: true,
+        repetition: "resume",
         maxAttempts: MAX_ATTEMPTS,
         targetMs: 500,
         timeoutMs: TIMEOUT_MS,
