Forward streams whole that are not resumed

Cause: the id was taken for the start of a resumed stream on each stream route, and events up to it were dropped from the answer.

Change: only on routes whose streams are resumed does the id filter events; on others the header is passed on as the caller sent it.

Evidence: platform/test/repetition.test.ts "is forwarded whole, whatever event its caller names" failed before (event 3 of 1 to 3) and passes.

--- a/packages/relay/src/serving/relayed-request.ts
+++ b/packages/relay/src/serving/relayed-request.ts
@@ -33,7 +33,10 @@
   readonly sentTo: Set<string>;
   /** Whether any of these instances may have run the request. */
   mayHaveRun: boolean;
-  /** Id of the event after which a further attempt has to go on. */
+  /**
+   * Id of the event after which an attempt has to go on, if the route's streams
+   * are resumed.
+   */
   lastEventId: string | undefined;
   /**
    * Whether another upstream can go on where the last one stopped: all events
--- a/packages/relay/src/serving/request-reader.ts
+++ b/packages/relay/src/serving/request-reader.ts
@@ -156,7 +156,9 @@
       memory,
       sentTo: new Set(),
       mayHaveRun: false,
-      lastEventId: route.kind === "stream" ? metadata.lastEventId : undefined,
+      lastEventId: route.repetition === "resume"
+        ? metadata.lastEventId
+        : undefined,
       canResume: true,
       replacement: undefined,
     };
--- a/packages/relay/src/serving/upstream-request.ts
+++ b/packages/relay/src/serving/upstream-request.ts
@@ -51,7 +51,7 @@
     priority: service.engine === undefined
       ? undefined
       : Math.min(MAX_PRIORITY, rank),
-    lastEventId: request.lastEventId,
+    lastEventId: request.lastEventId ?? request.metadata.lastEventId,
   });
   if (body.length > 0) {
     headers.push("content-length", String(body.length));
