Use only entries that fit a configured service

Cause: nothing asked whether an entry fits a service that the configuration names. Such an entry took part in the order of versions of its key, replaced the instance of that id, and gave a group its lead and service; a group of another service occupies no hosts.

Change: fitsService decides it when an entry is used, with the configuration in force at that time: in InstanceVersions (an entry that does not fit has no version and hides none), in Instances (kept apart, judged again with each configuration) and so in Groups, whose lead is the one that the group's name names. A node that starts on such an entry asks the lead in place of ordering it to leave, and waits for a heartbeat before it counts members as missing.

--- a/packages/relay/src/feeds/entry-versions.ts
+++ b/packages/relay/src/feeds/entry-versions.ts
@@ -8,6 +8,8 @@
  * @module
  */
 import type { RecordDecoder } from "../adapter.ts";
+import { fitsService, type FittedEntry } from "../hosts/service-fit.ts";
+import type { ServiceProfile } from "../model/configuration.ts";
 
 /** Numbers of which the first different one decides. */
 export type EntryVersion = readonly number[];
@@ -19,7 +21,10 @@
    * in which they were written.
    */
   readonly mayReorder: boolean;
-  /** Reads the version of a value; undefined if the value has none. */
+  /**
+   * Reads the version of a value; undefined if the value has none. What it
+   * returns for one value may change with the configuration.
+   */
   read(key: string, value: string): EntryVersion | undefined;
 }
 
@@ -30,43 +35,51 @@
 };
 
 /** The content of an entry, without its renewal count. */
-interface EntryContent {
+interface EntryContent extends FittedEntry {
   readonly text: string;
   readonly bornAt: number;
 }
 
 /**
  * Reads the versions of instances: the start of the process, and the number of
- * entries that it has written before. Decodes an entry only if its content is
- * new.
+ * entries that it has written before. Entries that name no upstream have none,
+ * so they hide no other entry. Decodes an entry only if its content is new.
  */
 export class InstanceVersions implements VersionReader {
   readonly mayReorder = true;
   #decoder: RecordDecoder;
   #contents = new Map<string, EntryContent>();
+  #services: readonly ServiceProfile[] | undefined;
 
   constructor(decoder: RecordDecoder) {
     this.#decoder = decoder;
   }
 
+  /** Sets the services of the configuration in force. */
+  useServices(services: readonly ServiceProfile[]): void {
+    this.#services = services;
+  }
+
   read(key: string, value: string): EntryVersion | undefined {
-    const bornAt = this.#readStartTime(key, value);
+    const content = this.#readContent(key, value);
     const renewalCount = this.#decoder.readRenewalCount(value);
-    return bornAt === undefined || !Number.isSafeInteger(renewalCount)
+    return content === undefined || !Number.isSafeInteger(renewalCount) ||
+        !fitsService(content, this.#services)
       ? undefined
-      : [bornAt, renewalCount];
+      : [content.bornAt, renewalCount];
   }
 
-  #readStartTime(key: string, value: string): number | undefined {
+  #readContent(key: string, value: string): EntryContent | undefined {
     const text = this.#decoder.removeRenewalCount(value);
     const known = this.#contents.get(key);
     if (known?.text === text) {
-      return known.bornAt;
+      return known;
     }
     return this.#decoder.instance(key, value).match({
-      Ok: ({ bornAt }) => {
-        this.#contents.set(key, { text, bornAt });
-        return bornAt;
+      Ok: ({ bornAt, service, engine }): EntryContent | undefined => {
+        const content = { text, bornAt, service, engine };
+        this.#contents.set(key, content);
+        return content;
       },
       Err: () => undefined,
     });
--- a/packages/relay/src/feeds/feeds.ts
+++ b/packages/relay/src/feeds/feeds.ts
@@ -11,6 +11,7 @@
   TaskGroup,
 } from "@zinniahill/kernel";
 import { Result } from "true-myth";
+import type { ServiceProfile } from "../model/configuration.ts";
 import type { KeyRecord } from "../model/peer-message.ts";
 import { eraOf, offsetOf } from "../model/store-position.ts";
 import type { Batch, FeedName, FeedStore } from "../adapter.ts";
@@ -54,6 +55,7 @@
   #tasks: TaskGroup;
   #feeds: Record<FeedName, FeedState>;
   #pace: ReadPace;
+  #instanceVersions: InstanceVersions;
   /** The era of the last restore that a feed has met. */
   #era = 0;
   #restores = 0;
@@ -69,13 +71,12 @@
       this.#random,
       () => this.#feeds.nodes.table.list().length,
     );
+    this.#instanceVersions = new InstanceVersions(kernel.find("decoder"));
     this.#feeds = {
       configuration: createState(
         new RecordTable(new ConfigurationVersions(kernel.find("decoder"))),
       ),
-      instances: createState(
-        new RecordTable(new InstanceVersions(kernel.find("decoder"))),
-      ),
+      instances: createState(new RecordTable(this.#instanceVersions)),
       nodes: createState(new RecordTable()),
     };
   }
@@ -95,6 +96,11 @@
     this.#feeds[feed].listeners.add(listener);
   }
 
+  /** Sets the services whose instances the feed of instances names. */
+  useServices(services: readonly ServiceProfile[]): void {
+    this.#instanceVersions.useServices(services);
+  }
+
   /** Sets when this node reads at the full rate for any number of nodes. */
   readAtFullRateWhile(isRequired: () => boolean): void {
     this.#pace.readAtFullRateWhile(isRequired);
--- a/packages/relay/src/feeds/record-table.ts
+++ b/packages/relay/src/feeds/record-table.ts
@@ -15,6 +15,7 @@
 /** The newest record of a key, and the newest version that the key had. */
 interface Latest {
   readonly record: KeyRecord;
+  /** The version of a deleted value; that of a value is read from it. */
   readonly version: EntryVersion | undefined;
 }
 
@@ -126,15 +127,26 @@
     if (latest === undefined || eraOf(latest.record.offset) >= eraOf(offset)) {
       return false;
     }
+    const latestVersion = this.#readLatestVersion(latest);
     const version = value === undefined
       ? undefined
       : this.#versions.read(key, value);
     const isNewer = latest.record.value !== undefined &&
-      version !== undefined && latest.version !== undefined &&
-      compareVersions(version, latest.version) > 0;
+      version !== undefined && latestVersion !== undefined &&
+      compareVersions(version, latestVersion) > 0;
     return !isNewer;
   }
 
+  /**
+   * The version of the newest record. It is read again each time: the
+   * configuration may have changed, and with it which entries have a version.
+   */
+  #readLatestVersion(
+    { record: { key, value }, version }: Latest,
+  ): EntryVersion | undefined {
+    return value === undefined ? version : this.#versions.read(key, value);
+  }
+
   #listRecords(): KeyRecord[] {
     return [...this.#latest.values()].map(({ record }) => record);
   }
@@ -142,10 +154,13 @@
   /** Stores a record and returns whether it is news. */
   #put(record: KeyRecord): boolean {
     const { key, value } = record;
+    const known = this.#latest.get(key);
+    const latest = known === undefined
+      ? undefined
+      : { ...known, version: this.#readLatestVersion(known) };
     const version = value === undefined
       ? undefined
       : this.#versions.read(key, value);
-    const latest = this.#latest.get(key);
     if (latest === undefined) {
       this.#latest.set(key, { record, version });
       return true;
--- a/packages/relay/src/hosts/groups.ts
+++ b/packages/relay/src/hosts/groups.ts
@@ -224,13 +224,18 @@
 
 function createGroup(listed: readonly Instance[]): Group {
   const getRank = (instance: Instance) => instance.engine!.membership!.rank;
-  const members = [...listed].sort((a, b) => getRank(a) - getRank(b));
-  const { group, epoch } = members[0]!.engine!.membership!;
-  const lead = getRank(members[0]!) === 0 ? members[0] : undefined;
+  const sorted = [...listed].sort((a, b) => getRank(a) - getRank(b));
+  const { group, epoch } = sorted[0]!.engine!.membership!;
+  const named = parseGroupLead(group);
+  const lead = sorted.find((member) =>
+    getRank(member) === 0 && (named === undefined || member.id === named.id)
+  );
+  const { service } = lead ?? sorted[0]!;
+  const members = sorted.filter((member) => member.service === service);
   return {
     name: group,
     epoch,
-    service: members[0]!.service,
+    service,
     model: parseGroupModel(group),
     members,
     lead,
--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -10,11 +10,14 @@
   type Logger,
   type Service,
 } from "@zinniahill/kernel";
+import type { Feeds } from "../feeds/feeds.ts";
+import type { ServiceProfile } from "../model/configuration.ts";
 import type { Instance, Membership, MemberState } from "../model/instance.ts";
 import type { KeyRecord } from "../model/peer-message.ts";
 import type { RecordDecoder } from "../adapter.ts";
 import { dropOldest } from "../drop-oldest.ts";
 import type { RelayKernel } from "../services.ts";
+import { fitsService } from "./service-fit.ts";
 
 /** An instance that is no longer listed. */
 interface DepartedInstance {
@@ -28,6 +31,8 @@
  * last up to 10 s.
  */
 const DEPARTED_RETENTION_MS = 30_000;
+/** Exceeds a heartbeat of the users' deployments, and its way to this node. */
+const RENEWAL_MS = 2500;
 /** Of more entries that are read at once only the sum is logged. */
 const MAX_LOGGED_AT_ONCE = 10;
 /** More than the instances of any deployment that leave in a day. */
@@ -51,7 +56,10 @@
   previous: Instance | undefined,
 ) => void;
 
-/** Tracks the listed instances. */
+/**
+ * Tracks the listed instances. Entries that fit no service of the configuration
+ * in force are kept apart, as a later configuration may name their service.
+ */
 export class Instances implements Service {
   /** Notified after each change of the list. */
   readonly changed = new Condition();
@@ -59,6 +67,11 @@
   #logger: Logger;
   #decoder: RecordDecoder;
   #instances = new Map<string, Instance>();
+  /** Newest entries that name no upstream, under ids that have no other. */
+  #unfit = new Map<string, Instance>();
+  /** When an id was first seen with such an entry alone, or an unreadable one. */
+  #unusableSince = new Map<string, number>();
+  #services: readonly ServiceProfile[] | undefined;
   #departed = new Map<string, DepartedInstance>();
   /** Entries as last read, without the count that renewals change. */
   #entries = new Map<string, string>();
@@ -76,10 +89,12 @@
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#decoder = kernel.find("decoder");
-    kernel.find("feeds").onChange(
-      "instances",
-      (records) => this.#apply(records),
-    );
+    const feeds: Feeds = kernel.find("feeds");
+    feeds.onChange("instances", (records) => this.#apply(records));
+    kernel.find("configuration").onChange(({ services }) => {
+      feeds.useServices(services);
+      this.#useServices(services);
+    });
   }
 
   /** Increases with each change of the list. */
@@ -119,6 +134,24 @@
     return this.#instances.get(id);
   }
 
+  /**
+   * Whether there is an entry under an id, readable or not. One of another
+   * writer may stand there until the instance renews its own.
+   */
+  hasEntry(id: string): boolean {
+    return this.#entries.has(id);
+  }
+
+  /**
+   * Whether an entry of another writer may hide that of an instance: one that
+   * names no upstream has stood alone under its id for less than a heartbeat.
+   */
+  get isAwaitingRenewal(): boolean {
+    const now = this.#clock.now();
+    return [...this.#unusableSince.values()]
+      .some((since) => now - since < RENEWAL_MS);
+  }
+
   /**
    * Treats an instance as draining from now on, as it has said itself that it
    * leaves. A later process with the same id is in use again.
@@ -162,9 +195,32 @@
       listed: this.list(),
       departed: [...this.#departed.values()],
       leaving: [...this.#leaving.keys()],
+      unfit: [...this.#unfit.values()],
     };
   }
 
+  /** Judges all entries again. */
+  #useServices(services: readonly ServiceProfile[]): void {
+    this.#services = services;
+    const isUnfit = (instance: Instance) => !fitsService(instance, services);
+    const unfit = this.list().filter(isUnfit);
+    const fit = [...this.#unfit.values()].filter((entry) => !isUnfit(entry));
+    for (const instance of unfit) {
+      this.#instances.delete(instance.id);
+      this.#unfit.set(instance.id, instance);
+      this.#recordUnusable(instance.id);
+    }
+    fit.forEach((instance) => this.#put(instance, true));
+    if (unfit.length + fit.length > 0) {
+      this.#logger.info("instances_judged", {
+        listed: fit.length,
+        unlisted: unfit.length,
+        instances: this.#instances.size,
+      });
+      this.#notifyChanged();
+    }
+  }
+
   #apply(records: readonly KeyRecord[]): void {
     const countBefore = this.#instances.size;
     const isBulk = records.length > MAX_LOGGED_AT_ONCE;
@@ -212,6 +268,7 @@
       Ok: (instance): Instance | undefined => instance,
       Err: (error) => {
         this.#logger.warn("instance_unreadable", { instance: id, error });
+        this.#recordUnusable(id);
         return undefined;
       },
     });
@@ -219,6 +276,12 @@
 
   /** Lists an instance and returns whether this changed anything. */
   #put(listed: Instance, isBulk = false): boolean {
+    if (!fitsService(listed, this.#services)) {
+      this.#recordUnfit(listed);
+      return false;
+    }
+    this.#unfit.delete(listed.id);
+    this.#unusableSince.delete(listed.id);
     const isLeaving = this.#leaving.get(listed.id) === listed.bornAt;
     const instance = isLeaving ? { ...listed, isDraining: true } : listed;
     const previous = this.#instances.get(instance.id);
@@ -247,6 +310,27 @@
     return true;
   }
 
+  /** An entry that names no upstream changes nothing of an instance. */
+  #recordUnfit(entry: Instance): void {
+    const { id, service } = entry;
+    const isListed = this.#instances.has(id);
+    if (!isListed) {
+      this.#unfit.set(id, entry);
+    }
+    this.#recordUnusable(id);
+    this.#logger.warn("instance_unfit", {
+      instance: id,
+      service,
+      is_listed: isListed,
+    });
+  }
+
+  #recordUnusable(id: string): void {
+    if (!this.#instances.has(id) && !this.#unusableSince.has(id)) {
+      this.#unusableSince.set(id, this.#clock.now());
+    }
+  }
+
   #logMembership(previous: Instance | undefined, instance: Instance): void {
     const before = previous?.engine?.membership;
     const after = instance.engine?.membership;
@@ -267,6 +351,8 @@
 
   #remove(id: string): boolean {
     this.#entries.delete(id);
+    this.#unfit.delete(id);
+    this.#unusableSince.delete(id);
     const instance = this.#instances.get(id);
     if (instance === undefined) {
       return false;
--- a/packages/relay/src/placement/group-checker.ts
+++ b/packages/relay/src/placement/group-checker.ts
@@ -65,6 +65,8 @@
   readonly isSilent: boolean;
   /** Whether the process of the lead has ended. */
   readonly hasLeadEnded: boolean;
+  /** Whether the list does not name all members. */
+  readonly hasUnknown: boolean;
   /** Whether members are slow and could be replaced. */
   readonly canReplaceSlow: boolean;
 }
@@ -168,13 +170,18 @@
         signal,
       );
     }
-    const { isComplete, isSilent, hasLeadEnded, canReplaceSlow } = findings;
+    const { isComplete, isSilent, hasLeadEnded, hasUnknown, canReplaceSlow } =
+      findings;
     const isWorking = (isSilent || hasLeadEnded) &&
       this.#hasProgressed(group, startedAt);
     // A lead that drains accepts no connections, and finishes its requests.
     if (isWorking || hasLeadEnded && group.lead?.isDraining === true) {
       return;
     }
+    if (hasUnknown && this.#instances.isAwaitingRenewal) {
+      // The entry of a member may be hidden; the next check decides.
+      return;
+    }
     if (hasLeadEnded) {
       await this.#context.unlistedLeads.releaseEnded(group, signal);
     } else if (!isComplete || canReplaceSlow) {
@@ -298,6 +305,7 @@
         const probe = probes[index]!;
         return member === group.lead && probe.isErr && probe.error === "ended";
       }),
+      hasUnknown: unknown > outdated,
       canReplaceSlow,
     };
   }
--- a/packages/relay/src/placement/unlisted-leads.ts
+++ b/packages/relay/src/placement/unlisted-leads.ts
@@ -91,7 +91,7 @@
     ) {
       return "gone";
     }
-    const isListed = this.#instances.find(lead.id) !== undefined;
+    const isListed = this.#instances.hasEntry(lead.id);
     const askAt = this.#askAt.get(createGroupKey(name, epoch)) ?? -Infinity;
     return !isListed && this.#feeds.sinceOutageMs("instances") < RELISTING_MS ||
         isListed && this.#clock.now() < askAt
@@ -112,7 +112,7 @@
       return;
     }
     if (
-      this.#instances.find(lead.id) !== undefined &&
+      this.#instances.hasEntry(lead.id) &&
       !await this.#hasListedLeadEnded(group, lead, signal)
     ) {
       return;
@@ -124,7 +124,7 @@
       this.#replaceableGroups.recordLeft(group);
     }
     // The lead may have been listed again while it was tried.
-    const isListed = this.#instances.find(lead.id) !== undefined;
+    const isListed = this.#instances.hasEntry(lead.id);
     if (outcome === "left" || outcome === "present" || isListed) {
       this.#unreachableSince.delete(key);
       return;
--- a/packages/relay/src/relay-node.ts
+++ b/packages/relay/src/relay-node.ts
@@ -139,7 +139,7 @@
     )
     .provide(
       "instances",
-      [...CORE_SERVICES, "feeds", "decoder"],
+      [...CORE_SERVICES, "feeds", "configuration", "decoder"],
       (services) => new Instances(services),
     )
     .provide(
--- a/packages/relay/test/hosts/instances.test.ts
+++ b/packages/relay/test/hosts/instances.test.ts
@@ -40,6 +40,7 @@
     .provide("clock", [], () => new ManualClock())
     .provide("logger", [], () => silentLogger)
     .provide("feeds", [], () => feeds as never)
+    .provide("configuration", [], () => ({ onChange() {} }) as never)
     .provide("decoder", [], () => decoder as never);
   await kernel.start();
   const instances = new Instances(kernel);
--- a/packages/relay/test/placement/group-checker.test.ts
+++ b/packages/relay/test/placement/group-checker.test.ts
@@ -48,6 +48,7 @@
     released: 0,
     suspicions: 0,
     occupied: [] as string[],
+    isAwaitingRenewal: false,
   };
   let lastEventAt = -Infinity;
   const silentLogger = { error() {}, warn() {}, info() {}, debug() {} };
@@ -67,7 +68,13 @@
       "instances",
       [],
       () =>
-        ({ listDeparted: () => [], listAvailable: () => available }) as never,
+        ({
+          listDeparted: () => [],
+          listAvailable: () => available,
+          get isAwaitingRenewal() {
+            return counts.isAwaitingRenewal;
+          },
+        }) as never,
     )
     .provide(
       "groups",
@@ -169,6 +176,19 @@
       expect(counts).toMatchObject({ dissolved: 0, occupied: ["i-2"] });
     });
 
+    // Guards against the same, as another writer's entry hides the member's.
+    it("stays until the members have renewed hidden entries", async () => {
+      const { clock, checker, counts } = await create(2);
+      counts.isAwaitingRenewal = true;
+      checker.request(GROUP.name, GROUP.epoch, "unlisted");
+      await clock.advance(1000);
+      expect(counts.dissolved).toBe(0);
+      counts.isAwaitingRenewal = false;
+      checker.request(GROUP.name, GROUP.epoch, "unlisted");
+      await clock.advance(1000);
+      expect(counts.dissolved).toBe(1);
+    });
+
     it("is dissolved if the host has joined a later group", async () => {
       const { clock, checker, counts } = await create(
         2,
--- a/packages/relay/test/placement/unlisted-leads.test.ts
+++ b/packages/relay/test/placement/unlisted-leads.test.ts
@@ -78,6 +78,8 @@
     isHolder: true,
     /** Members that were ordered to leave. */
     released: [] as string[],
+    /** Ids under which there is only an entry that names no upstream. */
+    hidden: new Set<string>(),
     /** Members that do not answer orders. */
     silent: new Set<string>(),
     /** Lists an instance, which was known as `previous`. */
@@ -100,6 +102,7 @@
     .provide("instances", [], () =>
       ({
         find: (id: string) => listed.get(id),
+        hasEntry: (id: string) => listed.has(id) || fixture.hidden.has(id),
         onInstance: (listener: InstanceListener) => listeners.push(listener),
       }) as never)
     .provide(
@@ -201,6 +204,18 @@
       expect(fixture.releases).toBe(0);
     });
 
+    // Guards against a sound group that a node ended when it started, as
+    // another writer's entry stood under the id of the lead.
+    it("is not ordered to leave if its entry is hidden by another one", async () => {
+      const { membership } = createInstance(LEAD.id, 0).engine!;
+      const { fixture, leads } = await createUnlistedLeads();
+      fixture.hidden.add(LEAD.id);
+      fixture.report = createReport(membership);
+      await leads.release(GROUP, NEVER_ABORTED);
+      expect(leads.getStatus(GROUP)).toBe("may-return");
+      expect(fixture).toMatchObject({ reports: 1, releases: 0, released: [] });
+    });
+
     it("is released by all nodes if its process has ended", async () => {
       const created = await createUnlistedLeads();
       const { fixture, leads } = created;
