Check the process after an answer that ends with its connection

Cause: the operating system ends the connections of a killed process without a reset if nothing unread is left on them, and such an end was taken for the end of the body.

Change: a body that ends with its connection is complete only if its process has not ended by then (ProcessExaminer.hasEndedByNow). Otherwise an idempotent request is sent again, a stream is resumed and others get 502. Exchange takes its options as one object.

Ruled out: a reset that is not seen (tests for both orders exist).

--- a/packages/relay/src/routing/process-examiner.ts
+++ b/packages/relay/src/routing/process-examiner.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import type { Logger, Service } from "@zinniahill/kernel";
+import type { Clock, Logger, Service } from "@zinniahill/kernel";
 import type { EngineControl } from "../adapter.ts";
 import { createProcessKey, type Instance } from "../model/instance.ts";
 import type { RelayKernel } from "../services.ts";
@@ -17,9 +17,15 @@
 
 /** An upstream that is up answers within a few ms, across regions in 40. */
 const REPORT_TIMEOUT_MS = 150;
+/**
+ * The connections of a killed process may end before its port does. A call that
+ * fails sooner than by its time-out is repeated after this time.
+ */
+const CONFIRMATION_DELAY_MS = 25;
 
 /** Examines upstream processes whose connections broke. */
 export class ProcessExaminer implements Service {
+  #clock: Clock;
   #logger: Logger;
   #engines: EngineControl;
   /** Examinations in progress, by process. */
@@ -28,6 +34,7 @@
   #stopped = new AbortController();
 
   constructor(kernel: RelayKernel) {
+    this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#engines = kernel.find("engines");
   }
@@ -54,6 +61,24 @@
     return examination;
   }
 
+  /**
+   * Whether a process has ended by now. An examination that began before says
+   * nothing of what happened since, so it is not shared.
+   */
+  async hasEndedByNow(instance: Instance): Promise<boolean> {
+    await this.#examinations.get(createProcessKey(instance));
+    const startedAt = this.#clock.now();
+    const hasEnded = await this.examine(instance);
+    if (
+      hasEnded === undefined &&
+      this.#clock.now() - startedAt < REPORT_TIMEOUT_MS
+    ) {
+      await this.#clock.sleep(CONFIRMATION_DELAY_MS, this.#stopped.signal);
+      return await this.examine(instance) === true;
+    }
+    return hasEnded === true;
+  }
+
   dump(): unknown {
     return [...this.#examinations.keys()];
   }
--- a/packages/relay/src/serving/attempt-sender.ts
+++ b/packages/relay/src/serving/attempt-sender.ts
@@ -218,14 +218,19 @@
     { route, memory }: RelayedRequest,
     instance: Instance,
   ): Exchange {
-    if (!mayRunAgain(route.repetition)) {
-      return new Exchange(instance.address, undefined, undefined, memory);
-    }
+    const options = {
+      memory,
+      hasUpstreamEnded: () => this.#processExaminer.hasEndedByNow(instance),
+    };
     return new Exchange(
       instance.address,
-      this.#pool.take(instance),
-      (connection) => this.#pool.put(instance, connection),
-      memory,
+      mayRunAgain(route.repetition)
+        ? {
+          ...options,
+          kept: this.#pool.take(instance),
+          keep: (connection) => this.#pool.put(instance, connection),
+        }
+        : options,
     );
   }
 }
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -69,6 +69,8 @@
   `over ${MAX_INFORMATIONAL_HEADS} informational heads came before the response`,
 );
 const CLOSED = new Error("the attempt has ended");
+/** Responses with these statuses have no body. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const STATUS_LINE = /HTTP\/\d\.\d \d{3}/;
 
 /** For answers that are not bounded together with others. */
@@ -77,6 +79,26 @@
 /** Where an exchange leaves a connection that it does not need any more. */
 type ConnectionSink = (connection: UpstreamConnection) => void;
 
+/** What an exchange uses beside its connection. */
+export interface ExchangeOptions {
+  /** A connection that was kept for further requests. */
+  readonly kept?: UpstreamConnection | undefined;
+  /** Takes the connection once the response was read completely. */
+  readonly keep?: ConnectionSink | undefined;
+  readonly memory?: MemoryUse;
+  /** Whether the process of the upstream has ended by now. */
+  readonly hasUpstreamEnded?: () => Promise<boolean>;
+}
+
+/** What is known of a response before its body. */
+interface ResponseHead {
+  readonly status: number;
+  readonly reason: string;
+  readonly rawHeaders: readonly string[];
+  /** Whether the head is the whole response. */
+  readonly isBodyless: boolean;
+}
+
 /** One attempt; it must be closed after use. */
 export class Exchange {
   #connection: UpstreamConnection;
@@ -88,24 +110,25 @@
   #body: ResponseBody | undefined;
   /** Whether the connection may be kept once the body was read. */
   #isReusable = false;
+  #hasUpstreamEnded: () => Promise<boolean>;
   /** Resolves with the reason when this node ends the exchange. */
   readonly ended: Promise<Error>;
   #resolveEnded: (reason: Error) => void = () => {};
 
-  /**
-   * Uses a new connection, or a kept one. With `keep`, the connection goes
-   * there once the response was read completely.
-   */
   constructor(
     address: string,
-    kept?: UpstreamConnection | undefined,
-    keep?: ConnectionSink | undefined,
-    memory: MemoryUse = UNCOUNTED,
+    {
+      kept,
+      keep,
+      memory = UNCOUNTED,
+      hasUpstreamEnded = () => Promise.resolve(false),
+    }: ExchangeOptions = {},
   ) {
     this.#connection = kept ?? new UpstreamConnection(address);
     this.#isKept = kept !== undefined;
     this.#keep = keep;
     this.#memory = memory;
+    this.#hasUpstreamEnded = hasUpstreamEnded;
     this.ended = new Promise((resolve) => {
       this.#resolveEnded = resolve;
     });
@@ -166,8 +189,12 @@
         }
         this.#body = new ResponseBody(controller, this.#memory);
         const rawHeaders = convertRawHeaders(controller.rawHeaders);
+        const isBodyless = method === "HEAD" || BODYLESS_STATUSES.has(status);
         resolve(Result.ok(
-          this.#createResponse(status, reason, rawHeaders, this.#body),
+          this.#createResponse(
+            { status, reason, rawHeaders, isBodyless },
+            this.#body,
+          ),
         ));
       },
       onResponseData: (_controller, chunk) => this.#body?.push(chunk),
@@ -180,9 +207,7 @@
   }
 
   #createResponse(
-    status: number,
-    reason: string,
-    rawHeaders: readonly string[],
+    { status, reason, rawHeaders, isBodyless }: ResponseHead,
     body: ResponseBody,
   ): UpstreamResponse {
     const { headers, conflicts } = indexHeaders(rawHeaders);
@@ -198,19 +223,24 @@
       conflictingHeaders: conflicts,
       isMerged: this.#isKept && (!isUsual || holdsStatusLine(rawHeaders)),
       isFramed,
-      body: isFramed ? body : this.#readUntilClose(body),
+      body: isFramed || isBodyless ? body : this.#readUntilClose(body),
     };
   }
 
   /**
    * Reads a body without a length, which ends with its connection. undici
-   * treats it as complete even if the connection was reset.
+   * treats it as complete even if the connection was reset. The operating system
+   * ends the connections of a killed process like those of a complete answer, so
+   * the process must still run.
    */
   async *#readUntilClose(body: AsyncIterable<Buffer>): AsyncGenerator<Buffer> {
     yield* body;
     if (this.#connection.isReset) {
       throw new Error("the connection was reset within the body");
     }
+    if (!this.#isClosed && await this.#hasUpstreamEnded()) {
+      throw new Error("the upstream process ended with the connection");
+    }
   }
 
   /** Converts an error of this attempt to a fault. */
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -52,14 +52,20 @@
   };
 }
 
-async function send(address: string) {
-  const exchange = new Exchange(address);
+async function send(
+  address: string,
+  hasUpstreamEnded = () => Promise.resolve(false),
+) {
+  const exchange = new Exchange(address, { hasUpstreamEnded });
   const sent = await exchange.send(createUpstreamRequest(address));
   return { exchange, sent };
 }
 
-async function read(address: string): Promise<string> {
-  const { exchange, sent } = await send(address);
+async function read(
+  address: string,
+  hasUpstreamEnded?: () => Promise<boolean>,
+): Promise<string> {
+  const { exchange, sent } = await send(address, hasUpstreamEnded);
   try {
     const body = await collectBody(
       sent.unwrapOrElse((fault) => {
@@ -86,6 +92,23 @@
       expect(await read(address)).toBe("whole");
     });
 
+    // Guards against MIXED: the operating system ends the connections of a killed
+    // process without a reset, so a part of a body looked complete.
+    it("fail if the process of the upstream has ended as well", async () => {
+      const address = await listen((socket) => {
+        socket.end(`${HEAD}\r\npart`);
+      });
+      await expect(read(address, () => Promise.resolve(true)))
+        .rejects.toThrow("process ended");
+    });
+
+    it("with a status that has none need no process", async () => {
+      const address = await listen((socket) => {
+        socket.end("HTTP/1.1 204 No Content\r\n\r\n");
+      });
+      expect(await read(address, () => Promise.resolve(true))).toBe("");
+    });
+
     it("fail if the connection is reset after the body has begun", async () => {
       const address = await listen((socket) => {
         socket.write(`${HEAD}\r\npart`, () => {
@@ -104,6 +127,13 @@
   });
 
   describe("bodies with a length", () => {
+    it("need no process once they are complete", async () => {
+      const address = await listen((socket) => {
+        socket.end(`${HEAD}content-length: 5\r\n\r\nwhole`);
+      });
+      expect(await read(address, () => Promise.resolve(true))).toBe("whole");
+    });
+
     it("are complete even if the connection is reset after the last byte", async () => {
       const address = await listen((socket) => {
         socket.write(`${HEAD}content-length: 5\r\n\r\nwhole`, () => {
@@ -282,10 +312,11 @@
       });
       const pool = new ConnectionPool({ now: () => 0 });
       const instance = { id: "i-1", bornAt: 1, address } as Instance;
-      const exchange = new Exchange(address, undefined, (connection) => {
+      const keep = (connection: UpstreamConnection) => {
         idle = connection;
         pool.put(instance, connection);
-      });
+      };
+      const exchange = new Exchange(address, { keep });
       const sent = await exchange.send(createUpstreamRequest(address));
       await collectBody(sent.unwrapOr(undefined!).body);
       exchange.close(DONE);
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -56,8 +56,11 @@
 /** Bytes that a faulty runner sends in place of an answer. */
 export interface RawAnswer {
   readonly bytes: string;
-  /** End of the connection after them, if it ends. */
-  readonly close: "end" | "reset" | undefined;
+  /**
+   * End of the connection after them, if it ends: by the runner, by a reset, or
+   * by the operating system, as the process is killed.
+   */
+  readonly close: "end" | "reset" | "kill" | undefined;
 }
 
 /** Creates a faulty answer; undefined for a sound one. */
@@ -525,6 +528,10 @@
     const lastEventId = request.headers["last-event-id"] as string | undefined;
     const raw = this.createRawAnswer?.(attempt, lastEventId);
     if (raw !== undefined) {
+      if (raw.close === "kill") {
+        this.#hasEnded = true;
+        this.#server.close();
+      }
       sendRaw(request.socket, raw);
       return;
     }
@@ -652,6 +659,7 @@
   const closers = {
     end: () => socket.end(),
     reset: () => socket.resetAndDestroy(),
+    kill: () => socket.end(),
   };
   socket.write(bytes, () => close !== undefined && closers[close]());
 }
