--- a/bench/src/soak.ts
+++ b/bench/src/soak.ts
@@ -13,6 +13,7 @@
 import { parseArgs } from "node:util";
 import { DATA_CENTRES, EVACUATION, EVACUATIONS } from "./soak/evacuations.ts";
 import { FAULTS, FAULTY_UPSTREAMS } from "./soak/faults.ts";
+import { LIST_FAULTS } from "./soak/list-faults.ts";
 import { COPY_RESTORED, OUTAGES } from "./soak/outages.ts";
 import { playSeed } from "./soak/soak.ts";
 import { playStops } from "./soak/stops.ts";
@@ -33,7 +34,7 @@
 const faults = {
   ...FAULTS,
   ...OUTAGES,
-  ...(values.faulty ? FAULTY_UPSTREAMS : {}),
+  ...(values.faulty ? { ...FAULTY_UPSTREAMS, ...LIST_FAULTS } : {}),
   ...(values.evacuate ? EVACUATIONS : {}),
 };
 let red = 0;
--- a/bench/src/soak/configuration.ts
+++ b/bench/src/soak/configuration.ts
@@ -8,6 +8,7 @@
 import { type Fleet, FLEET_HOST } from "@zinniahill/stand-ins";
 import { Agent, request } from "undici";
 import {
+  isFaultOfAllNodes,
   isNodeFault,
   isStorePathFault,
   type PlayedFault,
@@ -229,7 +230,7 @@
   const harms = played.filter((fault) =>
     isNodeFault(fault.name) && isDisturbed(endedAt, later.endedAt, [fault])
   );
-  return harms.length > 1 || harms.some(({ name }) => name === "nodes-killed");
+  return harms.length > 1 || harms.some(({ name }) => isFaultOfAllNodes(name));
 }
 
 function describe(
--- a/bench/src/soak/fault-kinds.ts
+++ b/bench/src/soak/fault-kinds.ts
@@ -33,6 +33,11 @@
   return name.startsWith("node");
 }
 
+/** Faults after which no node may know what one of them knew. */
+export function isFaultOfAllNodes(name: string): boolean {
+  return name.startsWith("nodes-killed");
+}
+
 /** Faults of the store for all nodes. */
 export function isStoreFault(name: string): boolean {
   return name.startsWith("store");
--- a/bench/src/soak/soak.ts
+++ b/bench/src/soak/soak.ts
@@ -107,6 +107,7 @@
     runnersPerDomain: 4,
     modelHosts: 3,
     loadMs: 300,
+    marksAllRoutes: true,
     ...(plan.dataCentres === undefined
       ? {}
       : { dataCentres: plan.dataCentres }),
--- a/bench/test/soak.test.ts
+++ b/bench/test/soak.test.ts
@@ -18,6 +18,7 @@
   type FaultTable,
   FAULTY_UPSTREAMS,
 } from "../src/soak/faults.ts";
+import { LIST_FAULTS } from "../src/soak/list-faults.ts";
 import { COPY_RESTORED, OUTAGES } from "../src/soak/outages.ts";
 import {
   judgeAnswer,
@@ -462,13 +463,17 @@
   // The second seed leaves the nodes alone and lets upstreams name limits.
   // The third one lets upstreams and the store say what is wrong or endless.
   // The others draw silences, ends of listed processes and a restored store;
-  // the last one leaves nodes and streams alone, so that it excuses no cut.
+  // the one after them leaves nodes and streams alone, so that it excuses no
+  // cut. The last two draw entries of other writers, late heartbeats while all
+  // nodes start, and runners that are killed within an answer.
   it.each<[number, FaultTable, string | undefined]>([
     [7, FAULTS, undefined],
     [702, FAULTS, undefined],
     [9001, { ...FAULTS, ...FAULTY_UPSTREAMS }, undefined],
     [4, OUTAGES, COPY_RESTORED],
     [3, { ...FAULTS, ...OUTAGES }, COPY_RESTORED],
+    [53, LIST_FAULTS, undefined],
+    [55, { ...FAULTY_UPSTREAMS, ...LIST_FAULTS }, undefined],
   ])(
     "breaks no promise while faults overlap (seed %i)",
     async (seed, faults, lastFault) => {
--- a/stand-ins/src/fleet/fleet.ts
+++ b/stand-ins/src/fleet/fleet.ts
@@ -22,6 +22,11 @@
   readonly dataCentres?: readonly string[];
   /** The links by which nodes reach the runners, if they are not direct. */
   readonly link?: LinkQuality;
+  /**
+   * Whether routes of all kinds bear the mark and the attempts of a stream's
+   * that is resumed.
+   */
+  readonly marksAllRoutes?: boolean;
   /** Largest body of a request. */
   readonly maxBodyBytes?: number;
 }
@@ -193,6 +198,7 @@
   }
 
   #createConfiguration(): object {
+    const { marksAllRoutes = false } = this.#options;
     const route = (
       Name: string,
       PathPrefix: string,
@@ -207,9 +213,9 @@
       TimeoutMs: 4000,
       TargetLatencyMs: 400,
       Priority: 0,
-      MaxAttempts: Kind === "unsafe" ? 1 : 2,
+      MaxAttempts: Kind === "unsafe" && !marksAllRoutes ? 1 : 2,
       AllowAnonymous: false,
-      Resumable: Kind === "stream",
+      Resumable: Kind === "stream" || marksAllRoutes,
     });
     const { coldPerS } = this.#options;
     const start = coldPerS === undefined
