Let a lead that has just left be staged

Cause: a stage order was rejected if the host's report, which is 0.2 s old, still named the group that its lead had left, and the host then counted as occupied for up to 1.5 s, so a repair could not use it.

Change: a stage order is allowed as well if the group may be replaced, as a join is.

Result: order-sender.test.ts "to a lead that has just left its group is sent" failed before; 134 tests of placement pass.

--- a/packages/relay/src/placement/order-sender.ts
+++ b/packages/relay/src/placement/order-sender.ts
@@ -48,8 +48,9 @@
   Record<Order["kind"], MembershipCheck | undefined>
 > = {
   join: (reported, _listed, groups) => groups.includes(reported),
-  stage: (reported, listed) =>
-    isMemberOf(listed, reported.group, reported.epoch),
+  stage: (reported, listed, groups) =>
+    isMemberOf(listed, reported.group, reported.epoch) ||
+    groups.includes(reported),
   open: undefined,
   close: undefined,
   leave: undefined,
