--- a/bench/src/soak/list-faults.ts
+++ b/bench/src/soak/list-faults.ts
@@ -14,7 +14,7 @@
 /** An entry is renewed within this time. */
 const HEARTBEAT_MS = 1200;
 const RESTART_MS = 300;
-/** The runner of another writer's entry under a key of its own. */
+/** The key of another writer's own entry. */
 const FOREIGN_KEY = "i-foreign";
 /** A start that no process of a runner reaches. */
 const LATER_START = 2 ** 50;
@@ -31,17 +31,12 @@
   { group: 7 },
 ];
 
-/** Runners that take part in what is harmed: a lead, its members and a spare. */
 function drawRunner({ random, fleet }: FaultTarget): FleetRunner {
   return fleet.runners[random.below(fleet.runners.length)]!;
 }
 
 function readEntry({ fleet }: FaultTarget, key: string): Entry | undefined {
-  const record = fleet.store.topic(SERVERS).listNewest()
-    .find((newest) => newest.key === key);
-  return record === undefined || record.value.length === 0
-    ? undefined
-    : JSON.parse(record.value.toString());
+  return fleet.store.readNewest(SERVERS, key) as Entry | undefined;
 }
 
 /** Writes a changed copy of a runner's entry. */
--- a/stand-ins/src/fleet/store.ts
+++ b/stand-ins/src/fleet/store.ts
@@ -71,6 +71,15 @@
     this.topic(topic).append(key, bytes);
   }
 
+  /** Reads the newest value of a key; undefined if there is none. */
+  readNewest(topic: string, key: string): unknown {
+    const record = this.topic(topic).listNewest()
+      .find((newest) => newest.key === key);
+    return record === undefined || record.value.length === 0
+      ? undefined
+      : JSON.parse(record.value.toString());
+  }
+
   /** Copies the whole state. */
   takeCopy(): StoreCopy {
     return cloneState({ topics: this.#topics, seats: this.#seats });
