Split the entries that name no upstream out of Instances

Change: UnfitEntries keeps them and knows since when an id has no other entry. No behaviour changed.

--- a/packages/relay/src/hosts/instances.ts
+++ b/packages/relay/src/hosts/instances.ts
@@ -18,6 +18,7 @@
 import { dropOldest } from "../drop-oldest.ts";
 import type { RelayKernel } from "../services.ts";
 import { fitsService } from "./service-fit.ts";
+import { UnfitEntries } from "./unfit-entries.ts";
 
 /** An instance that is no longer listed. */
 interface DepartedInstance {
@@ -31,8 +32,6 @@
  * last up to 10 s.
  */
 const DEPARTED_RETENTION_MS = 30_000;
-/** Exceeds a heartbeat of the users' deployments, and its way to this node. */
-const RENEWAL_MS = 2500;
 /** Of more entries that are read at once only the sum is logged. */
 const MAX_LOGGED_AT_ONCE = 10;
 /** More than the instances of any deployment that leave in a day. */
@@ -67,10 +66,7 @@
   #logger: Logger;
   #decoder: RecordDecoder;
   #instances = new Map<string, Instance>();
-  /** Newest entries that name no upstream, under ids that have no other. */
-  #unfit = new Map<string, Instance>();
-  /** When an id was first seen with such an entry alone, or an unreadable one. */
-  #unusableSince = new Map<string, number>();
+  #unfit: UnfitEntries;
   #services: readonly ServiceProfile[] | undefined;
   #departed = new Map<string, DepartedInstance>();
   /** Entries as last read, without the count that renewals change. */
@@ -89,6 +85,7 @@
     this.#clock = kernel.find("clock");
     this.#logger = kernel.find("logger");
     this.#decoder = kernel.find("decoder");
+    this.#unfit = new UnfitEntries(this.#clock);
     const feeds: Feeds = kernel.find("feeds");
     feeds.onChange("instances", (records) => this.#apply(records));
     kernel.find("configuration").onChange(({ services }) => {
@@ -142,14 +139,9 @@
     return this.#entries.has(id);
   }
 
-  /**
-   * Whether an entry of another writer may hide that of an instance: one that
-   * names no upstream has stood alone under its id for less than a heartbeat.
-   */
+  /** Whether an entry of another writer may hide that of an instance. */
   get isAwaitingRenewal(): boolean {
-    const now = this.#clock.now();
-    return [...this.#unusableSince.values()]
-      .some((since) => now - since < RENEWAL_MS);
+    return this.#unfit.isAwaitingRenewal;
   }
 
   /**
@@ -195,7 +187,7 @@
       listed: this.list(),
       departed: [...this.#departed.values()],
       leaving: [...this.#leaving.keys()],
-      unfit: [...this.#unfit.values()],
+      unfit: this.#unfit.list(),
     };
   }
 
@@ -204,11 +196,10 @@
     this.#services = services;
     const isUnfit = (instance: Instance) => !fitsService(instance, services);
     const unfit = this.list().filter(isUnfit);
-    const fit = [...this.#unfit.values()].filter((entry) => !isUnfit(entry));
+    const fit = this.#unfit.list().filter((entry) => !isUnfit(entry));
     for (const instance of unfit) {
       this.#instances.delete(instance.id);
-      this.#unfit.set(instance.id, instance);
-      this.#recordUnusable(instance.id);
+      this.#unfit.record(instance.id, instance);
     }
     fit.forEach((instance) => this.#put(instance, true));
     if (unfit.length + fit.length > 0) {
@@ -268,7 +259,9 @@
       Ok: (instance): Instance | undefined => instance,
       Err: (error) => {
         this.#logger.warn("instance_unreadable", { instance: id, error });
-        this.#recordUnusable(id);
+        if (!this.#instances.has(id)) {
+          this.#unfit.record(id, undefined);
+        }
         return undefined;
       },
     });
@@ -281,7 +274,6 @@
       return false;
     }
     this.#unfit.delete(listed.id);
-    this.#unusableSince.delete(listed.id);
     const isLeaving = this.#leaving.get(listed.id) === listed.bornAt;
     const instance = isLeaving ? { ...listed, isDraining: true } : listed;
     const previous = this.#instances.get(instance.id);
@@ -315,9 +307,8 @@
     const { id, service } = entry;
     const isListed = this.#instances.has(id);
     if (!isListed) {
-      this.#unfit.set(id, entry);
+      this.#unfit.record(id, entry);
     }
-    this.#recordUnusable(id);
     this.#logger.warn("instance_unfit", {
       instance: id,
       service,
@@ -325,12 +316,6 @@
     });
   }
 
-  #recordUnusable(id: string): void {
-    if (!this.#instances.has(id) && !this.#unusableSince.has(id)) {
-      this.#unusableSince.set(id, this.#clock.now());
-    }
-  }
-
   #logMembership(previous: Instance | undefined, instance: Instance): void {
     const before = previous?.engine?.membership;
     const after = instance.engine?.membership;
@@ -352,7 +337,6 @@
   #remove(id: string): boolean {
     this.#entries.delete(id);
     this.#unfit.delete(id);
-    this.#unusableSince.delete(id);
     const instance = this.#instances.get(id);
     if (instance === undefined) {
       return false;
