Report a reset as an error while a request is being written

Callers saw: a 200 with the upstream's signature and the first part of its body, framed as whole. The upstream had answered a long upload without a length and reset the connection while the upload was still being written.

Cause: Node reports a reset that arrives with the last bytes as an end. UpstreamConnection told the two apart by a write, but only looked at its result at once. Behind an upload that is not written yet, the write waits, and undici ended the body and destroyed the connection meanwhile.

Change: ClientSocket reports an end once what is pending and the probe behind it are written. If that fails, the connection fails. After 1 s without either the end is reported, as an upstream that has ended its answer may never read on. A reset is an error without the code ECONNRESET, which undici takes for the end of a body. The verdict so precedes the parser, and what reads a body does not have to ask for it. A connection whose end is not yet reported is not taken for another request.

The tests counted bytes by Node's channel "net.client.socket", which net.connect alone publishes; undici's channel names the same sockets.

Sound answers stay whole in all forms: uploads of 2, 300,000 and 4,000,000 bytes, read at once, after 20 and 300 ms, or never.

--- /dev/null
+++ b/packages/clients/src/client-socket.ts
@@ -0,0 +1,97 @@
+/**
+ * A client's TCP connection that tells a reset from an end.
+ *
+ * @module
+ */
+import { Socket, type SocketConstructorOpts } from "node:net";
+import type { DuplexOptions } from "node:stream";
+
+/** An empty line after a request, which HTTP servers ignore. */
+const RESET_PROBE = "\r\n";
+/**
+ * A connection that is reset after its end shows so within a round trip and a
+ * retransmission. A server that keeps it open may never read the request.
+ */
+const MAX_END_DELAY_MS = 1000;
+const RESET_CODE = "ECONNRESET";
+
+type SocketOptions =
+  & SocketConstructorOpts
+  & Pick<DuplexOptions, "highWaterMark">;
+
+/**
+ * Ends only if the other side has ended its half; a reset is an error, also for
+ * an HTTP parser that reads a body without a length.
+ *
+ * Node reports a reset that arrives together with the last bytes as a normal
+ * end. Only a write tells the two apart, as it fails after a reset. So an end is
+ * reported once all pending bytes and a probe behind them are written, and not
+ * if that fails.
+ */
+export class ClientSocket extends Socket {
+  #isEnding = false;
+  #isEndReported = false;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options?: SocketOptions) {
+    super(options);
+  }
+
+  /** Whether the other side sends nothing more, which may not be reported yet. */
+  get isEnding(): boolean {
+    return this.#isEnding;
+  }
+
+  /** Called by Node with the bytes that arrive, and with null for the end. */
+  override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (chunk !== null) {
+      return super.push(chunk, encoding);
+    }
+    if (!this.#isEnding) {
+      this.#isEnding = true;
+      this.#probe();
+    }
+    return false;
+  }
+
+  override _destroy(
+    failure: Error | null,
+    callback: (failure?: Error | null) => void,
+  ): void {
+    clearTimeout(this.#timer);
+    this.#isEndReported = true;
+    super._destroy(convertReset(failure), callback);
+  }
+
+  #probe(): void {
+    if (!this.writable) {
+      this.#reportEnd();
+      return;
+    }
+    this.#timer = setTimeout(() => this.#reportEnd(), MAX_END_DELAY_MS);
+    this.write(RESET_PROBE, (failure) => {
+      // A write that fails destroys the socket.
+      if (failure === null || failure === undefined) {
+        this.#reportEnd();
+      }
+    });
+  }
+
+  #reportEnd(): void {
+    if (this.#isEndReported) {
+      return;
+    }
+    clearTimeout(this.#timer);
+    this.#isEndReported = true;
+    super.push(null);
+    // Emits the end also if no bytes are left to be read.
+    this.read(0);
+  }
+}
+
+/** undici takes an error with the code of a reset for the end of a body. */
+function convertReset(failure: Error | null): Error | null {
+  return failure !== null && "code" in failure && failure.code === RESET_CODE
+    ? new Error("the connection was reset", { cause: failure })
+    : failure;
+}
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -228,16 +228,12 @@
   }
 
   /**
-   * Reads a body without a length, which ends with its connection. undici
-   * treats it as complete even if the connection was reset. The operating system
-   * ends the connections of a killed process like those of a complete answer, so
-   * the process must still run.
+   * Reads a body without a length, which ends with its connection. The operating
+   * system ends the connections of a killed process like those of a complete
+   * answer, so the process must still run.
    */
   async *#readUntilClose(body: AsyncIterable<Buffer>): AsyncGenerator<Buffer> {
     yield* body;
-    if (this.#connection.isReset) {
-      throw new Error("the connection was reset within the body");
-    }
     if (!this.#isClosed && await this.#hasUpstreamEnded()) {
       throw new Error("the upstream process ended with the connection");
     }
--- a/packages/relay/src/serving/upstream-connection.ts
+++ b/packages/relay/src/serving/upstream-connection.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import { ClientSocket, createConnector } from "@zinniahill/clients";
+import { Client, type Dispatcher } from "undici";
 
 /** A reachable upstream accepts a connection within a few ms. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -12,16 +12,13 @@
 export const MAX_IDLE_MS = 4000;
 /** A connection is closed this long before the upstream closes it. */
 const IDLE_MARGIN_MS = 500;
-/** An empty line before the next request, which HTTP servers ignore. */
-const RESET_PROBE = "\r\n";
 const TOO_MANY_BYTES = new Error("the upstream sent more than an answer");
 
 /** Connects with its first request. */
 export class UpstreamConnection {
   #client: Client;
-  #socket: Socket | undefined;
+  #socket: ClientSocket | undefined;
   #hasConnected = false;
-  #isReset = false;
   #isClosed = false;
   #maxBytes = 0;
   /** Bytes that had arrived when the limit was set. */
@@ -30,7 +27,7 @@
   onClose: () => void = () => {};
 
   constructor(address: string) {
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    const connect = createConnector(CONNECT_TIMEOUT_MS);
     this.#client = new Client(`http://${address}`, {
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -43,8 +40,7 @@
           // A caller disconnect that is read in the same event loop turn is
           // handled first, so that its request is not sent.
           setImmediate(() => {
-            // With a failure, undici passes no socket argument, not even null.
-            if (result[0] === null && result[1] !== null && !this.#isClosed) {
+            if (result[1] instanceof ClientSocket && !this.#isClosed) {
               this.#watch(result[1]);
             }
             callback(...result);
@@ -59,14 +55,10 @@
     return this.#hasConnected;
   }
 
-  /** Whether the upstream has reset the connection. */
-  get isReset(): boolean {
-    return this.#isReset;
-  }
-
-  /** Whether the connection has been established and not closed. */
+  /** Whether the connection has been established and neither side ended it. */
   get isOpen(): boolean {
-    return !this.#isClosed && this.#socket?.readyState === "open";
+    return !this.#isClosed && this.#socket?.readyState === "open" &&
+      !this.#socket.isEnding;
   }
 
   /**
@@ -97,7 +89,7 @@
     }
   }
 
-  #watch(socket: Socket): void {
+  #watch(socket: ClientSocket): void {
     this.#socket = socket;
     this.#hasConnected = true;
     socket.on("readable", () => {
@@ -105,17 +97,6 @@
         this.close(TOO_MANY_BYTES);
       }
     });
-    // undici also closes connections with errors of its own, which have no
-    // `syscall`.
-    socket.on("error", (failure) => {
-      this.#isReset ||= "syscall" in failure;
-    });
-    // A reset that arrives together with the last bytes is reported as a normal
-    // end. Only a write tells the two apart: after a reset it fails at once.
-    socket.on("end", () => {
-      socket.write(RESET_PROBE);
-      this.#isReset ||= socket.errored !== null;
-    });
     socket.on("close", () => this.onClose());
   }
 }
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -22,11 +22,17 @@
 const MAX_ANSWER_BYTES = 2 * MAX_BODY_BYTES;
 /** What a connection reads beyond a bound: what it buffers, and one read. */
 const READ_AHEAD_BYTES = 512 * 1024;
-/** Node's channel for the client sockets that a process opens. */
-const CLIENT_SOCKETS = "net.client.socket";
+/** undici's channel for the connections that a process has opened. */
+const CLIENT_SOCKETS = "undici:client:connected";
 /** What the kernel buffers of a connection, on both sides. */
 const KERNEL_BUFFER_BYTES = 8 * 1024 * 1024;
 const HEAD = "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\n";
+const SHORT_BODY = Buffer.from("{}");
+/** Sizes of uploads: the kernel buffers all but the last at once. */
+const UPLOADS = [2, 300_000, 4_000_000].map((size) => Buffer.alloc(size, "u"));
+/** Time for which a server does not answer to a request that it does not read. */
+const UNREAD_MS = 10;
+const PART = "p".repeat(1000);
 const DONE = new Error("the test has ended");
 
 let server: Server | undefined;
@@ -41,13 +47,32 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-function createUpstreamRequest(address: string): UpstreamRequest {
+/** Starts a server that handles each connection before it reads any bytes. */
+async function listenEarly(
+  onConnection: (socket: Socket) => void,
+): Promise<string> {
+  server = createServer(
+    { allowHalfOpen: true, pauseOnConnect: true },
+    (socket) => {
+      socket.on("error", () => {});
+      // The client fills the buffers of the kernel meanwhile.
+      setTimeout(() => onConnection(socket), UNREAD_MS);
+    },
+  );
+  await new Promise<void>((resolve) => server!.listen(0, "127.0.0.1", resolve));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function createUpstreamRequest(
+  address: string,
+  body: Buffer = SHORT_BODY,
+): UpstreamRequest {
   return {
     address,
     method: "POST",
     target: "/path/",
-    headers: ["host", "a.example", "content-length", "2"],
-    body: Buffer.from("{}"),
+    headers: ["host", "a.example", "content-length", String(body.length)],
+    body,
     maxAnswerBytes: MAX_ANSWER_BYTES,
   };
 }
@@ -55,24 +80,26 @@
 async function send(
   address: string,
   hasUpstreamEnded = () => Promise.resolve(false),
+  body?: Buffer,
 ) {
   const exchange = new Exchange(address, { hasUpstreamEnded });
-  const sent = await exchange.send(createUpstreamRequest(address));
+  const sent = await exchange.send(createUpstreamRequest(address, body));
   return { exchange, sent };
 }
 
 async function read(
   address: string,
   hasUpstreamEnded?: () => Promise<boolean>,
+  body?: Buffer,
 ): Promise<string> {
-  const { exchange, sent } = await send(address, hasUpstreamEnded);
+  const { exchange, sent } = await send(address, hasUpstreamEnded, body);
   try {
-    const body = await collectBody(
+    const answer = await collectBody(
       sent.unwrapOrElse((fault) => {
         throw new Error(fault.message);
       }).body,
     );
-    return body.toString();
+    return answer.toString();
   } finally {
     exchange.close(DONE);
   }
@@ -126,6 +153,79 @@
     });
   });
 
+  // Guards against MIXED: while an upload was still being written, a reset
+  // looked like the end of a body without a length.
+  describe("bodies without a length before the upload is read", () => {
+    const heads: Readonly<Record<string, string>> = {
+      "HTTP/1.1": HEAD,
+      "connection: close": `${HEAD}connection: close\r\n`,
+      "connection: keep-alive": `${HEAD}connection: keep-alive\r\n`,
+      "HTTP/1.0": "HTTP/1.0 200 OK\r\nx-attempt-id: a\r\n",
+    };
+    const forms = Object.entries(heads).flatMap(([name, head]) =>
+      UPLOADS.flatMap((upload) =>
+        [false, true].map((readsSome) =>
+          [name, upload.length, readsSome, head, upload] as const
+        )
+      )
+    );
+
+    describe.each(forms)(
+      "%s, an upload of %d bytes, some of it read: %s",
+      (_name, _size, readsSome, head, upload) => {
+        const start = (answer: (socket: Socket) => void) =>
+          readsSome
+            ? listen((socket) => answer(socket.pause()))
+            : listenEarly(answer);
+
+        it.each([0, 3])(
+          "fail if the connection is reset %d ms after them",
+          async (delayMs) => {
+            const address = await start((socket) => {
+              socket.write(`${head}\r\n${PART}`, () => {
+                setTimeout(() => socket.resetAndDestroy(), delayMs);
+              });
+            });
+            await expect(read(address, undefined, upload)).rejects.toThrow();
+          },
+        );
+
+        it("fail if the connection is reset at once", async () => {
+          const address = await start((socket) => {
+            socket.write(`${head}\r\n${PART}`, () => socket.resetAndDestroy());
+          });
+          await expect(read(address, undefined, upload)).rejects.toThrow();
+        });
+
+        it.each([0, 20, 300])(
+          "are complete if the upload is read %d ms after their end",
+          async (delayMs) => {
+            const address = await start((socket) => {
+              socket.end(`${head}\r\n${PART}`);
+              setTimeout(() => socket.resume(), delayMs);
+            });
+            expect(await read(address, undefined, upload)).toBe(PART);
+          },
+        );
+      },
+    );
+
+    it("are complete although the upload is never read", async () => {
+      const address = await listenEarly((socket) => {
+        socket.end(`${HEAD}\r\n${PART}`);
+      });
+      expect(await read(address, undefined, UPLOADS.at(-1))).toBe(PART);
+    });
+
+    it("fail if the connection is reset after their end, before the upload was read", async () => {
+      const address = await listenEarly((socket) => {
+        socket.end(`${HEAD}\r\n${PART}`);
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      });
+      await expect(read(address, undefined, UPLOADS.at(-1))).rejects.toThrow();
+    });
+  });
+
   describe("bodies with a length", () => {
     it("need no process once they are complete", async () => {
       const address = await listen((socket) => {
--- a/stand-ins/src/fleet/runner.ts
+++ b/stand-ins/src/fleet/runner.ts
@@ -130,6 +130,8 @@
   connectionCount = 0;
   /** Creates faulty answers to requests that run. */
   createRawAnswer: RawAnswerFactory | undefined;
+  /** Whether faulty answers are sent before the bodies of requests are read. */
+  answersEarly = false;
   /** Time that a plain answer takes. */
   answerMs = 0;
   /** Bytes that follow in a plain answer. */
@@ -368,6 +370,10 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (this.answersEarly && this.createRawAnswer !== undefined) {
+      this.#run(request, response);
+      return;
+    }
     const chunks: Uint8Array[] = [];
     for await (const chunk of request) {
       chunks.push(chunk as Uint8Array);
