Take only a last coding of chunked for framing

Callers saw: a 200, whole, of an upstream whose answer named a transfer coding such as gzip or identity and broke off.

Cause: hasBodyFraming took any Transfer-Encoding for framing. A body whose last coding is not chunked ends with its connection (RFC 9112, section 6.3), so nothing asked whether it had been reset, or whether the process behind it had ended.

Change: a transfer coding frames a body only if its last one is chunked, by the last line and in any case; a length counts only where no coding is named.

Bodies of these codings that the upstream ends stay complete, and a last coding of chunked needs no process.

--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -71,6 +71,7 @@
 const CLOSED = new Error("the attempt has ended");
 /** Responses with these statuses have no body. */
 const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+const LAST_CODING_IS_CHUNKED = /(^|,)[ \t]*chunked[ \t]*$/i;
 const STATUS_LINE = /HTTP\/\d\.\d \d{3}/;
 
 /** For answers that are not bounded together with others. */
@@ -268,9 +269,15 @@
   }
 }
 
-/** Whether the headers determine where the body ends. */
+/**
+ * Whether the headers determine where the body ends. With a last transfer coding
+ * other than chunked it ends with its connection (RFC 9112, section 6.3).
+ */
 function hasBodyFraming(headers: ReadonlyMap<string, string>): boolean {
-  return headers.has("content-length") || headers.has("transfer-encoding");
+  const coding = headers.get("transfer-encoding");
+  return coding === undefined
+    ? headers.has("content-length")
+    : LAST_CODING_IS_CHUNKED.test(coding);
 }
 
 /** Whether the connection stays open after the response. */
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -226,6 +226,86 @@
     });
   });
 
+  // Guards against MIXED: any transfer coding counted as framing, so neither a
+  // reset nor the end of the process was looked for.
+  describe("bodies whose last transfer coding is not chunked", () => {
+    const codings: Readonly<Record<string, string>> = {
+      "gzip": "transfer-encoding: gzip\r\n",
+      "identity": "transfer-encoding: identity\r\n",
+      "an unknown coding": "transfer-encoding: x-other\r\n",
+      "a coding after chunked": "transfer-encoding: chunked, gzip\r\n",
+      "a second line after chunked":
+        "transfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n",
+      "a name that ends with chunked": "transfer-encoding: x-chunked\r\n",
+    };
+
+    describe.each(Object.entries(codings))("%s", (_name, line) => {
+      const bytes = `${HEAD}${line}\r\n${PART}`;
+
+      it("fail if the process of the upstream has ended as well", async () => {
+        const address = await listen((socket) => socket.end(bytes));
+        await expect(read(address, () => Promise.resolve(true)))
+          .rejects.toThrow();
+      });
+
+      it.each([0, 20])(
+        "fail if the connection is reset %d ms after them",
+        async (delayMs) => {
+          const address = await listen((socket) => {
+            socket.write(bytes, () => {
+              setTimeout(() => socket.resetAndDestroy(), delayMs);
+            });
+          });
+          await expect(read(address)).rejects.toThrow();
+        },
+      );
+
+      it("are never kept for another request", async () => {
+        const address = await listen((socket) => socket.end(bytes));
+        const keep = vi.fn();
+        const exchange = new Exchange(address, { keep });
+        const sent = await exchange.send(createUpstreamRequest(address));
+        await collectBody(sent.unwrapOr(undefined!).body).catch(() => {});
+        exchange.close(DONE);
+        expect(keep).not.toHaveBeenCalled();
+      });
+    });
+
+    it.each([
+      "content-length: 4\r\ntransfer-encoding: gzip\r\n",
+      "transfer-encoding: gzip\r\ncontent-length: 4\r\n",
+    ])("fail if a length stands beside it: %j", async (lines) => {
+      const address = await listen((socket) => {
+        socket.end(`${HEAD}${lines}\r\n${PART}`);
+      });
+      await expect(read(address, () => Promise.resolve(true)))
+        .rejects.toThrow();
+    });
+
+    it.each(["gzip", "identity", "x-other"])(
+      "are complete when the upstream ends the connection: %s",
+      async (coding) => {
+        const address = await listen((socket) => {
+          socket.end(`${HEAD}transfer-encoding: ${coding}\r\n\r\n${PART}`);
+        });
+        expect(await read(address)).toBe(PART);
+      },
+    );
+
+    it.each(["chunked", "Chunked", "gzip, chunked", "gzip ,\tCHUNKED "])(
+      "need no process if the last one is: %s",
+      async (coding) => {
+        const address = await listen((socket) => {
+          socket.end(
+            `${HEAD}transfer-encoding: ${coding}\r\n\r\n` +
+              "5\r\nwhole\r\n0\r\n\r\n",
+          );
+        });
+        expect(await read(address, () => Promise.resolve(true))).toBe("whole");
+      },
+    );
+  });
+
   describe("bodies with a length", () => {
     it("need no process once they are complete", async () => {
       const address = await listen((socket) => {
