Read all answers on connections that fail when they are reset

Callers saw: PlainServiceClient returned 200 with a part of an answer that had no length and whose connection was reset, with uploads of any size.

Cause: the clients of plain services, engines, the log, the host list, the weight store, the platform's store and the runners read with undici's own connections, for which a reset is the end of a body without a length. A JSON object that is cut off fails to parse, but a plain answer, the records of the store, a stream, a number and the status of an order do not.

Change: all of them connect by createConnector, whose sockets report a reset as an error, so one rule says what is complete. The clients of packages/clients get it from TrafficCounter.createAgent. A connection that is not established in time is an ETIMEDOUT of connect, which replaces undici's code in the verdicts and, as one of the operating system, also means not run. The CLI is unchanged: it reads JSON objects, and streams with an end marker.

--- a/packages/clients/src/fault.ts
+++ b/packages/clients/src/fault.ts
@@ -28,8 +28,12 @@
  * proves this only together with the system call.
  */
 const CONNECT_SYSCALL = "connect";
-const CONNECT_CODES = new Set([REFUSED_CODE, "EHOSTUNREACH", "ENETUNREACH"]);
-const CONNECT_TIMEOUT_CODE = "UND_ERR_CONNECT_TIMEOUT";
+const CONNECT_CODES = new Set([
+  REFUSED_CODE,
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ETIMEDOUT",
+]);
 
 /** Converts a thrown error to a fault and derives its verdict. */
 export function createFault(failure: unknown): Fault {
@@ -52,7 +56,6 @@
   }
   const code = "code" in failure ? String(failure.code) : "";
   const syscall = "syscall" in failure ? String(failure.syscall) : "";
-  return code === CONNECT_TIMEOUT_CODE ||
-    (syscall === CONNECT_SYSCALL && CONNECT_CODES.has(code)) ||
+  return (syscall === CONNECT_SYSCALL && CONNECT_CODES.has(code)) ||
     isConnectFailure(failure.cause);
 }
--- a/packages/clients/src/traffic-counter.ts
+++ b/packages/clients/src/traffic-counter.ts
@@ -5,7 +5,8 @@
  */
 import type { Socket } from "node:net";
 import type { Service } from "@zinniahill/kernel";
-import { Agent, buildConnector } from "undici";
+import { Agent } from "undici";
+import { createConnector } from "./connector.ts";
 
 /** The purpose of a connection. */
 export type TrafficClass =
@@ -46,14 +47,13 @@
 
   /** Creates a connection pool whose bytes are counted. */
   createAgent(trafficClass: TrafficClass, options: Agent.Options = {}): Agent {
-    const connect = buildConnector({});
+    const connect = createConnector();
     return new Agent({
       ...options,
       connect: (connectOptions, callback) => {
         connect(connectOptions, (...result) => {
-          const [error, socket] = result;
-          // On an error undici omits the socket: it is undefined, not null.
-          if (error === null && socket !== null) {
+          const [, socket] = result;
+          if (socket !== null) {
             this.track(trafficClass, socket);
           }
           callback(...result);
--- a/packages/clients/test/verdicts.test.ts
+++ b/packages/clients/test/verdicts.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { SystemClock } from "@zinniahill/kernel";
 import {
+  createConnector,
   createFault,
   EngineClient,
   PlainServiceClient,
@@ -59,7 +60,26 @@
       expect(reply.isErr && reply.error.isConnectionRefused).toBe(true);
     });
 
-    it.each(["EHOSTUNREACH", "ENETUNREACH", "ECONNRESET", "EPIPE"])(
+    it("is not-run if no connection was established in time", async () => {
+      const failure = await new Promise<Error | null>((resolve) => {
+        createConnector(1)(
+          { hostname: "127.0.0.1", port: "1", protocol: "http:" },
+          (...[failure]) => resolve(failure),
+        );
+        // The timeout passes before the event loop reports the connection.
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 50);
+      });
+      expect(failure).toMatchObject({ code: "ETIMEDOUT" });
+      expect(createFault(failure).verdict).toBe("not-run");
+    });
+
+    it.each([
+      "EHOSTUNREACH",
+      "ENETUNREACH",
+      "ECONNRESET",
+      "EPIPE",
+      "ETIMEDOUT",
+    ])(
       "is may-have-run if an open connection fails with %s",
       (code) => {
         const failure = Object.assign(new Error("x"), {
