Refuse answers whose status is no status code

Callers saw: answers with the statuses 600 and 999 of a faulty upstream, as they came. Statuses such as 000, 001, 099, 1000 and 20 did not reach them: the parser refuses what is not three digits from 100 on.

Cause: the parser accepts every number of three digits above 99, and nothing behind it checked the number. A status code is from 100 to 599 (RFC 9110, section 15), so such an answer is no HTTP response, like one with 000.

Change: Exchange and PlainServiceClient take an answer with another number for a broken one that may have run. The other readers name the statuses that they take. The new tests send malformed statuses to each reader: as the first answer, on a kept connection, after an informational head, to HEAD, a byte a packet, before an end and a reset, and in place of a stream that is resumed.

The versions HTTP/2.0 and HTTP/0.9 still pass: a caller gets the node's own status line, and the status, signature and body are the upstream's.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -59,6 +59,7 @@
   type PlainServices,
 } from "./plain-services.ts";
 export { hashSecret, isSameHash, readBearerToken } from "./secrets.ts";
+export { isStatusCode } from "./status-code.ts";
 export {
   END_INDEX,
   type TokenEventBatch,
--- a/packages/clients/src/plain-services.ts
+++ b/packages/clients/src/plain-services.ts
@@ -9,6 +9,7 @@
 import { type Agent, type Dispatcher, request } from "undici";
 import { TrafficCounter } from "./traffic-counter.ts";
 import { createFault, type Fault } from "./fault.ts";
+import { isStatusCode } from "./status-code.ts";
 
 /** One call to a plain service. */
 export interface PlainServiceCall {
@@ -107,6 +108,14 @@
 async function readReply(
   reply: Dispatcher.ResponseData,
 ): Promise<Result<PlainServiceReply, Fault>> {
+  if (!isStatusCode(reply.statusCode)) {
+    // The failure of a body that is given up is irrelevant.
+    reply.body.on("error", () => {}).destroy();
+    return Result.err({
+      verdict: "may-have-run",
+      message: `${reply.statusCode} is no status code`,
+    });
+  }
   const isRefusal = reply.statusCode === NOT_RUN_STATUS &&
     reply.headers[NOT_RUN_HEADER] === NOT_RUN_VALUE;
   if (isRefusal) {
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -18,6 +18,7 @@
   appendCounted,
   type BodyMemory,
   ByteBuffer,
+  isStatusCode,
 } from "@zinniahill/clients";
 import { type MemoryUse, ResponseBody } from "./response-body.ts";
 import { UpstreamConnection } from "./upstream-connection.ts";
@@ -188,6 +189,10 @@
           }
           return;
         }
+        if (!isStatusCode(status)) {
+          this.#connection.close(new Error(`${status} is no status code`));
+          return;
+        }
         this.#body = new ResponseBody(controller, this.#memory);
         const rawHeaders = convertRawHeaders(controller.rawHeaders);
         const isBodyless = method === "HEAD" || BODYLESS_STATUSES.has(status);
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -45,6 +45,10 @@
 } from "./log-model.ts";
 export { LogStandIn } from "./log.ts";
 export { DelayedLink, type LinkQuality } from "./delayed-link.ts";
+export {
+  createMalformedAnswers,
+  type MalformedAnswer,
+} from "./malformed-answers.ts";
 export { type LinkMode, MemoryNetwork } from "./memory/network.ts";
 export {
   HOST_LIST_END,
