Probe an ended connection once its bytes are read

Cause: ClientSocket probed as soon as the end arrived, also while bytes before it waited for a slow reader. A failed probe destroys the socket and drops them, and the answer with them, though its framing may show that it is whole.

Change: the probe follows the last byte that was read, where it was before, as "end" is held back in place of the null that Node pushes. A connection whose end is held back is not open by Node's own state, so isEnding is not needed; a test holds that such a connection is not kept.

Result: no test failed before; found by reading.

--- a/packages/clients/src/client-socket.ts
+++ b/packages/clients/src/client-socket.ts
@@ -24,34 +24,24 @@
  * an HTTP parser that reads a body without a length.
  *
  * Node reports a reset that arrives together with the last bytes as a normal
- * end. Only a write tells the two apart, as it fails after a reset. So an end is
- * reported once all pending bytes and a probe behind them are written, and not
- * if that fails.
+ * end. Only a write tells the two apart, as it fails after a reset. So "end" is
+ * emitted once all pending bytes and a probe behind them are written, and not if
+ * that fails.
  */
 export class ClientSocket extends Socket {
-  #isEnding = false;
-  #isEndReported = false;
   #timer: NodeJS.Timeout | undefined;
+  #isEndEmitted = false;
 
   constructor(options?: SocketOptions) {
     super(options);
   }
 
-  /** Whether the other side sends nothing more, which may not be reported yet. */
-  get isEnding(): boolean {
-    return this.#isEnding;
-  }
-
-  /** Called by Node with the bytes that arrive, and with null for the end. */
-  override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (chunk !== null) {
-      return super.push(chunk, encoding);
-    }
-    if (!this.#isEnding) {
-      this.#isEnding = true;
+  override emit(event: string | symbol, ...values: unknown[]): boolean {
+    if (event === "end") {
       this.#probe();
+      return true;
     }
-    return false;
+    return super.emit(event, ...values);
   }
 
   override _destroy(
@@ -59,33 +49,25 @@
     callback: (failure?: Error | null) => void,
   ): void {
     clearTimeout(this.#timer);
-    this.#isEndReported = true;
     super._destroy(convertReset(failure), callback);
   }
 
   #probe(): void {
-    if (!this.writable) {
-      this.#reportEnd();
-      return;
-    }
-    this.#timer = setTimeout(() => this.#reportEnd(), MAX_END_DELAY_MS);
+    this.#timer = setTimeout(() => this.#emitEnd(), MAX_END_DELAY_MS);
     this.write(RESET_PROBE, (failure) => {
       // A write that fails destroys the socket.
       if (failure === null || failure === undefined) {
-        this.#reportEnd();
+        this.#emitEnd();
       }
     });
   }
 
-  #reportEnd(): void {
-    if (this.#isEndReported) {
-      return;
-    }
+  #emitEnd(): void {
     clearTimeout(this.#timer);
-    this.#isEndReported = true;
-    super.push(null);
-    // Emits the end also if no bytes are left to be read.
-    this.read(0);
+    if (!this.#isEndEmitted && !this.destroyed) {
+      this.#isEndEmitted = true;
+      super.emit("end");
+    }
   }
 }
 
--- a/packages/clients/src/connector.ts
+++ b/packages/clients/src/connector.ts
@@ -12,17 +12,9 @@
 /** Most responses arrive in one read. */
 const READ_BUFFER_BYTES = 64 * 1024;
 
-/** A failure to connect, like those of the operating system. */
-function createTimeoutError(timeoutMs: number): Error {
-  return Object.assign(
-    new Error(`no connection was established within ${timeoutMs} ms`),
-    { code: "ETIMEDOUT", syscall: "connect" },
-  );
-}
-
 /**
- * Creates a connector for undici whose connections fail when they are reset. A
- * connection that is not established within `timeoutMs` fails as well.
+ * Creates a connector for undici, without TLS, whose connections fail when they
+ * are reset. One that is not established within `timeoutMs` fails as well.
  */
 export function createConnector(
   timeoutMs: number = DEFAULT_TIMEOUT_MS,
@@ -49,3 +41,11 @@
     socket.connect(Number(port) || DEFAULT_PORT, hostname);
   };
 }
+
+/** A failure to connect, like those of the operating system. */
+function createTimeoutError(timeoutMs: number): Error {
+  return Object.assign(
+    new Error(`no connection was established within ${timeoutMs} ms`),
+    { code: "ETIMEDOUT", syscall: "connect" },
+  );
+}
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -28,7 +28,6 @@
   ConnectionLimit,
   type ConnectionLimitOptions,
 } from "./connection-limit.ts";
-export { ClientSocket } from "./client-socket.ts";
 export { createConnector } from "./connector.ts";
 export { createFault, type Fault } from "./fault.ts";
 export { type HostList, HostListClient } from "./host-list.ts";
--- a/packages/relay/src/serving/upstream-connection.ts
+++ b/packages/relay/src/serving/upstream-connection.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import { ClientSocket, createConnector } from "@zinniahill/clients";
+import type { Socket } from "node:net";
+import { createConnector } from "@zinniahill/clients";
 import { Client, type Dispatcher } from "undici";
 
 /** A reachable upstream accepts a connection within a few ms. */
@@ -17,7 +18,7 @@
 /** Connects with its first request. */
 export class UpstreamConnection {
   #client: Client;
-  #socket: ClientSocket | undefined;
+  #socket: Socket | undefined;
   #hasConnected = false;
   #isClosed = false;
   #maxBytes = 0;
@@ -40,7 +41,7 @@
           // A caller disconnect that is read in the same event loop turn is
           // handled first, so that its request is not sent.
           setImmediate(() => {
-            if (result[1] instanceof ClientSocket && !this.#isClosed) {
+            if (result[1] !== null && !this.#isClosed) {
               this.#watch(result[1]);
             }
             callback(...result);
@@ -57,8 +58,7 @@
 
   /** Whether the connection has been established and neither side ended it. */
   get isOpen(): boolean {
-    return !this.#isClosed && this.#socket?.readyState === "open" &&
-      !this.#socket.isEnding;
+    return !this.#isClosed && this.#socket?.readyState === "open";
   }
 
   /**
@@ -89,7 +89,7 @@
     }
   }
 
-  #watch(socket: ClientSocket): void {
+  #watch(socket: Socket): void {
     this.#socket = socket;
     this.#hasConnected = true;
     socket.on("readable", () => {
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -226,6 +226,22 @@
     });
   });
 
+  it("does not keep a connection that ended before the upload was read", async () => {
+    const address = await listenEarly((socket) => {
+      socket.end(`${HEAD}content-length: 5\r\n\r\nwhole`);
+    });
+    const keep = vi.fn();
+    const exchange = new Exchange(address, { keep });
+    const sent = await exchange.send(
+      createUpstreamRequest(address, UPLOADS.at(-1)),
+    );
+    const body = await collectBody(sent.unwrapOr(undefined!).body);
+    expect(body.toString()).toBe("whole");
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    exchange.close(DONE);
+    expect(keep).not.toHaveBeenCalled();
+  });
+
   // Guards against MIXED: any transfer coding counted as framing, so neither a
   // reset nor the end of the process was looked for.
   describe("bodies whose last transfer coding is not chunked", () => {
