Tests: share the raw server and the request for a stream

Cause: five new test files had a server of their own for raw bytes, and three a copy of the same request.

Change: RawServer among the stand-ins, which handles a connection after its first bytes or without reading any, and generate-request.ts. No check changed.

--- a/packages/clients/test/malformed-answers.test.ts
+++ b/packages/clients/test/malformed-answers.test.ts
@@ -1,24 +1,20 @@
 import { Buffer } from "node:buffer";
-import { type AddressInfo, createServer, type Server } from "node:net";
 import { SystemClock } from "@zinniahill/kernel";
-import { createMalformedAnswers } from "@zinniahill/stand-ins";
+import { createMalformedAnswers, RawServer } from "@zinniahill/stand-ins";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { EngineClient, PlainServiceClient } from "../src/index.ts";
+import { GENERATE_REQUEST } from "./generate-request.ts";
 
 const TIMEOUT_MS = 5000;
 const clock = new SystemClock();
 
-let server: Server;
+let server: RawServer;
 let address: string;
 let answer: string;
 
 beforeEach(async () => {
-  server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => socket.write(answer, "latin1"));
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  server = new RawServer((socket) => socket.write(answer, "latin1"));
+  address = await server.listen();
 });
 
 afterEach(() => {
@@ -38,15 +34,10 @@
         body: Buffer.from("x"),
       }, TIMEOUT_MS),
     "that begins a stream": () =>
-      engines.generate(address, {
-        request: "r",
-        group: "g",
-        model: "m",
-        messages: [],
-        maxTokens: 1,
-        priority: 0,
-        offset: 0,
-      }, { timeoutMs: TIMEOUT_MS, usesNewConnection: true }),
+      engines.generate(address, GENERATE_REQUEST, {
+        timeoutMs: TIMEOUT_MS,
+        usesNewConnection: true,
+      }),
     // Takes any JSON value.
     "of a JSON call": () => engines.cancel(address, "r"),
   };
--- a/packages/clients/test/reset-answers.test.ts
+++ b/packages/clients/test/reset-answers.test.ts
@@ -1,11 +1,7 @@
 import { Buffer } from "node:buffer";
-import {
-  type AddressInfo,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import type { Socket } from "node:net";
 import { SystemClock } from "@zinniahill/kernel";
+import { RawServer } from "@zinniahill/stand-ins";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import {
   EngineClient,
@@ -14,6 +10,7 @@
   PlainServiceClient,
   WeightStoreClient,
 } from "../src/index.ts";
+import { GENERATE_REQUEST } from "./generate-request.ts";
 
 const TIMEOUT_MS = 5000;
 /** Time in which the client's kernel takes what it buffers of an upload. */
@@ -21,20 +18,13 @@
 const PART = "p".repeat(1000);
 const clock = new SystemClock();
 
-let server: Server;
+let server: RawServer;
 let address: string;
 let answer: (socket: Socket) => void;
 
 beforeEach(async () => {
-  server = createServer(
-    { allowHalfOpen: true, pauseOnConnect: true },
-    (socket) => {
-      socket.on("error", () => {});
-      setTimeout(() => answer(socket), UNREAD_MS);
-    },
-  );
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  server = new RawServer((socket) => answer(socket), { unreadMs: UNREAD_MS });
+  address = await server.listen();
 });
 
 afterEach(() => {
@@ -127,15 +117,11 @@
 
     it("are no end of an engine's stream", async () => {
       answer = sendAndReset("HTTP/1.1 200 OK\r\n\r\ndata: part\n\n", undefined);
-      const stream = await new EngineClient(clock).generate(address, {
-        request: "r",
-        group: "g",
-        model: "m",
-        messages: [],
-        maxTokens: 1,
-        priority: 0,
-        offset: 0,
-      }, { timeoutMs: TIMEOUT_MS, usesNewConnection: true });
+      const stream = await new EngineClient(clock).generate(
+        address,
+        GENERATE_REQUEST,
+        { timeoutMs: TIMEOUT_MS, usesNewConnection: true },
+      );
       const { chunks } = stream.unwrapOrElse(({ message }) => {
         throw new Error(message);
       });
--- a/packages/clients/test/verdicts.test.ts
+++ b/packages/clients/test/verdicts.test.ts
@@ -9,6 +9,7 @@
   PlainServiceClient,
 } from "@zinniahill/clients";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { GENERATE_REQUEST } from "./generate-request.ts";
 
 const TIMEOUT_MS = 5000;
 const PLAIN_CALL = {
@@ -17,15 +18,6 @@
   headers: {},
   body: Buffer.from("x"),
 };
-const GENERATE_REQUEST = {
-  request: "r",
-  group: "g",
-  model: "m",
-  messages: [],
-  maxTokens: 1,
-  priority: 0,
-  offset: 0,
-};
 
 describe("verdict of a fault", () => {
   describe("connection errors", () => {
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -1,12 +1,7 @@
 import { Buffer } from "node:buffer";
 import { subscribe, unsubscribe } from "node:diagnostics_channel";
-import {
-  type AddressInfo,
-  connect,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import { connect, type Socket } from "node:net";
+import { RawServer } from "@zinniahill/stand-ins";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { Instance } from "../../src/index.ts";
 import { ConnectionPool } from "../../src/serving/connection-pool.ts";
@@ -35,32 +30,18 @@
 const PART = "p".repeat(1000);
 const DONE = new Error("the test has ended");
 
-let server: Server | undefined;
+let server: RawServer | undefined;
 
-/** Starts a server that handles the first bytes of each connection. */
-async function listen(onRequest: (socket: Socket) => void): Promise<string> {
-  server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => onRequest(socket));
-  });
-  await new Promise<void>((resolve) => server!.listen(0, "127.0.0.1", resolve));
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+/** Starts a server that handles each connection after its first bytes. */
+function listen(onRequest: (socket: Socket) => void): Promise<string> {
+  server = new RawServer(onRequest);
+  return server.listen();
 }
 
-/** Starts a server that handles each connection before it reads any bytes. */
-async function listenEarly(
-  onConnection: (socket: Socket) => void,
-): Promise<string> {
-  server = createServer(
-    { allowHalfOpen: true, pauseOnConnect: true },
-    (socket) => {
-      socket.on("error", () => {});
-      // The client fills the buffers of the kernel meanwhile.
-      setTimeout(() => onConnection(socket), UNREAD_MS);
-    },
-  );
-  await new Promise<void>((resolve) => server!.listen(0, "127.0.0.1", resolve));
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+/** Starts a server that reads nothing, while the client fills the kernel. */
+function listenEarly(onConnection: (socket: Socket) => void): Promise<string> {
+  server = new RawServer(onConnection, { unreadMs: UNREAD_MS });
+  return server.listen();
 }
 
 function createUpstreamRequest(
--- a/packages/relay/test/serving/malformed-answers.test.ts
+++ b/packages/relay/test/serving/malformed-answers.test.ts
@@ -1,12 +1,7 @@
 import { Buffer } from "node:buffer";
-import {
-  type AddressInfo,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import type { Socket } from "node:net";
 import { setImmediate } from "node:timers/promises";
-import { createMalformedAnswers } from "@zinniahill/stand-ins";
+import { createMalformedAnswers, RawServer } from "@zinniahill/stand-ins";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { collectBody, Exchange } from "../../src/serving/exchange.ts";
 import type { UpstreamConnection } from "../../src/serving/upstream-connection.ts";
@@ -15,19 +10,18 @@
 const SOUND = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n1234";
 const INFORMATIONAL = "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n";
 
-let server: Server;
+let server: RawServer;
 let address: string;
 /** Answers each request, by the number of earlier ones on its connection. */
 let answer: (socket: Socket, earlier: number) => void;
 
 beforeEach(async () => {
-  server = createServer((socket) => {
+  server = new RawServer((socket) => {
     let requests = 0;
-    socket.on("error", () => {});
+    answer(socket, requests++);
     socket.on("data", () => answer(socket, requests++));
   });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  address = await server.listen();
 });
 
 afterEach(() => {
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -49,6 +49,7 @@
   createMalformedAnswers,
   type MalformedAnswer,
 } from "./malformed-answers.ts";
+export { RawServer, type RawServerOptions } from "./raw-server.ts";
 export { type LinkMode, MemoryNetwork } from "./memory/network.ts";
 export {
   HOST_LIST_END,
