--- a/packages/clients/src/connector.ts
+++ b/packages/clients/src/connector.ts
@@ -21,10 +21,14 @@
 ): buildConnector.connector {
   return ({ hostname, port }, callback) => {
     const socket = new ClientSocket({ highWaterMark: READ_BUFFER_BYTES });
-    const timer = setTimeout(
-      () => socket.destroy(createTimeoutError(timeoutMs)),
-      timeoutMs,
-    );
+    const timer = setTimeout(() => {
+      // A connection established while the process stood still is handled first.
+      setImmediate(() => {
+        if (socket.connecting) {
+          socket.destroy(createTimeoutError(timeoutMs));
+        }
+      });
+    }, timeoutMs);
     const onFailure = (failure: Error) => {
       clearTimeout(timer);
       callback(failure, null);
