Handle a reset of a pause before the bound on an end

Callers would see: a part of an answer as whole, if the node stood still for over a second after the upstream had ended its side and before it reset the connection.

Cause: the timer that bounds the wait for pending bytes fired before the event loop reported that their write had failed.

Change: the end is emitted in the turn after the timer, if the socket still exists then.

--- a/packages/clients/src/client-socket.ts
+++ b/packages/clients/src/client-socket.ts
@@ -9,8 +9,9 @@
 /** An empty line after a request, which HTTP servers ignore. */
 const RESET_PROBE = "\r\n";
 /**
- * A connection that is reset after its end shows so within a round trip and a
- * retransmission. A server that keeps it open may never read the request.
+ * Bounds the wait for pending bytes. A reset that follows an end arrives within a
+ * round trip and a retransmission, but a server that has answered may never read
+ * the rest of the request.
  */
 const MAX_END_DELAY_MS = 1000;
 const RESET_CODE = "ECONNRESET";
@@ -53,7 +54,10 @@
   }
 
   #probe(): void {
-    this.#timer = setTimeout(() => this.#emitEnd(), MAX_END_DELAY_MS);
+    this.#timer = setTimeout(() => {
+      // A reset that arrived while the process stood still is handled first.
+      setImmediate(() => this.#emitEnd());
+    }, MAX_END_DELAY_MS);
     this.write(RESET_PROBE, (failure) => {
       // A write that fails destroys the socket.
       if (failure === null || failure === undefined) {
--- a/packages/relay/test/serving/exchange.test.ts
+++ b/packages/relay/test/serving/exchange.test.ts
@@ -198,6 +198,20 @@
       expect(await read(address, undefined, UPLOADS.at(-1))).toBe(PART);
     });
 
+    it("fail if a reset after their end is read late", async () => {
+      const address = await listenEarly((socket) => {
+        socket.end(`${HEAD}\r\n${PART}`);
+        setTimeout(() => socket.resetAndDestroy(), 20);
+        // Both the reset and the bound on the wait are due after the pause.
+        setTimeout(
+          () =>
+            Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1200),
+          10,
+        );
+      });
+      await expect(read(address, undefined, UPLOADS.at(-1))).rejects.toThrow();
+    });
+
     it("fail if the connection is reset after their end, before the upload was read", async () => {
       const address = await listenEarly((socket) => {
         socket.end(`${HEAD}\r\n${PART}`);
