--- a/packages/clients/src/plain-services.ts
+++ b/packages/clients/src/plain-services.ts
@@ -113,7 +113,7 @@
     reply.body.on("error", () => {}).destroy();
     return Result.err({
       verdict: "may-have-run",
-      message: `${reply.statusCode} is no status code`,
+      message: `${reply.statusCode} is not an HTTP status code`,
     });
   }
   const isRefusal = reply.statusCode === NOT_RUN_STATUS &&
--- a/packages/relay/src/serving/exchange.ts
+++ b/packages/relay/src/serving/exchange.ts
@@ -190,7 +190,9 @@
           return;
         }
         if (!isStatusCode(status)) {
-          this.#connection.close(new Error(`${status} is no status code`));
+          this.#connection.close(
+            new Error(`${status} is not an HTTP status code`),
+          );
           return;
         }
         this.#body = new ResponseBody(controller, this.#memory);
--- a/stand-ins/src/malformed-answers.ts
+++ b/stand-ins/src/malformed-answers.ts
@@ -10,6 +10,9 @@
   readonly bytes: string;
 }
 
+const STATUS_LINE = "HTTP/1.1 200 OK";
+const BODY = "1234";
+const LENGTH_LINE = "content-length: 4";
 /** RFC 9110, section 15: a status code is a number from 100 to 599. */
 const INVALID_STATUS_CODES = [
   "000",
@@ -55,23 +58,20 @@
 };
 
 /**
- * Creates an answer for each kind of malformed head, with the body `1234`.
- * The header lines are sound ones that all of them hold.
+ * Creates an answer for each kind of malformed head, with a body of four
+ * digits. All heads hold the given header lines, which are sound.
  */
 export function createMalformedAnswers(
   headerLines: readonly string[] = [],
 ): readonly MalformedAnswer[] {
   const statuses = INVALID_STATUS_CODES.map((code) => ({
     name: `the status ${JSON.stringify(code)}`,
-    bytes: createBytes(`HTTP/1.1 ${code} OK`, [
-      ...headerLines,
-      "content-length: 4",
-    ]),
+    bytes: createBytes(`HTTP/1.1 ${code} OK`, [...headerLines, LENGTH_LINE]),
   }));
   const headers = Object.entries(INVALID_HEADER_LINES).flatMap((
     [name, line],
   ) => {
-    const length = line.startsWith("content-length") ? [] : LENGTH_LINE;
+    const length = line.startsWith("content-length") ? [] : [LENGTH_LINE];
     return [
       {
         name: `${name}, in the first line`,
@@ -86,9 +86,6 @@
   return [...statuses, ...headers];
 }
 
-const STATUS_LINE = "HTTP/1.1 200 OK";
-const LENGTH_LINE = ["content-length: 4"];
-
 function createBytes(statusLine: string, lines: readonly string[]): string {
-  return [statusLine, ...lines, "", "1234"].join("\r\n");
+  return [statusLine, ...lines, "", BODY].join("\r\n");
 }
--- a/stand-ins/src/raw-server.ts
+++ b/stand-ins/src/raw-server.ts
@@ -10,9 +10,12 @@
   type Socket,
 } from "node:net";
 
-/** Handles connections, by default once they have sent their first bytes. */
+/** When a connection is handled. */
 export interface RawServerOptions {
-  /** Time after which a connection is handled of which nothing is read. */
+  /**
+   * Time after which a connection is handled although nothing of it was read.
+   * If it is absent, the first bytes that arrive are read before.
+   */
   readonly unreadMs?: number;
 }
 
@@ -26,12 +29,12 @@
     handle: (socket: Socket) => void,
     { unreadMs }: RawServerOptions = {},
   ) {
-    const pauses = unreadMs !== undefined;
+    const isUnread = unreadMs !== undefined;
     this.#server = createServer(
-      { allowHalfOpen: pauses, pauseOnConnect: pauses },
+      { allowHalfOpen: isUnread, pauseOnConnect: isUnread },
       (socket) => {
         socket.on("error", () => {});
-        if (pauses) {
+        if (isUnread) {
           setTimeout(() => handle(socket), unreadMs);
         } else {
           socket.once("data", () => handle(socket));
